Run on the users' platform: one driver for leased workers

The users' machines speak in their own way, and their workers can be fenced and run tasks under a lease. This adds the whole path there, thin:

- src/drive: decisions of the instance that drives the workers: start, stop, renew, take note of ends, adopt, place whole jobs, refuse what cannot make its objective.
- src/fleet: who drives (heartbeats, one map value in the store changed by compare-and-swap), jobs of callers and their way to the driver.
- platform/: names, formats and calls; it decides nothing.
- `sycamoreshore fleet`, with settings of its own, and deploy/.

--- a/Makefile
+++ b/Makefile
@@ -12,14 +12,14 @@
 	-Wpointer-arith -Wvla
 CFLAGS = -O2 -g
 SAN =
-CPPFLAGS = -D_GNU_SOURCE -Iinclude -Isrc
+CPPFLAGS = -D_GNU_SOURCE -Iinclude -Isrc -I.
 ALL_CFLAGS = -std=gnu11 $(WARN) $(CFLAGS) $(SAN) -MMD -MP
 LIBS = -lev -lmsgpackc -lmicrohttpd -lcurl -lpopt -linih -lsodium \
 	-ljansson -lxxhash -lm
 
-LIB_AREAS = util protocol coordination state core
+LIB_AREAS = util protocol coordination state drive fleet core
 LIB_SRC = $(sort $(wildcard $(LIB_AREAS:%=src/%/*.c)))
-BIN_SRC = $(sort $(wildcard src/transport/*.c src/cmd/*.c))
+BIN_SRC = $(sort $(wildcard src/transport/*.c src/cmd/*.c platform/*.c))
 TEST_SRC = $(sort $(wildcard test/unit/*.c))
 SIM_SRC = $(sort $(wildcard test/sim/*.c))
 SOAK_SRC = $(sort $(wildcard test/soak/*.c))
@@ -111,7 +111,7 @@
 soak: $(SOAK)
 	$(SOAK) $(subst .., ,$(SEEDS)) $(MS)
 
-SOURCES = $(sort $(wildcard src/*/*.[ch] include/sycamoreshore/*.h \
+SOURCES = $(sort $(wildcard src/*/*.[ch] platform/*.[ch] include/sycamoreshore/*.h \
 	test/*/*.[ch] examples/*.c))
 
 format:
--- a/include/sycamoreshore/clock.h
+++ b/include/sycamoreshore/clock.h
@@ -22,6 +22,9 @@
 /* Monotonic time; its origin has no meaning. */
 extern const struct syc_clock syc_clock_monotonic;
 
+/* Monotonic time that goes on while the machine is suspended. */
+extern const struct syc_clock syc_clock_boot;
+
 /* Milliseconds since the Unix epoch; may step. */
 extern const struct syc_clock syc_clock_wall;
 
--- a/include/sycamoreshore/peer_type.h
+++ b/include/sycamoreshore/peer_type.h
@@ -28,7 +28,15 @@
 	/* forwarded submissions */
 	SYC_PEER_SUBMIT = 64,
 	SYC_PEER_ANSWER,
-	SYC_PEER_IN_HAND
+	SYC_PEER_IN_HAND,
+	/* instances that drive leased workers */
+	SYC_PEER_BEAT = 80,
+	SYC_PEER_JOB,
+	SYC_PEER_JOB_DONE,
+	SYC_PEER_JOB_CANCEL,
+	SYC_PEER_CONFIG,
+	/* a value in the store, never sent */
+	SYC_FLEET_MAP = 96
 };
 
 #endif
--- a/src/cmd/admin_side.c
+++ b/src/cmd/admin_side.c
@@ -114,7 +114,7 @@
 {
 	struct http_server_options server = {
 		.loop = opt->loop,
-		.listen = opt->settings->admin,
+		.listen = opt->listen,
 		.body_max = ADMIN_BODY_MAX,
 		.conns_max = ADMIN_CONNS_MAX,
 		.idle_s = ADMIN_IDLE_S,
--- a/src/cmd/admin_side.h
+++ b/src/cmd/admin_side.h
@@ -7,7 +7,7 @@
 
 #include <ev.h>
 
-#include "cmd/settings.h"
+#include "sycamoreshore/types.h"
 #include "transport/transport_error.h"
 #include "util/metrics.h"
 
@@ -15,7 +15,7 @@
 
 struct admin_side_options {
 	struct ev_loop *loop;
-	const struct settings *settings;
+	struct syc_addr listen;
 	struct metrics *metrics;
 	void *ctx;
 	/* Whether it can serve; otherwise `why` says what it waits for. */
--- /dev/null
+++ b/src/cmd/cmd_fleet.c
@@ -0,0 +1,95 @@
+/* `sycamoreshore fleet`: runs one instance that drives leased workers. */
+#include <popt.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "cmd/cmd.h"
+#include "cmd/fleet_daemon.h"
+
+enum { ERR_MAX = 512 /* bytes of a message */ };
+
+static void open_log(const struct fleet_settings *s)
+{
+	struct log_options opt = {
+		.fd = STDOUT_FILENO,
+		.level = s->log_level,
+		.json = s->log_json,
+		.instance = s->name,
+		.batch_max = s->log_batch,
+	};
+
+	log_init(&opt);
+}
+
+static int run(struct fleet_daemon *d)
+{
+	char err[ERR_MAX];
+
+	open_log(&d->settings);
+	d->loop = ev_default_loop(EVFLAG_AUTO);
+	if (fleet_daemon_open(d, err, sizeof(err))) {
+		fleet_daemon_run(d);
+	} else {
+		log_error("start_failed", LOG_S("why", err));
+		fprintf(stderr, "sycamoreshore: %s\n", err);
+		d->exit_code = EXIT_FAILED;
+	}
+	fleet_daemon_free(d);
+	log_flush();
+	return d->exit_code;
+}
+
+static int read_settings(struct fleet_daemon *d, const char *path)
+{
+	char err[ERR_MAX];
+
+	if (!path) {
+		fputs("sycamoreshore: fleet needs --settings=FILE\n", stderr);
+		return EXIT_USAGE;
+	}
+	if (fleet_settings_read(&d->settings, path, err, sizeof(err)))
+		return EXIT_DONE;
+	fprintf(stderr, "sycamoreshore: %s\n", err);
+	return EXIT_USAGE;
+}
+
+int cmd_fleet(int argc, const char **argv)
+{
+	struct fleet_daemon d = {.exit_code = EXIT_DONE};
+	char *path = NULL;
+	int check = 0, reference = 0, rc;
+	struct poptOption options[] = {
+		{"settings", 's', POPT_ARG_STRING, &path, 0,
+		 "the settings of this instance", "FILE"},
+		{"check", 'c', POPT_ARG_NONE, &check, 0,
+		 "check the settings and exit", NULL},
+		{"reference", 0, POPT_ARG_NONE, &reference, 0,
+		 "print the reference of all settings and exit", NULL},
+		POPT_AUTOHELP POPT_TABLEEND};
+	poptContext ctx = poptGetContext("sycamoreshore fleet", argc, argv,
+					 options, 0);
+
+	rc = poptGetNextOpt(ctx);
+	if (rc < -1 || poptPeekArg(ctx)) {
+		fprintf(stderr, "sycamoreshore: fleet: %s: %s\n",
+			rc < -1 ? poptBadOption(ctx, 0) : poptPeekArg(ctx),
+			rc < -1 ? poptStrerror(rc) : "unexpected argument");
+		poptFreeContext(ctx);
+		return EXIT_USAGE;
+	}
+	poptFreeContext(ctx);
+	if (reference) {
+		fleet_settings_print_reference();
+		return EXIT_DONE;
+	}
+	if (sodium_init() < 0)
+		return EXIT_FAILED;
+	rc = read_settings(&d, path);
+	d.settings_path = path;
+	if (!rc && !check)
+		rc = run(&d);
+	free(path);
+	return rc;
+}
--- /dev/null
+++ b/src/cmd/config_side.c
@@ -0,0 +1,111 @@
+#include <stdlib.h>
+
+#include "cmd/config_side.h"
+#include "util/alloc.h"
+#include "util/log.h"
+
+enum {
+	WATCH_MS = 5000,
+	ABSENT_MS = 250, /* between looks for the first configuration */
+	AWAY_MS = 400 /* between tries while the store is away */
+};
+
+struct config_side {
+	struct config_side_options opt;
+	struct fleet_routes routes;
+	uint64_t index; /* of the store, as last read */
+	ev_timer again;
+};
+
+static void ask(struct config_side *c);
+
+void config_side_offer(struct config_side *c, struct syc_bytes text,
+		       const char *from)
+{
+	struct fleet_routes next;
+	const char *why;
+	size_t skipped;
+
+	if (!c->opt.read(text, &next, &skipped, &why)) {
+		log_warn("config_unreadable", LOG_S("from", from),
+			 LOG_S("why", why));
+		return;
+	}
+	if (next.version <= c->routes.version) {
+		fleet_routes_free(&next);
+		return;
+	}
+	log_info("config_in_force", LOG_U("version", next.version),
+		 LOG_U("old_version", c->routes.version),
+		 LOG_U("routes", next.n), LOG_U("skipped", skipped),
+		 LOG_S("from", from));
+	fleet_routes_free(&c->routes);
+	c->routes = next;
+	c->opt.adopted(c->opt.ctx, next.version, text);
+}
+
+static void ask_later(struct config_side *c, int ms)
+{
+	ev_timer_set(&c->again, (double)ms / 1000, 0);
+	ev_timer_start(c->opt.loop, &c->again);
+}
+
+static void on_value(void *arg, const struct syc_platform_value *v)
+{
+	struct config_side *c = arg;
+
+	if (v->status == SYC_PLATFORM_ABSENT) {
+		c->index = 0;
+		ask_later(c, ABSENT_MS);
+		return;
+	}
+	if (v->status != SYC_PLATFORM_OK) {
+		ask_later(c, AWAY_MS);
+		return;
+	}
+	if (v->value.n)
+		config_side_offer(c, v->value, "store");
+	c->index = v->index;
+	ask(c);
+}
+
+static void ask(struct config_side *c)
+{
+	const struct syc_platform_ops *ops = &c->opt.store;
+
+	if (c->index)
+		ops->watch(ops->ctx, c->opt.key, c->index, WATCH_MS, on_value,
+			   c);
+	else
+		ops->get(ops->ctx, c->opt.key, on_value, c);
+}
+
+static void on_again(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	ask(w->data);
+}
+
+struct config_side *config_side_new(const struct config_side_options *opt)
+{
+	struct config_side *c = xcalloc(1, sizeof(*c));
+
+	c->opt = *opt;
+	ev_timer_init(&c->again, on_again, 0, 0);
+	c->again.data = c;
+	ask(c);
+	return c;
+}
+
+void config_side_free(struct config_side *c)
+{
+	if (!c)
+		return;
+	ev_timer_stop(c->opt.loop, &c->again);
+	fleet_routes_free(&c->routes);
+	free(c);
+}
+
+const struct fleet_routes *config_side_routes(const struct config_side *c)
+{
+	return &c->routes;
+}
--- a/src/cmd/entry.c
+++ b/src/cmd/entry.c
@@ -196,7 +196,7 @@
 {
 	struct admin_side_options opt = {
 		.loop = e->loop,
-		.settings = &e->settings,
+		.listen = e->settings.admin,
 		.metrics = &e->metrics,
 		.ctx = e,
 		.ready = admin_ready,
--- /dev/null
+++ b/src/cmd/fleet_daemon.h
@@ -0,0 +1,60 @@
+/*
+ * The daemon of an instance that drives leased workers: its tasks and the
+ * mail between them. The fleet task owns all decisions; the sides own their
+ * sockets.
+ */
+#ifndef CMD_FLEET_DAEMON_H
+#define CMD_FLEET_DAEMON_H
+
+#include <ev.h>
+
+#include "cmd/admin_side.h"
+#include "cmd/config_side.h"
+#include "cmd/fleet_settings.h"
+#include "cmd/mailbox.h"
+#include "fleet/fleet.h"
+#include "platform/job_side.h"
+#include "platform/store.h"
+#include "platform/worker_side.h"
+#include "transport/peer_link.h"
+#include "util/metrics.h"
+
+struct fleet_daemon {
+	struct ev_loop *loop;
+	const char *settings_path;
+	struct fleet_settings settings;
+	struct metrics metrics;
+	uint8_t cluster_key[PEER_KEY_LEN];
+	struct syc_instance self;
+	struct fleet *fleet;
+	struct job_side *jobs;
+	struct worker_side *workers;
+	struct platform_store *store;
+	struct config_side *config;
+	struct admin_side *admin;
+	struct peer_links *peers;
+	struct mailbox to_fleet;
+	struct mailbox to_jobs;
+	struct ev_timer tick;
+	struct ev_signal sigterm, sigint, sighup, sigusr1;
+	int64_t stop_at; /* zero: not asked to stop */
+	bool quiesced;
+	int exit_code;
+};
+
+/*
+ * Binds the sockets and starts the tasks. On failure returns false with a
+ * message in `err`; fleet_daemon_free takes back what was started.
+ */
+bool fleet_daemon_open(struct fleet_daemon *d, char *err, size_t errlen);
+void fleet_daemon_free(struct fleet_daemon *d);
+
+/* Runs until it has been stopped. */
+void fleet_daemon_run(struct fleet_daemon *d);
+
+/* fleet_metrics.c: brings the metrics up to date. */
+void fleet_metrics_refresh(struct fleet_daemon *d);
+
+int64_t fleet_daemon_now(void);
+
+#endif
--- /dev/null
+++ b/src/cmd/fleet_metrics.c
@@ -0,0 +1,123 @@
+#include "cmd/fleet_daemon.h"
+
+static void set(struct fleet_daemon *d, enum metric_kind kind, const char *name,
+		const char *help, const char *labels, uint64_t val)
+{
+	*metrics_get(&d->metrics, kind, name, help, labels) = val;
+}
+
+static void set_answers(struct fleet_daemon *d)
+{
+	const struct job_side_counts *c = job_side_counts(d->jobs);
+	const struct {
+		const char *labels;
+		uint64_t val;
+	} rows[] = {
+		{"outcome=\"completed\"", c->completed},
+		{"outcome=\"failed\"", c->failed},
+		{"outcome=\"cancelled\"", c->cancelled},
+		{"outcome=\"not_run\"", c->not_run},
+		{"outcome=\"unknown\"", c->unknown},
+		{"outcome=\"no_config\"", c->no_config},
+		{"outcome=\"no_route\"", c->no_route},
+		{"outcome=\"invalid\"", c->invalid},
+		{"outcome=\"unsupported\"", c->unsupported},
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(*rows); i++)
+		set(d, METRIC_COUNTER, "sycamoreshore_answers_total",
+		    "Answers to callers, by what they said.", rows[i].labels,
+		    rows[i].val);
+}
+
+static void set_drive(struct fleet_daemon *d)
+{
+	struct drive_counts c;
+	struct row {
+		const char *name;
+		const char *help;
+		uint64_t val;
+	};
+
+	drive_count(fleet_drive(d->fleet), &c);
+	{
+		const struct row counters[] = {
+			{"sycamoreshore_jobs_driven_total",
+			 "Jobs handed in to this driver.", c.jobs},
+			{"sycamoreshore_starts_total",
+			 "Starts sent to workers.", c.starts},
+			{"sycamoreshore_starts_refused_total",
+			 "Starts that a worker refused or that never left.",
+			 c.starts_refused},
+			{"sycamoreshore_starts_unanswered_total",
+			 "Starts that were not answered in time.",
+			 c.starts_unanswered},
+			{"sycamoreshore_stops_total", "Stops sent to workers.",
+			 c.stops},
+			{"sycamoreshore_holds_total",
+			 "Renewals of leases sent.", c.holds},
+			{"sycamoreshore_stalls_total",
+			 "Tasks stopped as they made no progress.", c.stalls},
+			{"sycamoreshore_ejections_total",
+			 "Times that a worker was passed over for a while.",
+			 c.ejections},
+			{"sycamoreshore_adopted_total",
+			 "Runs taken over from an earlier driver.", c.adopted},
+			{"sycamoreshore_ends_done_total",
+			 "Tasks that ended well.", c.ends_done},
+			{"sycamoreshore_ends_failed_total",
+			 "Tasks that failed.", c.ends_failed},
+			{"sycamoreshore_ends_other_total",
+			 "Runs stopped, lapsed or proved never begun.",
+			 c.ends_other},
+		};
+		const struct row gauges[] = {
+			{"sycamoreshore_jobs_waiting",
+			 "Jobs of this driver with a task that waits.",
+			 c.queued},
+			{"sycamoreshore_runs", "Runs on workers.", c.running},
+			{"sycamoreshore_workers", "Workers known.", c.workers},
+			{"sycamoreshore_workers_usable",
+			 "Workers that answer and are not leaving.",
+			 c.workers_usable},
+		};
+		size_t i;
+
+		for (i = 0; i < sizeof(counters) / sizeof(*counters); i++)
+			set(d, METRIC_COUNTER, counters[i].name,
+			    counters[i].help, NULL, counters[i].val);
+		for (i = 0; i < sizeof(gauges) / sizeof(*gauges); i++)
+			set(d, METRIC_GAUGE, gauges[i].name, gauges[i].help,
+			    NULL, gauges[i].val);
+	}
+}
+
+void fleet_metrics_refresh(struct fleet_daemon *d)
+{
+	uint64_t sent, received;
+
+	peer_links_traffic(d->peers, &sent, &received);
+	set(d, METRIC_COUNTER, "sycamoreshore_peer_sent_bytes_total",
+	    "Bytes sent to other instances.", NULL, sent);
+	set(d, METRIC_COUNTER, "sycamoreshore_peer_received_bytes_total",
+	    "Bytes received from other instances.", NULL, received);
+	set(d, METRIC_COUNTER, "sycamoreshore_platform_calls_total",
+	    "Calls to the platform's store, watches included.", NULL,
+	    platform_store_calls(d->store));
+	set(d, METRIC_COUNTER, "sycamoreshore_log_dropped_total",
+	    "Log lines that could not be written.", NULL, log_dropped());
+	set(d, METRIC_GAUGE, "sycamoreshore_jobs_open",
+	    "Jobs of callers not yet answered.", NULL, fleet_open(d->fleet));
+	set(d, METRIC_GAUGE, "sycamoreshore_config_version",
+	    "Version of the configuration in force; zero for none.", NULL,
+	    config_side_routes(d->config)->version);
+	set(d, METRIC_GAUGE, "sycamoreshore_epoch",
+	    "Epoch of the driver that is followed; zero for none.", NULL,
+	    fleet_epoch(d->fleet));
+	set(d, METRIC_GAUGE, "sycamoreshore_drives",
+	    "Whether this instance drives the workers.", NULL,
+	    fleet_drives(d->fleet));
+	set_answers(d);
+	set_drive(d);
+}
--- /dev/null
+++ b/src/cmd/fleet_settings.h
@@ -0,0 +1,51 @@
+/*
+ * The settings of an instance that drives leased workers, read from an INI
+ * file. One table holds each key's type, range, unit, default and help.
+ */
+#ifndef CMD_FLEET_SETTINGS_H
+#define CMD_FLEET_SETTINGS_H
+
+#include "sycamoreshore/types.h"
+#include "util/buf.h"
+#include "util/log.h"
+
+struct fleet_settings {
+	/* [instance] */
+	char name[SYC_NAME_MAX];
+	char domain[SYC_NAME_MAX];
+	char rack[SYC_NAME_MAX];
+	/* [listen] */
+	struct syc_addr callers;
+	struct syc_addr peers;
+	struct syc_addr admin;
+	/* [cluster] */
+	char cluster[64];
+	char key_file[256]; /* empty: a key made of the cluster's name */
+	/* [platform] */
+	struct syc_addr store;
+	uint32_t store_timeout_ms;
+	/* [workers] */
+	uint32_t lease_ms;
+	uint32_t hold_wait_ms;
+	/* [limits] */
+	uint32_t body_max; /* bytes */
+	uint32_t connections_max;
+	uint32_t idle_s;
+	uint32_t drain_ms;
+	uint32_t stop_ms;
+	/* [log] */
+	enum log_level log_level;
+	bool log_json;
+	uint32_t log_batch; /* bytes */
+};
+
+/* On failure returns false and writes a message into `err`. */
+bool fleet_settings_read(struct fleet_settings *s, const char *path, char *err,
+			 size_t errlen);
+bool fleet_settings_parse(struct fleet_settings *s, const char *file,
+			  struct syc_bytes text, char *err, size_t errlen);
+
+/* Prints the reference of all keys. */
+void fleet_settings_print_reference(void);
+
+#endif
--- a/src/cmd/main.c
+++ b/src/cmd/main.c
@@ -11,6 +11,7 @@
 	const char *help;
 } commands[] = {
 	{"entry", cmd_entry, "runs one instance"},
+	{"fleet", cmd_fleet, "runs one instance that drives leased workers"},
 	{"load", cmd_load, "sends work and measures what comes back"},
 	{"jobs", cmd_jobs, "submits, shows and cancels jobs"},
 	{"state", cmd_state, "prints the state of running instances"},
--- a/src/cmd/settings.c
+++ b/src/cmd/settings.c
@@ -1,14 +1,12 @@
-#include <errno.h>
-#include <stdio.h>
 #include <string.h>
 
 #include "cmd/settings.h"
+#include "cmd/settings_file.h"
 #include "cmd/settings_table.h"
 #include "util/alloc.h"
 #include "util/buf.h"
 
 enum {
-	SETTINGS_BYTES_MAX = 256 * 1024, /* of a settings file */
 	SETTINGS_SECTIONS_MAX = 16,
 	HEARTBEATS_TO_SUSPECT = 3 /* fewest heartbeats in suspect_ms */
 };
@@ -112,31 +110,6 @@
 	return check_operators(s, pos);
 }
 
-static bool read_file(const char *path, struct buf *text, char *err,
-		      size_t errlen)
-{
-	char chunk[4096];
-	FILE *f = fopen(path, "re");
-	size_t n;
-	bool bad;
-
-	if (!f) {
-		snprintf(err, errlen, "%s: %s", path, strerror(errno));
-		return false;
-	}
-	while ((n = fread(chunk, 1, sizeof(chunk), f)) &&
-	       text->len <= SETTINGS_BYTES_MAX)
-		buf_add(text, chunk, n);
-	bad = ferror(f);
-	fclose(f);
-	if (bad)
-		snprintf(err, errlen, "%s: cannot be read", path);
-	else if (text->len > SETTINGS_BYTES_MAX)
-		snprintf(err, errlen, "%s: longer than %d bytes", path,
-			 SETTINGS_BYTES_MAX);
-	return !bad && text->len <= SETTINGS_BYTES_MAX;
-}
-
 bool settings_parse(struct settings *s, const char *file, struct syc_bytes text,
 		    char *err, size_t errlen)
 {
@@ -153,7 +126,7 @@
 {
 	auto_buf struct buf text = {0};
 
-	if (!read_file(path, &text, err, errlen))
+	if (!settings_file_read(path, &text, err, errlen))
 		return false;
 	return settings_parse(s, path, (struct syc_bytes){text.data, text.len},
 			      err, errlen);
--- a/src/cmd/settings_reference.c
+++ b/src/cmd/settings_reference.c
@@ -1,7 +1,7 @@
 #include <stdio.h>
 
 #include "cmd/settings.h"
-#include "cmd/settings_table.h"
+#include "cmd/settings_reference.h"
 
 static void print_field(const struct field *f, struct buf *out)
 {
@@ -19,19 +19,12 @@
 	buf_printf(out, " | %s |\n", f->help);
 }
 
-void settings_reference(struct buf *out)
+void settings_reference_sections(struct buf *out,
+				 const struct settings_section *sec)
 {
-	const struct settings_section *sec;
 	const struct field *f;
 
-	buf_puts(out,
-		 "# Settings\n\n"
-		 "The settings of one instance: an INI file of at most 196 "
-		 "bytes a line.\nLines that begin with `#` or `;` are "
-		 "comments. An unknown section or key, a\nrepeated one and a "
-		 "bad value are refused with file and line. This page is\n"
-		 "printed by `sycamoreshore entry --reference`.\n");
-	for (sec = settings_sections; sec->name; sec++) {
+	for (; sec->name; sec++) {
 		buf_printf(out, "\n## [%s]\n\n%s\n", sec->name, sec->help);
 		if (!sec->fields)
 			continue;
@@ -42,6 +35,18 @@
 	}
 }
 
+void settings_reference(struct buf *out)
+{
+	buf_puts(out,
+		 "# Settings\n\n"
+		 "The settings of one instance: an INI file of at most 196 "
+		 "bytes a line.\nLines that begin with `#` or `;` are "
+		 "comments. An unknown section or key, a\nrepeated one and a "
+		 "bad value are refused with file and line. This page is\n"
+		 "printed by `sycamoreshore entry --reference`.\n");
+	settings_reference_sections(out, settings_sections);
+}
+
 void settings_print_reference(void)
 {
 	auto_buf struct buf out = {0};
--- /dev/null
+++ b/src/drive/drive.c
@@ -0,0 +1,175 @@
+/* The driver's life: begin, tick, end. */
+#include <stdlib.h>
+
+#include "drive/drive_state.h"
+#include "util/alloc.h"
+
+enum {
+	QUEUE_LOOK_MS = 20 /* the queue is looked at again after this */
+};
+
+struct drive *drive_new(const struct drive_options *opt)
+{
+	struct drive *d = xcalloc(1, sizeof(*d));
+
+	d->opt = *opt;
+	table_init(&d->workers, sizeof(struct worker));
+	table_init(&d->runs, sizeof(struct run));
+	table_init(&d->jobs, sizeof(struct job));
+	table_init(&d->holds, sizeof(struct hold_call));
+	list_init(&d->queue);
+	list_init(&d->all);
+	return d;
+}
+
+static void forget_jobs(struct drive *d)
+{
+	struct list *pos, *after;
+
+	LIST_EACH(pos, after, &d->all)
+	job_drop(d, LIST_ITEM(pos, struct job, all));
+}
+
+static void forget_runs(struct drive *d)
+{
+	struct run *r;
+	uint64_t handle;
+	uint32_t pos = 0;
+
+	while ((r = table_next(&d->runs, &pos, &handle)))
+		run_forget(d, r);
+}
+
+void drive_free(struct drive *d)
+{
+	if (!d)
+		return;
+	forget_jobs(d);
+	forget_runs(d);
+	run_times_free(&d->times);
+	index_free(&d->worker_names);
+	index_free(&d->run_tasks);
+	index_free(&d->job_ids);
+	table_free(&d->workers);
+	table_free(&d->runs);
+	table_free(&d->jobs);
+	table_free(&d->holds);
+	free(d);
+}
+
+/* What an earlier time as a driver left is no longer true. */
+static void reset_worker(struct worker *w, int64_t now)
+{
+	w->fence_step = 0;
+	w->held_fence = 0;
+	w->waiting_open = w->probe_open = false;
+	w->hold_at = now;
+	w->silent_since = 0;
+	w->lease_until = 0;
+	w->lease_over = 0;
+	w->cursor = 0;
+}
+
+void drive_begin(struct drive *d, int64_t now, uint64_t epoch)
+{
+	struct worker *w;
+	uint64_t handle;
+	uint32_t pos = 0;
+
+	forget_runs(d);
+	d->active = true;
+	d->epoch = epoch;
+	d->begun_at = now;
+	while ((w = table_next(&d->workers, &pos, &handle))) {
+		reset_worker(w, now);
+		hold_tick(d, w, now);
+	}
+	log_info("drive_begun", LOG_U("epoch", epoch),
+		 LOG_U("workers", d->workers.used),
+		 LOG_U("jobs", d->jobs.used));
+}
+
+void drive_end(struct drive *d, int64_t now)
+{
+	if (!d->active)
+		return;
+	log_info("drive_ended", LOG_U("epoch", d->epoch),
+		 LOG_U("jobs", d->jobs.used), LOG_U("runs", d->runs.used));
+	d->active = false;
+	forget_jobs(d);
+	forget_runs(d);
+}
+
+bool drive_active(const struct drive *d)
+{
+	return d->active;
+}
+
+static void tick_workers(struct drive *d, int64_t now)
+{
+	struct worker *w;
+	uint64_t handle;
+	uint32_t pos = 0;
+
+	while ((w = table_next(&d->workers, &pos, &handle)))
+		hold_tick(d, w, now);
+	worker_drop_unlisted(d, now);
+}
+
+static void tick_runs(struct drive *d, int64_t now)
+{
+	struct run *r;
+	uint64_t handle;
+	uint32_t pos = 0;
+
+	while ((r = table_next(&d->runs, &pos, &handle)))
+		run_tick(d, r, now);
+}
+
+static void tick_jobs(struct drive *d, int64_t now)
+{
+	struct list *pos, *after;
+
+	LIST_EACH(pos, after, &d->all)
+	job_tick(d, LIST_ITEM(pos, struct job, all), now);
+}
+
+void drive_tick(struct drive *d, int64_t now)
+{
+	if (!d->active)
+		return;
+	tick_workers(d, now);
+	tick_runs(d, now);
+	tick_jobs(d, now);
+	if (now / QUEUE_LOOK_MS != (now - 10) / QUEUE_LOOK_MS)
+		d->room_changed = true;
+	queue_run(d, now);
+}
+
+size_t drive_open(const struct drive *d)
+{
+	return d->jobs.used;
+}
+
+static bool has_waiting(const struct job *j)
+{
+	return j->queue.next != NULL;
+}
+
+void drive_count(const struct drive *d, struct drive_counts *counts)
+{
+	const struct worker *w;
+	const struct job *j;
+	uint64_t handle;
+	uint32_t pos = 0;
+
+	*counts = d->counts;
+	counts->running = d->runs.used;
+	while ((j = table_next(&d->jobs, &pos, &handle)))
+		counts->queued += has_waiting(j);
+	for (pos = 0; (w = table_next(&d->workers, &pos, &handle));) {
+		counts->workers++;
+		counts->workers_usable += w->listed && !w->silent_since &&
+					  !w->ended && !w->info.leaving;
+	}
+}
--- /dev/null
+++ b/src/drive/queue.c
@@ -0,0 +1,145 @@
+/*
+ * Which waiting jobs begin, and in which order. A job earns its caller
+ * anything only when its last task has ended, so it begins with room for all
+ * of its tasks or not at all, and one that can no longer make its objective
+ * leaves at once. Jobs that lost a task come first, then by priority, then
+ * by how soon they must begin. Answers loads above the room there is.
+ */
+#include <stdlib.h>
+
+#include "drive/drive_state.h"
+#include "util/alloc.h"
+#include "util/cleanup.h"
+
+enum {
+	RETRY_LEAST_MS = 1000 /* callers count in whole seconds */
+};
+
+static bool before(const struct job *a, const struct job *b)
+{
+	if (a->begun != b->begun)
+		return a->begun;
+	if (a->priority != b->priority)
+		return a->priority < b->priority;
+	return a->latest_start < b->latest_start;
+}
+
+void queue_add(struct drive *d, struct job *j)
+{
+	struct list *at;
+
+	queue_remove(j);
+	for (at = d->queue.prev; at != &d->queue; at = at->prev)
+		if (!before(j, LIST_ITEM(at, struct job, queue)))
+			break;
+	/* list_add puts before a node; the head stands for the end */
+	list_add(at->next, &j->queue);
+	d->room_changed = true;
+}
+
+void queue_remove(struct job *j)
+{
+	list_remove(&j->queue);
+}
+
+static uint32_t n_waiting(const struct job *j)
+{
+	return j->n_tasks - j->n_done - j->n_active;
+}
+
+static int by_time(const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a, y = *(const int64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+/* When a run should end, as far as can be told. */
+static int64_t run_expected_end(const struct drive *d, const struct run *r,
+				int64_t now)
+{
+	const struct job *j = job_get(d, r->job);
+	int64_t at;
+
+	if (!j || r->stopping)
+		return now;
+	at = r->sent_at + (int64_t)run_time_expect(j->times, j->estimate_ms);
+	return at > now ? at : now;
+}
+
+/* The most tasks of its size that all usable workers hold at once. */
+static uint32_t slots_free(const struct drive *d, const struct job *j,
+			   int64_t now)
+{
+	const struct worker *w;
+	uint64_t handle;
+	uint32_t pos = 0, n = 0;
+
+	if (!j->cpu_milli)
+		return UINT32_MAX;
+	while ((w = table_next(&d->workers, &pos, &handle)))
+		if (worker_usable(d, w, now) && w->info.cpu_milli > w->used_cpu)
+			n += (w->info.cpu_milli - w->used_cpu) / j->cpu_milli;
+	return n;
+}
+
+int64_t queue_expected_start(const struct drive *d, const struct job *j,
+			     int64_t now)
+{
+	auto_free int64_t *ends = NULL;
+	uint32_t free_slots = slots_free(d, j, now);
+	uint32_t needed = n_waiting(j);
+	const struct run *r;
+	struct list *pos, *after;
+	uint64_t handle;
+	uint32_t at = 0;
+	size_t n = 0;
+
+	LIST_EACH(pos, after, &d->queue)
+	{
+		const struct job *o = LIST_ITEM(pos, struct job, queue);
+
+		if (o != j && before(o, j))
+			needed += n_waiting(o);
+	}
+	if (needed <= free_slots)
+		return now;
+	needed -= free_slots;
+	ends = xcalloc(d->runs.used + 1, sizeof(*ends));
+	while ((r = table_next(&d->runs, &at, &handle)))
+		if (r->state != RUN_ENDED)
+			ends[n++] = run_expected_end(d, r, now);
+	if (needed > n)
+		return INT64_MAX;
+	qsort(ends, n, sizeof(*ends), by_time);
+	return ends[needed - 1];
+}
+
+static void refuse(struct drive *d, struct job *j, const char *reason,
+		   int64_t now)
+{
+	job_end(d, j, DRIVE_REFUSED, RETRY_LEAST_MS, reason, now);
+}
+
+static void look_at(struct drive *d, struct job *j, int64_t now)
+{
+	if (!job_settled(d, j, now))
+		return;
+	if (place_job(d, j, now)) {
+		queue_remove(j);
+		return;
+	}
+	if (!j->begun && now > j->latest_start)
+		refuse(d, j, "objective_missed", now);
+}
+
+void queue_run(struct drive *d, int64_t now)
+{
+	struct list *pos, *after;
+
+	if (!d->active || !d->room_changed)
+		return;
+	d->room_changed = false;
+	LIST_EACH(pos, after, &d->queue)
+	look_at(d, LIST_ITEM(pos, struct job, queue), now);
+}
--- /dev/null
+++ b/src/fleet/fleet_state.h
@@ -0,0 +1,133 @@
+/* What the files of the fleet share. Private to src/fleet. */
+#ifndef FLEET_FLEET_STATE_H
+#define FLEET_FLEET_STATE_H
+
+#include "fleet/fleet.h"
+#include "fleet/fleet_map.h"
+#include "protocol/wire.h"
+#include "util/index.h"
+#include "util/list.h"
+#include "util/log.h"
+#include "util/table.h"
+
+/* Another instance that a link was up with. */
+struct fleet_peer {
+	struct syc_instance inst;
+	bool up;
+	bool gone; /* silent for so long that its jobs are given up */
+	int64_t heard_at; /* zero: no heartbeat yet */
+	uint32_t uptime_ms;
+	uint64_t epoch;
+	uint64_t driver;
+	uint64_t config_version;
+	bool leaving;
+	bool hears_driver;
+	int64_t config_sent_at;
+};
+
+/* A job of a caller of this instance. */
+struct home_job {
+	uint64_t handle; /* its tag towards the driver */
+	uint64_t tag; /* its caller's */
+	bool handed_in;
+	uint32_t generation;
+	int64_t arrived_at;
+	int64_t deadline_at;
+	struct drive_job spec; /* its views point into `text` */
+	char *text;
+};
+
+struct fleet {
+	struct fleet_options opt;
+	struct drive *drive;
+	int64_t started_at;
+	bool leaving;
+
+	/* lead.c */
+	uint64_t epoch;
+	uint64_t driver;
+	int64_t silent_since; /* the driver has not been heard; zero: it is */
+	bool taking_over; /* the map's change is on its way */
+	int64_t taking_until; /* it goes on without the store after this */
+	int64_t fenced_at; /* zero: no worker refused our fence */
+
+	/* map_sync.c */
+	struct fleet_map map; /* as last read */
+	bool map_known;
+	bool map_open; /* a call is on its way */
+	bool watch_open;
+	int64_t map_at; /* when the next call may be sent */
+	bool store_away;
+	int64_t store_back_at;
+
+	/* beat.c */
+	struct fleet_peer peers[FLEET_MEMBERS_MAX];
+	size_t n_peers;
+	int64_t beat_at;
+
+	/* home.c */
+	struct table jobs; /* of struct home_job */
+	struct index tags;
+
+	/* workers.c */
+	struct drive_worker *workers;
+	size_t n_workers;
+	bool workers_known;
+	bool workers_open;
+	int64_t workers_at;
+	int64_t workers_failed_at;
+
+	/* config */
+	uint64_t config_version;
+	void *config;
+	size_t config_len;
+};
+
+/* beat.c */
+struct fleet_peer *beat_peer(struct fleet *f, uint64_t id);
+bool beat_fresh(const struct fleet_peer *p, int64_t now);
+void beat_tick(struct fleet *f, int64_t now);
+void beat_all(struct fleet *f, int64_t now);
+bool beat_receive(struct fleet *f, int64_t now, struct fleet_peer *p,
+		  struct syc_bytes msg);
+
+/* lead.c */
+void lead_tick(struct fleet *f, int64_t now);
+/* Another instance, or the map, names a driver. */
+void lead_heard(struct fleet *f, int64_t now, uint64_t epoch, uint64_t driver);
+bool lead_hears_driver(const struct fleet *f, int64_t now);
+/* Another instance changed the map before us. */
+void lead_lost(struct fleet *f);
+
+/* map_sync.c */
+void map_sync_tick(struct fleet *f, int64_t now);
+/* Writes the map that names us as the driver under `epoch`. */
+void map_sync_take(struct fleet *f, int64_t now, uint64_t epoch);
+
+/* home.c */
+void home_tick(struct fleet *f, int64_t now);
+/* Hands all jobs in again, as another drives or may have lost them. */
+void home_hand_in_all(struct fleet *f, int64_t now);
+void home_done(struct fleet *f, int64_t now, uint64_t handle,
+	       uint32_t generation, enum drive_outcome outcome,
+	       uint32_t retry_after_ms, const char *reason);
+void home_free(struct fleet *f);
+
+/* workers.c */
+void workers_tick(struct fleet *f, int64_t now);
+
+/* fleet_msgs.c */
+void msg_job_pack(struct wire_out *w, uint64_t tag,
+		  const struct drive_job *job);
+/* Views of `job` point into `msg`; names into `names`. */
+struct msg_job {
+	uint64_t tag;
+	struct drive_job job;
+	char id[DRIVE_ID_MAX];
+	char service[SYC_NAME_MAX];
+	char route[64];
+	char label[SYC_NAME_MAX];
+};
+bool msg_job_unpack(struct wire_in *w, struct syc_bytes msg, struct msg_job *m);
+
+#endif
--- a/src/state/slot_state.h
+++ b/src/state/slot_state.h
@@ -7,7 +7,7 @@
 #define STATE_SLOT_STATE_H
 
 #include "state/heap.h"
-#include "state/list.h"
+#include "util/list.h"
 #include "state/slot_msgs.h"
 #include "sycamoreshore/dispatch.h"
 
--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -100,7 +100,7 @@
 		snprintf(secs, sizeof(secs), "%u", reply->retry_after_s);
 		MHD_add_response_header(res, MHD_HTTP_HEADER_RETRY_AFTER, secs);
 	}
-	if (s->quiesced)
+	if (s->quiesced || s->draining)
 		MHD_add_response_header(res, MHD_HTTP_HEADER_CONNECTION,
 					"close");
 	ok = MHD_queue_response(mhd, reply->status, res);
@@ -234,6 +234,13 @@
 	http_server_kick(s);
 }
 
+const char *http_header(const struct http_request *req, const char *name)
+{
+	struct MHD_Connection *mhd = (void *)(uintptr_t)req->conn;
+
+	return header(mhd, name);
+}
+
 const char *http_query(const struct http_request *req, const char *name)
 {
 	struct MHD_Connection *mhd = (void *)(uintptr_t)req->conn;
--- a/src/transport/http_conn.h
+++ b/src/transport/http_conn.h
@@ -46,6 +46,7 @@
 	struct MHD_Daemon *daemon;
 	uint16_t port;
 	bool quiesced;
+	bool draining; /* answers end their connections */
 	bool freeing;
 	uint64_t handing_over; /* the request inside the callback */
 	size_t n_open;
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -137,6 +137,11 @@
 	return TRANSPORT_OK;
 }
 
+void http_server_drain(struct http_server *s)
+{
+	s->draining = true;
+}
+
 void http_server_quiesce(struct http_server *s)
 {
 	int fd;
--- a/src/transport/http_sock.c
+++ b/src/transport/http_sock.c
@@ -16,6 +16,7 @@
 	ev_io io;
 	struct http_socks *socks;
 	bool busy; /* in the hands of a transfer */
+	bool connected; /* curl has waited for bytes from it */
 	double idle_since; /* loop time */
 };
 
@@ -127,6 +128,17 @@
 	ev_io_start(s->socks->loop, &s->io);
 }
 
+static void drop(struct http_socks *socks, size_t fd)
+{
+	struct http_sock *s = find(socks, fd);
+
+	if (!s)
+		return;
+	ev_io_stop(socks->loop, &s->io);
+	free(s);
+	socks->by_fd[fd] = NULL;
+}
+
 int http_socks_watch(CURL *easy, curl_socket_t fd, int what, void *arg,
 		     void *unused)
 {
@@ -136,8 +148,14 @@
 
 	if (!s && what == CURL_POLL_REMOVE)
 		return 0;
+	/* curl closes one that never connected without a word. */
+	if (s && what == CURL_POLL_REMOVE && !s->connected) {
+		drop(socks, (size_t)fd);
+		return 0;
+	}
 	if (!s)
 		s = add(socks, fd);
+	s->connected |= what & CURL_POLL_IN;
 	s->busy = what != CURL_POLL_REMOVE;
 	if (what & CURL_POLL_IN || !s->busy)
 		events |= EV_READ;
@@ -149,17 +167,6 @@
 	return 0;
 }
 
-static void drop(struct http_socks *socks, size_t fd)
-{
-	struct http_sock *s = find(socks, fd);
-
-	if (!s)
-		return;
-	ev_io_stop(socks->loop, &s->io);
-	free(s);
-	socks->by_fd[fd] = NULL;
-}
-
 int http_socks_close(void *arg, curl_socket_t fd)
 {
 	drop(arg, (size_t)fd);
--- a/src/transport/peer_dial.c
+++ b/src/transport/peer_dial.c
@@ -5,7 +5,6 @@
 
 enum {
 	PAUSE_MIN_MS = 100,
-	PAUSE_MAX_MS = 5000,
 	LEARNED_KEEP_S = 60 /* a learned address is dialled in vain */
 };
 
@@ -16,7 +15,7 @@
 {
 	struct peer_dials *ds = d->dials;
 	double part = (double)rng_below(&ds->rng, 1000) / 1000;
-	double max = PAUSE_MAX_MS / ms_per_s;
+	double max = ds->pause_max_ms / ms_per_s;
 
 	ev_timer_set(&d->again, d->pause_s * (0.5 + part / 2), 0);
 	ev_timer_start(ds->conns->loop, &d->again);
--- a/src/transport/peer_link.c
+++ b/src/transport/peer_link.c
@@ -11,6 +11,7 @@
 #include "util/alloc.h"
 
 enum {
+	PAUSE_MAX_MS = 5000, /* between tries to dial, if not said */
 	ACCEPT_BATCH = 64,
 	ACCEPT_PAUSE_MS = 100 /* after running out of descriptors */
 };
@@ -223,6 +224,8 @@
 	peer_conns_init(&p->conns);
 	p->dials.conns = &p->conns;
 	p->dials.ctx = p;
+	p->dials.pause_max_ms = p->opt.pause_max_ms ? p->opt.pause_max_ms
+						    : PAUSE_MAX_MS;
 	p->dials.reached = reached;
 	p->dials.heard = heard;
 	randombytes_buf(&p->dials.rng, sizeof(p->dials.rng));
--- a/src/util/clock.c
+++ b/src/util/clock.c
@@ -15,10 +15,16 @@
 	return read_ms(CLOCK_MONOTONIC);
 }
 
+static int64_t boot_now(void *ctx)
+{
+	return read_ms(CLOCK_BOOTTIME);
+}
+
 static int64_t wall_now(void *ctx)
 {
 	return read_ms(CLOCK_REALTIME);
 }
 
 const struct syc_clock syc_clock_monotonic = {monotonic_now, NULL};
+const struct syc_clock syc_clock_boot = {boot_now, NULL};
 const struct syc_clock syc_clock_wall = {wall_now, NULL};
--- a/src/state/list.h
+++ b/src/util/list.h
@@ -1,6 +1,6 @@
 /* A circular doubly linked list of nodes embedded in their items. */
-#ifndef STATE_LIST_H
-#define STATE_LIST_H
+#ifndef UTIL_LIST_H
+#define UTIL_LIST_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/src/util/log.c
+++ b/src/util/log.c
@@ -1,3 +1,5 @@
+#include <errno.h>
+#include <fcntl.h>
 #include <inttypes.h>
 #include <string.h>
 #include <time.h>
@@ -13,6 +15,8 @@
 	bool json;
 	char instance[32];
 	uint64_t dropped;
+	size_t batch_max;
+	struct buf batch;
 } logger = {.fd = 2, .level = LOG_INFO};
 
 static const char *const level_names[] = {"error", "warn", "info", "debug"};
@@ -22,10 +26,18 @@
 	logger.fd = opt->fd;
 	logger.level = opt->level;
 	logger.json = opt->json;
+	logger.batch_max = opt->batch_max;
+	if (opt->batch_max)
+		fcntl(opt->fd, F_SETFL, fcntl(opt->fd, F_GETFL) | O_NONBLOCK);
 	copy_name(logger.instance, sizeof(logger.instance),
 		  opt->instance ? opt->instance : "");
 }
 
+void log_level_set(enum log_level level)
+{
+	logger.level = level;
+}
+
 uint64_t log_dropped(void)
 {
 	return logger.dropped;
@@ -92,6 +104,34 @@
 	buf_printf(b, "\"%s.%03ldZ\"", s, ts.tv_nsec / 1000000);
 }
 
+void log_flush(void)
+{
+	ssize_t n;
+
+	if (!logger.batch.len)
+		return;
+	n = write(logger.fd, logger.batch.data, logger.batch.len);
+	if (n > 0)
+		buf_consume(&logger.batch, (size_t)n);
+	else if (n < 0 && errno != EAGAIN && errno != EINTR)
+		logger.batch.len = 0;
+}
+
+static void put_line(const struct buf *line)
+{
+	if (!logger.batch_max) {
+		if (write(logger.fd, line->data, line->len) !=
+		    (ssize_t)line->len)
+			logger.dropped++;
+		return;
+	}
+	if (logger.batch.len + line->len > logger.batch_max) {
+		logger.dropped++;
+		return;
+	}
+	buf_add(&logger.batch, line->data, line->len);
+}
+
 void log_write(enum log_level level, const char *event,
 	       const struct log_field *fields, size_t n)
 {
@@ -114,11 +154,9 @@
 		auto_buf struct buf line = {0};
 
 		buf_printf(&line, "{%s}\n", b.data);
-		if (write(logger.fd, line.data, line.len) != (ssize_t)line.len)
-			logger.dropped++;
+		put_line(&line);
 		return;
 	}
 	buf_puts(&b, "\n");
-	if (write(logger.fd, b.data, b.len) != (ssize_t)b.len)
-		logger.dropped++;
+	put_line(&b);
 }
--- a/src/util/log.h
+++ b/src/util/log.h
@@ -29,11 +29,20 @@
 	enum log_level level;
 	bool json;
 	const char *instance; /* in every line; copied */
+	size_t batch_max; /* bytes kept until log_flush; zero: no batches */
 };
 
 void log_init(const struct log_options *opt);
+void log_level_set(enum log_level level);
 void log_write(enum log_level level, const char *event,
 	       const struct log_field *fields, size_t n);
+
+/*
+ * Writes what is kept as far as the descriptor takes it at once. Lines over
+ * the bound are dropped and counted.
+ */
+void log_flush(void);
+
 /* Lines lost because they could not be written. */
 uint64_t log_dropped(void);
 /* Reads a level name; returns false when there is none such. */
--- a/test/unit/transport_client_test.c
+++ b/test/unit/transport_client_test.c
@@ -194,6 +194,7 @@
 	post(&f, 100);
 	CU_ASSERT(run_until(f.loop, &f.n_done, 1));
 	CU_ASSERT_EQUAL(f.end, HTTP_NOT_SENT);
+	run_a_while(f.loop); /* its descriptor is closed and watched no more */
 	for (i = 0; i < FILL; i++)
 		close(fds[i]);
 	teardown(&f);
