--- a/include/sycamoreshore/peer_type.h
+++ b/include/sycamoreshore/peer_type.h
@@ -35,6 +35,7 @@
 	SYC_PEER_JOB_DONE,
 	SYC_PEER_JOB_CANCEL,
 	SYC_PEER_CONFIG,
+	SYC_PEER_WORKERS,
 	/* a value in the store, never sent */
 	SYC_FLEET_MAP = 96
 };
--- a/src/cmd/cmd_fleet.c
+++ b/src/cmd/cmd_fleet.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "cmd/cmd.h"
+#include "cmd/crash.h"
 #include "cmd/fleet_daemon.h"
 
 enum { ERR_MAX = 512 /* bytes of a message */ };
@@ -27,6 +28,7 @@
 {
 	char err[ERR_MAX];
 
+	crash_report_init();
 	open_log(&d->settings);
 	d->loop = ev_default_loop(EVFLAG_AUTO);
 	if (fleet_daemon_open(d, err, sizeof(err))) {
--- a/src/cmd/fleet_metrics.c
+++ b/src/cmd/fleet_metrics.c
@@ -22,6 +22,7 @@
 		{"outcome=\"no_route\"", c->no_route},
 		{"outcome=\"invalid\"", c->invalid},
 		{"outcome=\"unsupported\"", c->unsupported},
+		{"outcome=\"stopping\"", c->stopping},
 	};
 	size_t i;
 
--- a/src/drive/drive.c
+++ b/src/drive/drive.c
@@ -79,7 +79,7 @@
 	forget_runs(d);
 	d->active = true;
 	d->epoch = epoch;
-	d->begun_at = now;
+	d->list_fresh = false;
 	while ((w = table_next(&d->workers, &pos, &handle))) {
 		reset_worker(w, now);
 		hold_tick(d, w, now);
--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -169,6 +169,11 @@
 	void (*hold)(void *ctx, const struct drive_hold *call);
 	/* A job's final answer, once for each time it was handed in. */
 	void (*done)(void *ctx, const struct drive_done *done);
+	/*
+	 * Whether a home was heard so lately that it cannot have gone over to
+	 * another driver.
+	 */
+	bool (*home_near)(void *ctx, uint64_t home);
 	/* A worker has seen a higher fence than ours. */
 	void (*fenced)(void *ctx, const struct drive_worker *worker);
 };
@@ -194,7 +199,10 @@
 void drive_end(struct drive *d, int64_t now);
 bool drive_active(const struct drive *d);
 
-/* Replaces the list of workers. */
+/*
+ * Replaces the list of workers; also while another drives, so that workers
+ * that it may have used are known.
+ */
 void drive_workers(struct drive *d, int64_t now,
 		   const struct drive_worker *list, size_t n);
 
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -13,6 +13,8 @@
 
 enum {
 	WAITERS_MAX = 4, /* homes that wait for one job */
+	/* A worker that left the list this long ago runs nothing. */
+	UNLISTED_RUNS_MS = 10000,
 	LEASE_MARGIN_MS = 60, /* over a lease, for its end to be sure */
 	CLOCK_DRIFT = 20 /* a worker's clock is at most this part slower */
 };
@@ -38,6 +40,7 @@
 	int64_t running_at; /* its start was answered, or it was listed */
 	uint32_t percent;
 	int64_t percent_at; /* when its percent last changed */
+	bool stray; /* adopted, and no job in hand claims it */
 	bool stopping;
 	bool stop_open; /* a stop is on its way */
 	int64_t stop_at; /* when the next stop may be sent */
@@ -63,6 +66,7 @@
 	uint32_t used_cpu, used_memory, used_accelerators;
 	struct list runs;
 	uint32_t n_runs;
+	uint32_t n_strays; /* adopted ones that no job in hand claims */
 	uint64_t fence_step; /* added to the epoch's first fence */
 	uint64_t held_fence; /* of the last answered hold; zero: none */
 	bool waiting_open; /* the waiting hold is on its way */
@@ -127,18 +131,20 @@
 	struct drive_counts counts;
 	bool active;
 	uint64_t epoch;
-	int64_t begun_at;
 	struct table workers, runs, jobs, holds;
 	struct index worker_names, run_tasks, job_ids;
 	struct list queue; /* of jobs, in the order to begin them */
 	struct list all; /* of jobs */
 	struct run_times times;
+	bool list_fresh; /* the list was read since this driver began */
 	bool room_changed; /* the queue is worth another look */
 	uint32_t next_pick; /* spreads equal choices */
 };
 
 /* worker.c */
 struct worker *worker_get(const struct drive *d, uint64_t handle);
+/* Whether an earlier driver may have left something running there. */
+bool worker_unseen(const struct drive *d, const struct worker *w, int64_t now);
 /* Whether it may be given another task now. */
 bool worker_usable(const struct drive *d, const struct worker *w, int64_t now);
 void worker_good_end(struct drive *d, struct worker *w);
@@ -148,6 +154,8 @@
 		  const char *why);
 void worker_note_clock(struct worker *w, int64_t now,
 		       const struct drive_answer *a);
+/* Its runs may live for a whole lease from now, whoever prolonged it. */
+void worker_may_run(const struct drive *d, struct worker *w, int64_t now);
 /*
  * The lease to ask for now, on the worker's clock. From now on its runs may
  * live until then, whether or not the call is answered.
@@ -176,6 +184,8 @@
 void run_adopt(struct drive *d, struct worker *w,
 	       const struct drive_running *row, int64_t now);
 void run_stop(struct drive *d, struct run *r, int64_t now);
+/* A job in hand claims it. */
+void run_claim(struct drive *d, struct run *r, const struct job *j);
 /* It is over, or was proved never to begin. */
 void run_over(struct drive *d, struct run *r, enum drive_how how, int64_t now);
 void run_tick(struct drive *d, struct run *r, int64_t now);
--- a/src/drive/hold.c
+++ b/src/drive/hold.c
@@ -8,6 +8,8 @@
 
 enum {
 	RETRY_MS = 30, /* pause after a hold that failed */
+	RETRY_LATER_MS = 150, /* once it has been silent for long */
+	SILENT_LONG_MS = 500,
 	PROBE_AFTER_MS = 10 /* a start answered this long ago must be listed */
 };
 
@@ -27,9 +29,10 @@
 
 	/*
 	 * A worker that does not answer may hear us all the same: what is
-	 * sent to it must not go on prolonging what runs there.
+	 * sent to it must not go on prolonging what runs there. Nor may we
+	 * prolong what an earlier driver started and may be watching lapse.
 	 */
-	if (w->has_clock && !probe && !w->silent_since)
+	if (w->has_clock && !probe && !w->silent_since && !w->n_strays)
 		call.lease_until = worker_lease(d, w, now);
 	call.call = table_add(&d->holds, &item);
 	h = item;
@@ -55,7 +58,7 @@
 		hold_lost(d, w, now, "lease_ended");
 	if (w->waiting_open || now < w->hold_at)
 		return;
-	if (!w->listed && !w->n_runs)
+	if (!w->listed && !w->n_runs && !worker_unseen(d, w, now))
 		return;
 	w->waiting_open = true;
 	send_hold(d, w, fresh(d, w) ? d->opt.hold_wait_ms : at_once, false,
@@ -248,8 +251,10 @@
 		if (h.fence == worker_fence(d, w))
 			d->opt.fenced(d->opt.ctx, &w->info);
 	} else {
-		w->hold_at = now + RETRY_MS;
 		fell_silent(d, w, now);
+		w->hold_at = now + (now - w->silent_since < SILENT_LONG_MS
+					    ? RETRY_MS
+					    : RETRY_LATER_MS);
 	}
 	queue_run(d, now);
 }
--- a/src/drive/job.c
+++ b/src/drive/job.c
@@ -184,7 +184,7 @@
 			run_forget(d, r);
 			continue;
 		}
-		r->job = j->handle;
+		run_claim(d, r, j);
 		j->tasks[i].state = TASK_ACTIVE;
 		j->tasks[i].run = r->handle;
 		j->n_active++;
@@ -240,9 +240,10 @@
 
 	if (!j->generation || now >= j->settled_at)
 		return true;
+	if (!d->list_fresh)
+		return false;
 	while ((w = table_next(&d->workers, &pos, &handle)))
-		if (w->listed && !w->ended &&
-		    w->held_fence < d->epoch * DRIVE_FENCE_STEPS)
+		if (worker_unseen(d, w, now))
 			return false;
 	return true;
 }
@@ -250,6 +251,7 @@
 /* Decides on a new job: begin, wait or refuse. */
 static void admit(struct drive *d, struct job *j, int64_t now)
 {
+	uint64_t handle = j->handle;
 	int64_t start;
 
 	if (j->n_done == j->n_tasks) {
@@ -265,7 +267,7 @@
 	}
 	queue_add(d, j);
 	queue_run(d, now);
-	j = job_get(d, j->handle);
+	j = job_get(d, handle);
 	if (!j || !j->queue.next || j->begun)
 		return;
 	if (!job_settled(d, j, now))
--- a/src/drive/queue.c
+++ b/src/drive/queue.c
@@ -121,9 +121,23 @@
 	job_end(d, j, DRIVE_REFUSED, RETRY_LEAST_MS, reason, now);
 }
 
+/*
+ * A home that is not heard may have handed the job to another driver, which
+ * adopts what runs of it.
+ */
+static bool homes_near(const struct drive *d, const struct job *j)
+{
+	size_t i;
+
+	for (i = 0; i < j->n_waiters; i++)
+		if (!d->opt.home_near(d->opt.ctx, j->waiters[i].home))
+			return false;
+	return true;
+}
+
 static void look_at(struct drive *d, struct job *j, int64_t now)
 {
-	if (!job_settled(d, j, now))
+	if (!job_settled(d, j, now) || !homes_near(d, j))
 		return;
 	if (place_job(d, j, now)) {
 		queue_remove(j);
--- a/src/drive/run.c
+++ b/src/drive/run.c
@@ -5,7 +5,7 @@
 
 enum {
 	STOP_RETRY_MS = 100, /* until an unanswered stop is sent again */
-	STRAY_MS = 400, /* a run whose job nobody hands in is stopped after */
+	STRAY_MS = 150, /* a run whose job nobody hands in is stopped after */
 	ENDED_KEEP_MS = 1500, /* an end whose job may be handed in again */
 	STALL_LEAST_MS = 150, /* without progress until a run is stalled */
 	STALL_PART = 4, /* or this part of what it should take */
@@ -76,6 +76,8 @@
 		return;
 	list_remove(&r->of_worker);
 	w->n_runs--;
+	w->n_strays -= r->stray;
+	r->stray = false;
 }
 
 static void take_room(struct worker *w, struct run *r, uint32_t cpu,
@@ -151,6 +153,16 @@
 	d->opt.start(d->opt.ctx, &call);
 }
 
+void run_claim(struct drive *d, struct run *r, const struct job *j)
+{
+	struct worker *w = worker_get(d, r->worker);
+
+	if (r->stray && w)
+		w->n_strays--;
+	r->stray = false;
+	r->job = j->handle;
+}
+
 /* A task of a job in hand that waits may be running unseen: join the two. */
 static void attach(struct drive *d, struct run *r)
 {
@@ -173,7 +185,7 @@
 		t->runs = r->number;
 	j->n_active++;
 	j->begun = true;
-	r->job = j->handle;
+	run_claim(d, r, j);
 	d->counts.adopted++;
 }
 
@@ -192,6 +204,9 @@
 	r->sent_at = r->running_at = r->percent_at = now;
 	r->percent = row->percent;
 	take_room(w, r, w->info.cpu_milli / 2, 0, 0);
+	worker_may_run(d, w, now);
+	r->stray = true;
+	w->n_strays++;
 	if (old) {
 		log_warn("second_run_stopped", LOG_S("job", row->task.job),
 			 LOG_U("task", row->task.index), LOG_U("run", row->run),
--- a/src/drive/worker.c
+++ b/src/drive/worker.c
@@ -31,6 +31,13 @@
 	return w->held_fence >= d->epoch * DRIVE_FENCE_STEPS;
 }
 
+bool worker_unseen(const struct drive *d, const struct worker *w, int64_t now)
+{
+	if (w->ended || held(d, w))
+		return false;
+	return w->listed || now - w->unlisted_at < UNLISTED_RUNS_MS;
+}
+
 bool worker_usable(const struct drive *d, const struct worker *w, int64_t now)
 {
 	if (!w->listed || w->ended || w->info.leaving || !held(d, w))
@@ -39,6 +46,8 @@
 		return false;
 	if (now < w->ejected_until)
 		return false;
+	if (w->n_strays)
+		return false;
 	return !w->probation || !w->n_runs;
 }
 
@@ -94,11 +103,18 @@
 	w->has_clock = true;
 }
 
-int64_t worker_lease(const struct drive *d, struct worker *w, int64_t now)
+void worker_may_run(const struct drive *d, struct worker *w, int64_t now)
 {
 	int64_t lease = d->opt.lease_ms;
 
 	w->lease_over = now + lease + lease / CLOCK_DRIFT + LEASE_MARGIN_MS;
+}
+
+int64_t worker_lease(const struct drive *d, struct worker *w, int64_t now)
+{
+	int64_t lease = d->opt.lease_ms;
+
+	worker_may_run(d, w, now);
 	return now + w->clock_ahead + lease - (now - w->clock_at) / CLOCK_DRIFT;
 }
 
@@ -127,8 +143,10 @@
 	list_init(&w->runs);
 	index_put(&d->worker_names, index_name(info->name, strlen(info->name)),
 		  handle);
-	log_info("worker_listed", LOG_S("worker", info->name),
-		 LOG_S("domain", info->domain), LOG_U("cpu", info->cpu_milli));
+	if (d->active)
+		log_info("worker_listed", LOG_S("worker", info->name),
+			 LOG_S("domain", info->domain),
+			 LOG_U("cpu", info->cpu_milli));
 }
 
 static void update(struct worker *w, const struct drive_worker *info)
@@ -161,6 +179,7 @@
 			add(d, now, &list[i]);
 	}
 	worker_drop_unlisted(d, now);
+	d->list_fresh = true;
 	d->room_changed = true;
 }
 
@@ -174,7 +193,6 @@
 		if (w->listed || w->n_runs ||
 		    now - w->unlisted_at < REMEMBER_MS)
 			continue;
-		log_info("worker_gone", LOG_S("worker", w->info.name));
 		index_del(&d->worker_names,
 			  index_name(w->info.name, strlen(w->info.name)));
 		table_del(&d->workers, handle);
--- a/src/fleet/beat.c
+++ b/src/fleet/beat.c
@@ -10,6 +10,7 @@
 
 enum {
 	BEAT_MS = 100,
+	NEAR_MS = 220, /* well below the time after which a driver is left */
 	FRESH_MS = 350, /* a heartbeat is as good as now for so long */
 	CONFIG_AGAIN_MS = 500, /* until a configuration is sent again */
 	BEAT_FIELDS = 6
@@ -30,9 +31,14 @@
 	return p->heard_at && now - p->heard_at <= FRESH_MS;
 }
 
+bool beat_near(const struct fleet_peer *p, int64_t now)
+{
+	return p->heard_at && now - p->heard_at <= NEAR_MS;
+}
+
 static void send_beat(struct fleet *f, int64_t now, uint64_t to)
 {
-	auto_wire_out struct wire_out w;
+	auto_wire_out struct wire_out w = {0};
 
 	wire_begin(&w, SYC_PEER_BEAT, BEAT_FIELDS);
 	wire_put_u64(&w, (uint64_t)(now - f->started_at));
@@ -56,7 +62,7 @@
 
 static void send_config(struct fleet *f, int64_t now, struct fleet_peer *p)
 {
-	auto_wire_out struct wire_out w;
+	auto_wire_out struct wire_out w = {0};
 
 	if (!f->config_version || p->config_version >= f->config_version ||
 	    now - p->config_sent_at < CONFIG_AGAIN_MS)
@@ -149,6 +155,8 @@
 {
 	add_peer(f, peer);
 	send_beat(f, now, peer->id);
+	if (fleet_drives(f))
+		workers_tell(f, peer->id);
 }
 
 void fleet_peer_down(struct fleet *f, int64_t now, uint64_t peer)
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -8,7 +8,7 @@
 
 static void send_done(struct fleet *f, const struct drive_done *done)
 {
-	auto_wire_out struct wire_out w;
+	auto_wire_out struct wire_out w = {0};
 
 	wire_begin(&w, SYC_PEER_JOB_DONE, 5);
 	wire_put_u64(&w, done->tag);
@@ -44,6 +44,16 @@
 		 LOG_U("epoch", f->epoch));
 }
 
+static bool on_home_near(void *ctx, uint64_t home)
+{
+	struct fleet *f = ctx;
+	const struct fleet_peer *p = beat_peer(f, home);
+
+	if (home == f->opt.self.id)
+		return true;
+	return p && beat_near(p, syc_now(&f->opt.clock));
+}
+
 static void on_start(void *ctx, const struct drive_start *call)
 {
 	struct fleet *f = ctx;
@@ -76,6 +86,7 @@
 		.stop = on_stop,
 		.hold = on_hold,
 		.done = on_done,
+		.home_near = on_home_near,
 		.fenced = on_fenced,
 	};
 
@@ -192,6 +203,8 @@
 		return receive_cancel(f, now, from, msg);
 	case SYC_PEER_CONFIG:
 		return receive_config(f, msg);
+	case SYC_PEER_WORKERS:
+		return workers_receive(f, now, msg);
 	default:
 		return false;
 	}
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -53,6 +53,7 @@
 
 	/* map_sync.c */
 	struct fleet_map map; /* as last read */
+	struct fleet_map writing; /* by the call that is on its way */
 	bool map_known;
 	bool map_open; /* a call is on its way */
 	bool watch_open;
@@ -86,6 +87,8 @@
 /* beat.c */
 struct fleet_peer *beat_peer(struct fleet *f, uint64_t id);
 bool beat_fresh(const struct fleet_peer *p, int64_t now);
+/* Heard so lately that it still hears us, unless we are cut off just now. */
+bool beat_near(const struct fleet_peer *p, int64_t now);
 void beat_tick(struct fleet *f, int64_t now);
 void beat_all(struct fleet *f, int64_t now);
 bool beat_receive(struct fleet *f, int64_t now, struct fleet_peer *p,
@@ -115,6 +118,9 @@
 
 /* workers.c */
 void workers_tick(struct fleet *f, int64_t now);
+/* Tells a peer the list that this instance drives by. */
+void workers_tell(struct fleet *f, uint64_t to);
+bool workers_receive(struct fleet *f, int64_t now, struct syc_bytes msg);
 
 /* fleet_msgs.c */
 void msg_job_pack(struct wire_out *w, uint64_t tag,
--- a/src/fleet/home.c
+++ b/src/fleet/home.c
@@ -66,7 +66,7 @@
 
 static void send_job(struct fleet *f, struct home_job *j, int64_t now)
 {
-	auto_wire_out struct wire_out w;
+	auto_wire_out struct wire_out w = {0};
 
 	msg_job_pack(&w, j->handle, &j->spec);
 	if (!f->opt.send(f->opt.ctx, f->driver, wire_bytes(&w)))
@@ -120,7 +120,7 @@
 
 static void tell_driver(struct fleet *f, const struct home_job *j, int64_t now)
 {
-	auto_wire_out struct wire_out w;
+	auto_wire_out struct wire_out w = {0};
 
 	if (f->driver == f->opt.self.id) {
 		drive_cancel(f->drive, now, f->driver, j->handle);
@@ -149,7 +149,7 @@
 
 bool fleet_cancel_id(struct fleet *f, int64_t now, const char *id)
 {
-	auto_wire_out struct wire_out w;
+	auto_wire_out struct wire_out w = {0};
 
 	if (f->driver == f->opt.self.id) {
 		drive_cancel_id(f->drive, now, id);
--- a/src/fleet/lead.c
+++ b/src/fleet/lead.c
@@ -14,7 +14,7 @@
 	UPTIME_LEAST_MS = 1500, /* an instance younger than this waits */
 	STORE_PATIENCE_MS = 250, /* for the map's change */
 	MINORITY_MS = 4500, /* silence after which the store alone decides */
-	FENCED_PATIENCE_MS = 400 /* for word of who raised the fence */
+	FENCED_PATIENCE_MS = 2000 /* for word of who raised the fence */
 };
 
 bool lead_hears_driver(const struct fleet *f, int64_t now)
@@ -115,7 +115,7 @@
 	f->driver = f->opt.self.id;
 	f->silent_since = 0;
 	f->fenced_at = 0;
-	drive_workers(f->drive, now, f->workers, f->n_workers);
+	f->workers_at = now; /* what we know may be as old as our last look */
 	drive_begin(f->drive, now, epoch);
 	beat_all(f, now);
 	home_hand_in_all(f, now);
--- a/src/fleet/map_sync.c
+++ b/src/fleet/map_sync.c
@@ -47,22 +47,25 @@
 			f->opt.dial(f->opt.ctx, &f->map.members[i].peer_addr);
 }
 
-static void adopt(struct fleet *f, int64_t now,
-		  const struct syc_platform_value *v)
+static void adopt(struct fleet *f, int64_t now, const struct fleet_map *map)
 {
-	if (v->status == SYC_PLATFORM_ABSENT) {
-		memset(&f->map, 0, sizeof(f->map));
-		f->map_known = true;
-		return;
-	}
+	f->map = *map;
+	f->map_known = true;
+	dial_members(f);
+	lead_heard(f, now, map->epoch, map->driver);
+}
+
+static void adopt_text(struct fleet *f, int64_t now,
+		       const struct syc_platform_value *v)
+{
+	struct fleet_map next = {0};
+
 	if (f->map_known && v->index == f->map.index)
 		return;
-	if (!fleet_map_unpack(v->value, &f->map))
+	if (v->status == SYC_PLATFORM_OK && !fleet_map_unpack(v->value, &next))
 		log_error("map_unreadable", LOG_U("index", v->index));
-	f->map.index = v->index;
-	f->map_known = true;
-	dial_members(f);
-	lead_heard(f, now, f->map.epoch, f->map.driver);
+	next.index = v->index;
+	adopt(f, now, &next);
 }
 
 static void take_read(struct fleet *f, const struct syc_platform_value *v)
@@ -74,7 +77,7 @@
 		f->map_at = now + AWAY_MS;
 		return;
 	}
-	adopt(f, now, v);
+	adopt_text(f, now, v);
 	if (!f->map.index)
 		f->map_at = now + AGAIN_MS;
 }
@@ -102,21 +105,24 @@
 
 	f->map_open = false;
 	store_state(f, now, is_away(v->status), v->message);
-	if (v->status == SYC_PLATFORM_OK)
-		adopt(f, now, v);
-	else
-		f->map_at = now + AGAIN_MS;
-	if (v->status == SYC_PLATFORM_CONFLICT) {
-		lead_lost(f);
-		f->map_open = true;
-		f->opt.store.get(f->opt.store.ctx, map_key, on_read, f);
+	if (v->status == SYC_PLATFORM_OK && v->index) {
+		f->writing.index = v->index;
+		adopt(f, now, &f->writing);
+		return;
 	}
+	f->map_at = now + AGAIN_MS;
+	if (is_away(v->status))
+		return;
+	lead_lost(f);
+	f->map_open = true;
+	f->opt.store.get(f->opt.store.ctx, map_key, on_read, f);
 }
 
 static void write_map(struct fleet *f, const struct fleet_map *m)
 {
-	auto_wire_out struct wire_out w;
+	auto_wire_out struct wire_out w = {0};
 
+	f->writing = *m;
 	fleet_map_pack(&w, m);
 	f->map_open = true;
 	f->opt.store.cas(f->opt.store.ctx, map_key, m->index, wire_bytes(&w),
--- a/src/fleet/workers.c
+++ b/src/fleet/workers.c
@@ -1,6 +1,7 @@
 /*
- * The list of workers, read from the platform: often by the driver, seldom
- * by those who may have to take its place.
+ * The list of workers. The driver reads it from the platform and tells its
+ * peers what has changed; those who may have to take its place read it
+ * themselves only while they know of none.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -10,8 +11,10 @@
 
 enum {
 	DRIVER_READ_MS = 500,
-	OTHER_READ_MS = 3000,
+	OTHER_READ_MS = 10000,
 	FAILED_READ_MS = 500,
+	WORKER_FIELDS = 10,
+	LIST_MAX = 20000, /* workers in one message */
 	RETURN_MS = 2500 /* entries may be missing for so long after */
 };
 
@@ -46,10 +49,123 @@
 	return all;
 }
 
+static void put_worker(struct wire_out *w, const struct drive_worker *info)
+{
+	size_t i;
+
+	wire_put_array(w, WORKER_FIELDS);
+	wire_put_str(w, info->name);
+	wire_put_str(w, info->service);
+	wire_put_str(w, info->domain);
+	wire_put_str(w, info->addr.ip);
+	wire_put_u64(w, info->addr.port);
+	wire_put_u64(w, info->cpu_milli);
+	wire_put_u64(w, info->memory_mb);
+	wire_put_u64(w, info->accelerators);
+	wire_put_bool(w, info->leaving);
+	wire_put_array(w, info->n_labels);
+	for (i = 0; i < info->n_labels; i++)
+		wire_put_str(w, info->labels[i]);
+}
+
+static void get_worker(struct wire_in *w, struct drive_worker *info)
+{
+	size_t i;
+
+	wire_enter(w, WORKER_FIELDS);
+	wire_str(w, info->name, sizeof(info->name));
+	wire_str(w, info->service, sizeof(info->service));
+	wire_str(w, info->domain, sizeof(info->domain));
+	wire_str(w, info->addr.ip, sizeof(info->addr.ip));
+	info->addr.port = (uint16_t)wire_u64(w);
+	info->cpu_milli = (uint32_t)wire_u64(w);
+	info->memory_mb = (uint32_t)wire_u64(w);
+	info->accelerators = (uint32_t)wire_u64(w);
+	info->leaving = wire_bool(w);
+	info->n_labels = wire_enter(w, DRIVE_LABELS_MAX);
+	for (i = 0; i < info->n_labels; i++)
+		wire_str(w, info->labels[i], SYC_NAME_MAX);
+	wire_leave(w);
+	wire_leave(w);
+	memcpy(info->kind, info->labels[0], sizeof(info->kind));
+}
+
+void workers_tell(struct fleet *f, uint64_t to)
+{
+	auto_wire_out struct wire_out w = {0};
+	size_t i;
+
+	wire_begin(&w, SYC_PEER_WORKERS, 1);
+	wire_put_array(&w, f->n_workers);
+	for (i = 0; i < f->n_workers; i++)
+		put_worker(&w, &f->workers[i]);
+	f->opt.send(f->opt.ctx, to, wire_bytes(&w));
+}
+
+static void tell_all(struct fleet *f)
+{
+	size_t i;
+
+	for (i = 0; i < f->n_peers; i++)
+		if (f->peers[i].up)
+			workers_tell(f, f->peers[i].inst.id);
+}
+
+static bool same(const struct fleet *f, const struct drive_worker *list,
+		 size_t n)
+{
+	size_t i;
+
+	if (n != f->n_workers)
+		return false;
+	for (i = 0; i < n; i++)
+		if (strcmp(list[i].name, f->workers[i].name) ||
+		    list[i].leaving != f->workers[i].leaving)
+			return false;
+	return true;
+}
+
+/* Takes over `next`. */
+static void replace(struct fleet *f, int64_t now, struct drive_worker *next,
+		    size_t n)
+{
+	free(f->workers);
+	f->workers = next;
+	f->n_workers = n;
+	f->workers_known = true;
+	drive_workers(f->drive, now, next, n);
+}
+
+bool workers_receive(struct fleet *f, int64_t now, struct syc_bytes msg)
+{
+	struct drive_worker *next;
+	struct wire_in w;
+	uint32_t i, n;
+
+	wire_open(&w, msg);
+	n = wire_enter(&w, LIST_MAX);
+	next = xcalloc(n + 1, sizeof(*next));
+	for (i = 0; i < n && !w.failed; i++)
+		get_worker(&w, &next[i]);
+	wire_leave(&w);
+	if (!wire_close(&w)) {
+		free(next);
+		return false;
+	}
+	if (fleet_drives(f)) {
+		free(next); /* our own reading is as good */
+		return true;
+	}
+	f->workers_at = now + OTHER_READ_MS;
+	replace(f, now, next, n);
+	return true;
+}
+
 void fleet_workers(struct fleet *f, int64_t now,
 		   const struct drive_worker *list, size_t n)
 {
 	struct drive_worker *next;
+	bool changed;
 
 	f->workers_open = false;
 	if (!list) {
@@ -63,10 +179,8 @@
 	memcpy(next, list, n * sizeof(*next));
 	if (f->workers_failed_at && now - f->workers_failed_at < RETURN_MS)
 		n = keep_missing(f, next, n);
-	free(f->workers);
-	f->workers = next;
-	f->n_workers = n;
-	f->workers_known = true;
-	if (fleet_drives(f))
-		drive_workers(f->drive, now, next, n);
+	changed = !same(f, next, n);
+	replace(f, now, next, n);
+	if (changed && fleet_drives(f))
+		tell_all(f);
 }
--- a/src/util/log.c
+++ b/src/util/log.c
@@ -15,6 +15,7 @@
 	bool json;
 	char instance[32];
 	uint64_t dropped;
+	int64_t now_ms; /* of a simulation; zero: the time of day */
 	size_t batch_max;
 	struct buf batch;
 } logger = {.fd = 2, .level = LOG_INFO};
@@ -33,6 +34,16 @@
 		  opt->instance ? opt->instance : "");
 }
 
+void log_context_set(const char *instance)
+{
+	copy_name(logger.instance, sizeof(logger.instance), instance);
+}
+
+void log_clock_set(int64_t now_ms)
+{
+	logger.now_ms = now_ms;
+}
+
 void log_level_set(enum log_level level)
 {
 	logger.level = level;
@@ -97,6 +108,11 @@
 	struct tm tm;
 	char s[32];
 
+	if (logger.now_ms) {
+		put_name(b, "time");
+		buf_printf(b, "%" PRId64, logger.now_ms);
+		return;
+	}
 	clock_gettime(CLOCK_REALTIME, &ts);
 	gmtime_r(&ts.tv_sec, &tm);
 	strftime(s, sizeof(s), "%Y-%m-%dT%H:%M:%S", &tm);
--- a/src/util/log.h
+++ b/src/util/log.h
@@ -34,6 +34,10 @@
 
 void log_init(const struct log_options *opt);
 void log_level_set(enum log_level level);
+
+/* For simulations: the instance and the time that lines name from now on. */
+void log_context_set(const char *instance);
+void log_clock_set(int64_t now_ms);
 void log_write(enum log_level level, const char *event,
 	       const struct log_field *fields, size_t n);
 
--- /dev/null
+++ b/test/sim/fleet_sim.c
@@ -0,0 +1,782 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet_sim.h"
+#include "util/alloc.h"
+#include "util/invariant.h"
+#include "util/log.h"
+
+enum {
+	TICK_MS = 10,
+	DELAY_MS = 1, /* one way */
+	ANSWER_MS = 120, /* until a call counts as unanswered */
+	RESEND_MS = 1300,
+	DEADLINE_MS = 2200,
+	LINK_MS = 200, /* until a lost link is up again */
+	LEASE_MS = 1000,
+	HOLD_WAIT_MS = 200,
+	LATE_LEAST_MS = 2000,
+	LATE_SPREAD_MS = 10000
+};
+
+enum event_kind {
+	EVENT_MESSAGE,
+	EVENT_ORDER, /* a call reaches its worker */
+	EVENT_ANSWER,
+	EVENT_LIST
+};
+
+enum order_kind { ORDER_START, ORDER_STOP, ORDER_HOLD };
+
+struct fsim_event {
+	struct fsim_event *next;
+	int64_t at;
+	enum event_kind kind;
+	int instance; /* it is for, or it came from */
+	uint64_t life; /* of that instance */
+	uint64_t from; /* sender of a message */
+	void *bytes;
+	size_t len;
+	/* a call to a worker */
+	enum order_kind order;
+	int worker;
+	char worker_name[SYC_NAME_MAX];
+	uint64_t call;
+	struct drive_task task;
+	uint32_t run;
+	uint64_t fence, cursor;
+	int64_t lease_until;
+	int64_t wait_until; /* a hold answers at an end or then */
+	int64_t due; /* the caller gives up */
+	bool late; /* carried out late, never answered */
+	struct drive_held held;
+};
+
+static void push(struct fsim *s, struct fsim_event *e)
+{
+	struct fsim_event **at = &s->events;
+
+	while (*at && (*at)->at <= e->at)
+		at = &(*at)->next;
+	e->next = *at;
+	*at = e;
+}
+
+static struct fsim_event *event_new(enum event_kind kind, int64_t at,
+				    const struct fsim_instance *i)
+{
+	struct fsim_event *e = xcalloc(1, sizeof(*e));
+
+	e->kind = kind;
+	e->at = at;
+	e->instance = (int)(i - i->sim->instances);
+	e->life = i->inst.id;
+	return e;
+}
+
+static void event_free(struct fsim_event *e)
+{
+	free(e->bytes);
+	free((void *)(uintptr_t)e->held.running);
+	free((void *)(uintptr_t)e->held.ended);
+	free(e);
+}
+
+static bool chance(struct fsim *s, unsigned percent)
+{
+	return rng_below(&s->rng, 100) < percent;
+}
+
+static bool domains_reach(const struct fsim *s, int a, int b)
+{
+	return a == b || (!s->domain_cut[a] && !s->domain_cut[b]);
+}
+
+static bool instances_reach(const struct fsim *s, int a, int b)
+{
+	const struct fsim_instance *x = &s->instances[a];
+	const struct fsim_instance *y = &s->instances[b];
+
+	return !x->cut && !y->cut && domains_reach(s, x->domain, y->domain);
+}
+
+static struct fsim_instance *by_life(struct fsim *s, uint64_t id)
+{
+	int i;
+
+	for (i = 0; i < FSIM_INSTANCES; i++)
+		if (s->instances[i].fleet && s->instances[i].inst.id == id)
+			return &s->instances[i];
+	return NULL;
+}
+
+/* Callbacks of an instance. */
+
+static int64_t sim_clock(void *ctx)
+{
+	struct fsim_instance *i = ctx;
+
+	return i->sim->now;
+}
+
+static int64_t sim_wall(void *ctx)
+{
+	struct fsim_instance *i = ctx;
+
+	return i->sim->now + 1700000000000LL;
+}
+
+/* Links between all that reach each other are made without being asked. */
+static void on_dial(void *ctx, const struct syc_addr *addr)
+{
+}
+
+static bool on_send(void *ctx, uint64_t to, struct syc_bytes msg)
+{
+	struct fsim_instance *i = ctx;
+	struct fsim *s = i->sim;
+	struct fsim_instance *peer = by_life(s, to);
+	struct fsim_event *e;
+	int a = (int)(i - s->instances);
+
+	if (!peer || !s->linked[a][peer - s->instances])
+		return false;
+	e = event_new(EVENT_MESSAGE, s->now + DELAY_MS, peer);
+	e->from = i->inst.id;
+	e->bytes = xmemdup(msg.p, msg.n);
+	e->len = msg.n;
+	push(s, e);
+	return true;
+}
+
+static void on_answer(void *ctx, uint64_t tag,
+		      const struct fleet_answer *answer)
+{
+	struct fsim_instance *i = ctx;
+	struct fsim *s = i->sim;
+	struct fsim_job *j = &s->jobs[tag - 1];
+
+	if (j->home != i - s->instances || j->home_id != i->inst.id)
+		return;
+	j->home = -1;
+	if (answer->outcome == FLEET_NOT_RUN && j->started && !j->unsure) {
+		if (!s->false_refusals++ && !s->twice)
+			snprintf(s->message, sizeof(s->message),
+				 "at %lld ms: %.20s refused as not run (%.40s)",
+				 (long long)s->now, j->id, answer->reason);
+	}
+	if (answer->outcome == FLEET_UNKNOWN) {
+		j->unsure = true;
+		j->again_at = s->now + RESEND_MS;
+		return;
+	}
+	j->answered = true;
+	j->outcome = answer->outcome;
+	j->ended_at = s->now;
+}
+
+static void on_config(void *ctx, uint64_t version, struct syc_bytes text)
+{
+}
+
+static void on_read_workers(void *ctx)
+{
+	struct fsim_instance *i = ctx;
+	struct fsim_event *e = event_new(EVENT_LIST, i->sim->now + 5, i);
+
+	push(i->sim, e);
+}
+
+static int worker_index(const struct fsim *s, const char *name)
+{
+	int i;
+
+	for (i = 0; i < FSIM_WORKERS; i++)
+		if (!strcmp(s->workers[i].info.name, name))
+			return i;
+	return -1;
+}
+
+static struct fsim_event *order_new(struct fsim_instance *i,
+				    enum order_kind kind,
+				    const struct drive_worker *w, uint64_t call)
+{
+	struct fsim *s = i->sim;
+	struct fsim_event *e = event_new(EVENT_ORDER, s->now + DELAY_MS, i);
+
+	e->order = kind;
+	e->worker = worker_index(s, w->name);
+	copy_name(e->worker_name, sizeof(e->worker_name), w->name);
+	e->call = call;
+	e->due = s->now + ANSWER_MS;
+	e->late = chance(s, s->late_percent);
+	return e;
+}
+
+static void send_order(struct fsim *s, struct fsim_event *e)
+{
+	struct fsim_event *gives_up;
+
+	/* The caller gives up in any case; an answer before that wins. */
+	gives_up = xcalloc(1, sizeof(*gives_up));
+	*gives_up = *e;
+	gives_up->kind = EVENT_ANSWER;
+	gives_up->at = e->due;
+	gives_up->held.answer.end = DRIVE_CALL_UNANSWERED;
+	push(s, gives_up);
+	if (e->late)
+		e->at += LATE_LEAST_MS +
+			 (int64_t)rng_below(&s->rng, LATE_SPREAD_MS);
+	push(s, e);
+}
+
+static void on_start(void *ctx, const struct drive_start *call)
+{
+	struct fsim_instance *i = ctx;
+	struct fsim_event *e = order_new(i, ORDER_START, call->worker,
+					 call->call);
+
+	e->task = *call->task;
+	e->run = call->run;
+	e->fence = call->fence;
+	e->lease_until = call->lease_until;
+	send_order(i->sim, e);
+}
+
+static void on_stop(void *ctx, const struct drive_stop *call)
+{
+	struct fsim_instance *i = ctx;
+	struct fsim_event *e = order_new(i, ORDER_STOP, call->worker,
+					 call->call);
+
+	e->task = *call->task;
+	e->run = call->run;
+	e->fence = call->fence;
+	send_order(i->sim, e);
+}
+
+static void on_hold(void *ctx, const struct drive_hold *call)
+{
+	struct fsim_instance *i = ctx;
+	struct fsim_event *e = order_new(i, ORDER_HOLD, call->worker,
+					 call->call);
+
+	e->fence = call->fence;
+	e->cursor = call->cursor;
+	e->lease_until = call->lease_until;
+	e->wait_until = i->sim->now + call->wait_ms;
+	e->due += call->wait_ms;
+	send_order(i->sim, e);
+}
+
+/* Workers and what comes back from them. */
+
+static bool reaches_worker(const struct fsim *s, int instance, int worker)
+{
+	return s->workers[worker].up &&
+	       domains_reach(s, s->instances[instance].domain,
+			     s->workers[worker].domain);
+}
+
+static uint32_t percent_done(const struct fsim *s, const struct fsim_run *r)
+{
+	if (r->stalled || r->ends <= r->began)
+		return 0;
+	return (uint32_t)((s->now - r->began) * 100 / (r->ends - r->began));
+}
+
+static void fill_lists(const struct fsim *s, struct fsim_event *e,
+		       const struct fsim_worker *w)
+{
+	struct drive_running *running = xcalloc(FSIM_RUNS, sizeof(*running));
+	struct drive_ended *ended = xcalloc(FSIM_ENDS, sizeof(*ended));
+	size_t i;
+
+	for (i = 0; i < w->n_runs; i++) {
+		running[i].task = w->runs[i].task;
+		running[i].run = w->runs[i].number;
+		running[i].percent = percent_done(s, &w->runs[i]);
+	}
+	for (i = 0; i < w->n_ends; i++) {
+		ended[i].number = w->ends[i].number;
+		ended[i].task = w->ends[i].task;
+		ended[i].run = w->ends[i].run;
+		ended[i].how = w->ends[i].how;
+	}
+	e->held.running = running;
+	e->held.n_running = w->n_runs;
+	e->held.ended = ended;
+	e->held.n_ended = w->n_ends;
+}
+
+static void answer_order(struct fsim *s, struct fsim_event *e,
+			 enum drive_call_end end)
+{
+	struct fsim_worker *w = &s->workers[e->worker];
+
+	e->held.answer.end = end;
+	e->held.answer.has_clock = true;
+	e->held.answer.clock_ms = s->now - s->now / 50 + w->clock_ahead;
+	if (e->order == ORDER_HOLD && end == DRIVE_CALL_DONE)
+		fill_lists(s, e, w);
+	e->kind = EVENT_ANSWER;
+	e->at = s->now + DELAY_MS;
+	push(s, e);
+}
+
+static void carry_out(struct fsim *s, struct fsim_event *e)
+{
+	struct fsim_worker *w;
+	enum drive_call_end end;
+
+	if (e->worker < 0 || !reaches_worker(s, e->instance, e->worker)) {
+		event_free(e);
+		return;
+	}
+	w = &s->workers[e->worker];
+	if (strcmp(w->info.name, e->worker_name)) {
+		answer_order(s, e, DRIVE_CALL_OTHER_LIFE);
+		return;
+	}
+	if (e->order == ORDER_START)
+		end = fsim_worker_start(s, w, &e->task, e->run, e->fence,
+					e->lease_until);
+	else if (e->order == ORDER_STOP)
+		end = fsim_worker_stop(s, w, &e->task, e->run, e->fence);
+	else
+		end = fsim_worker_hold(s, w, e->fence, e->cursor,
+				       e->lease_until);
+	if (e->late) {
+		event_free(e);
+		return;
+	}
+	if (e->order == ORDER_HOLD && end == DRIVE_CALL_DONE && !w->n_ends &&
+	    s->now < e->wait_until) {
+		e->at = s->now + DELAY_MS;
+		e->lease_until = 0; /* it counts from its arrival */
+		push(s, e);
+		return;
+	}
+	answer_order(s, e, end);
+}
+
+static void hand_answer(struct fsim *s, struct fsim_instance *i,
+			struct fsim_event *e)
+{
+	struct drive *d = fleet_drive(i->fleet);
+
+	if (e->held.answer.end != DRIVE_CALL_UNANSWERED &&
+	    (e->at > e->due || !reaches_worker(s, e->instance, e->worker)))
+		return;
+	if (e->order == ORDER_START)
+		drive_started(d, s->now, e->call, &e->held.answer);
+	else if (e->order == ORDER_STOP)
+		drive_stopped(d, s->now, e->call, &e->held.answer);
+	else
+		drive_held(d, s->now, e->call, &e->held);
+}
+
+static void hand_list(struct fsim *s, struct fsim_instance *i)
+{
+	struct drive_worker list[FSIM_WORKERS];
+	size_t n = 0;
+	int k;
+
+	if (s->store.down || i->store->cut) {
+		fleet_workers(i->fleet, s->now, NULL, 0);
+		return;
+	}
+	for (k = 0; k < FSIM_WORKERS; k++)
+		if (s->workers[k].listed)
+			list[n++] = s->workers[k].info;
+	fleet_workers(i->fleet, s->now, list, n);
+}
+
+static void take_event(struct fsim *s, struct fsim_event *e)
+{
+	struct fsim_instance *i = &s->instances[e->instance];
+
+	if (e->kind == EVENT_ORDER) {
+		carry_out(s, e);
+		return;
+	}
+	if (!i->fleet || i->inst.id != e->life) {
+		event_free(e);
+		return;
+	}
+	if (s->now < i->paused_until) {
+		e->at = i->paused_until;
+		push(s, e);
+		return;
+	}
+	log_context_set(i->inst.name);
+	if (e->kind == EVENT_MESSAGE) {
+		struct syc_bytes msg = {e->bytes, e->len};
+		struct fsim_instance *from = by_life(s, e->from);
+
+		if (from && s->linked[from - s->instances][e->instance])
+			fleet_receive(i->fleet, s->now, e->from, msg);
+	} else if (e->kind == EVENT_ANSWER) {
+		hand_answer(s, i, e);
+	} else {
+		hand_list(s, i);
+	}
+	event_free(e);
+}
+
+/* Callers. */
+
+static int pick_home(struct fsim *s, int domain)
+{
+	int k, at = (int)rng_below(&s->rng, FSIM_INSTANCES);
+	const char *why;
+
+	for (k = 0; k < FSIM_INSTANCES; k++, at = (at + 1) % FSIM_INSTANCES) {
+		const struct fsim_instance *i = &s->instances[at];
+
+		if (i->fleet && i->domain == domain &&
+		    s->now >= i->paused_until)
+			return at;
+	}
+	for (k = 0; k < FSIM_INSTANCES; k++, at = (at + 1) % FSIM_INSTANCES) {
+		const struct fsim_instance *i = &s->instances[at];
+
+		if (i->fleet && s->now >= i->paused_until &&
+		    fleet_ready(i->fleet, &why))
+			return at;
+	}
+	return -1;
+}
+
+static void hand_in(struct fsim *s, struct fsim_job *j)
+{
+	int home = pick_home(s, j->domain);
+	struct drive_job spec = {
+		.id = j->id,
+		.service = "s",
+		.route = "r",
+		.label = "",
+		.attempts_max = 3,
+		.n_tasks = j->n_tasks,
+		.cpu_milli = 8000,
+		.memory_mb = 64,
+		.estimate_ms = j->run_ms,
+		.objective_percent = 160,
+		.objective_add_ms = 1000,
+		.deadline_ms = DEADLINE_MS,
+		.body = {"x", 1},
+	};
+
+	if (home < 0) {
+		j->again_at = s->now + RESEND_MS;
+		return;
+	}
+	j->home = home;
+	j->home_id = s->instances[home].inst.id;
+	j->sent_at = s->now;
+	j->deadline_at = s->now + DEADLINE_MS;
+	j->again_at = 0;
+	fleet_submit(s->instances[home].fleet, s->now,
+		     (uint64_t)(j - s->jobs) + 1, &spec);
+}
+
+static void run_caller(struct fsim *s, struct fsim_job *j)
+{
+	struct fsim_instance *i;
+
+	if (j->answered)
+		return;
+	if (j->again_at && s->now >= j->again_at) {
+		hand_in(s, j);
+		return;
+	}
+	if (j->home < 0)
+		return;
+	i = &s->instances[j->home];
+	if (i->fleet && i->inst.id == j->home_id && s->now < j->deadline_at)
+		return;
+	if (i->fleet && i->inst.id == j->home_id && s->now >= i->paused_until)
+		fleet_cancel(i->fleet, s->now, (uint64_t)(j - s->jobs) + 1);
+	j->home = -1;
+	j->unsure = true;
+	j->again_at = s->now + RESEND_MS;
+}
+
+void fsim_submit(struct fsim *s, int domain, uint32_t n_tasks, uint32_t run_ms)
+{
+	struct fsim_job *j;
+
+	invariant(s->n_jobs < FSIM_JOBS);
+	j = &s->jobs[s->n_jobs++];
+	snprintf(j->id, sizeof(j->id), "%016llx",
+		 (unsigned long long)rng_next(&s->rng));
+	j->domain = domain;
+	j->n_tasks = n_tasks;
+	j->run_ms = run_ms;
+	j->began_at = s->now;
+	hand_in(s, j);
+}
+
+/* Instances and links. */
+
+struct fsim_client {
+	struct fsim_client *next;
+	struct fake_client store;
+};
+
+static struct fake_client *client_new(struct fsim *s)
+{
+	struct fsim_client *c = xcalloc(1, sizeof(*c));
+
+	c->store.store = &s->store;
+	c->next = s->clients;
+	s->clients = c;
+	return &c->store;
+}
+
+void fsim_start(struct fsim *s, int instance)
+{
+	struct fsim_instance *i = &s->instances[instance];
+	static const char config[] = "c";
+	struct fleet_options opt;
+
+	if (i->fleet)
+		return;
+	i->inst.id = ++s->next_id;
+	snprintf(i->inst.name, sizeof(i->inst.name), "i%d", instance);
+	i->store = client_new(s);
+	opt = (struct fleet_options){
+		.self = i->inst,
+		.clock = {sim_clock, i},
+		.wall = {sim_wall, i},
+		.store = fake_store_ops(i->store),
+		.lease_ms = LEASE_MS,
+		.hold_wait_ms = HOLD_WAIT_MS,
+		.ctx = i,
+		.dial = on_dial,
+		.send = on_send,
+		.answer = on_answer,
+		.config = on_config,
+		.read_workers = on_read_workers,
+		.start = on_start,
+		.stop = on_stop,
+		.hold = on_hold,
+	};
+	i->paused_until = 0;
+	i->fleet = fleet_new(&opt, s->now);
+	fleet_config(i->fleet, s->now, 1,
+		     (struct syc_bytes){config, sizeof(config)});
+}
+
+static void unlink_instances(struct fsim *s, int a, int b)
+{
+	s->linked[a][b] = false;
+	if (s->instances[a].fleet)
+		fleet_peer_down(s->instances[a].fleet, s->now,
+				s->instances[b].inst.id);
+}
+
+void fsim_kill(struct fsim *s, int instance)
+{
+	struct fsim_instance *i = &s->instances[instance];
+	int k;
+
+	if (!i->fleet)
+		return;
+	fake_store_drop(i->store);
+	fleet_free(i->fleet);
+	i->fleet = NULL;
+	for (k = 0; k < FSIM_INSTANCES; k++) {
+		s->linked[instance][k] = false;
+		if (k != instance && s->linked[k][instance])
+			unlink_instances(s, k, instance);
+	}
+}
+
+void fsim_pause(struct fsim *s, int instance, int64_t ms)
+{
+	s->instances[instance].paused_until = s->now + ms;
+}
+
+void fsim_leave(struct fsim *s, int instance)
+{
+	if (s->instances[instance].fleet)
+		fleet_leave(s->instances[instance].fleet, s->now);
+}
+
+void fsim_cut_domain(struct fsim *s, int domain, bool cut)
+{
+	s->domain_cut[domain] = cut;
+}
+
+void fsim_cut_instance(struct fsim *s, int instance, bool cut)
+{
+	s->instances[instance].cut = cut;
+}
+
+void fsim_crash_worker(struct fsim *s, int worker)
+{
+	struct fsim_worker *w = &s->workers[worker];
+	int domain = w->domain;
+
+	memset(w, 0, sizeof(*w));
+	w->domain = domain;
+	w->up = w->listed = true;
+	w->clock_ahead = (int64_t)rng_below(&s->rng, 1000000);
+	w->info.cpu_milli = 16000;
+	w->info.memory_mb = 65536;
+	snprintf(w->info.name, sizeof(w->info.name), "w%d-%llu", worker,
+		 (unsigned long long)++s->next_id);
+	snprintf(w->info.domain, sizeof(w->info.domain), "d%d", domain);
+	copy_name(w->info.service, sizeof(w->info.service), "s");
+}
+
+void fsim_list_worker(struct fsim *s, int worker, bool listed)
+{
+	s->workers[worker].listed = listed;
+}
+
+static void make_links(struct fsim *s)
+{
+	int a, b;
+
+	for (a = 0; a < FSIM_INSTANCES; a++) {
+		for (b = 0; b < FSIM_INSTANCES; b++) {
+			bool could = a != b && s->instances[a].fleet &&
+				     s->instances[b].fleet &&
+				     instances_reach(s, a, b);
+
+			if (could && !s->linked[a][b]) {
+				s->linked[a][b] = true;
+				fleet_peer_up(s->instances[a].fleet, s->now,
+					      &s->instances[b].inst);
+			} else if (!could && s->linked[a][b]) {
+				unlink_instances(s, a, b);
+			}
+		}
+	}
+}
+
+/* A cut silences links at once; they are noticed and made again later. */
+static void cut_links(struct fsim *s)
+{
+	int a, b;
+
+	for (a = 0; a < FSIM_INSTANCES; a++)
+		for (b = 0; b < FSIM_INSTANCES; b++)
+			if (s->linked[a][b] && !instances_reach(s, a, b))
+				unlink_instances(s, a, b);
+}
+
+static void step(struct fsim *s)
+{
+	size_t i;
+	int k;
+
+	s->now++;
+	log_clock_set(s->now);
+	cut_links(s);
+	if (s->now % LINK_MS == 0)
+		make_links(s);
+	for (k = 0; k < FSIM_INSTANCES; k++)
+		s->instances[k].store->paused = s->now <
+						s->instances[k].paused_until;
+	fake_store_run(&s->store, s->now);
+	for (k = 0; k < FSIM_WORKERS; k++)
+		fsim_worker_run(s, &s->workers[k]);
+	while (s->events && s->events->at <= s->now) {
+		struct fsim_event *e = s->events;
+
+		s->events = e->next;
+		take_event(s, e);
+	}
+	for (k = 0; k < FSIM_INSTANCES; k++) {
+		struct fsim_instance *in = &s->instances[k];
+
+		if (in->fleet && s->now >= in->paused_until &&
+		    (s->now + k) % TICK_MS == 0) {
+			log_context_set(in->inst.name);
+			fleet_tick(in->fleet, s->now);
+		}
+	}
+	for (i = 0; i < s->n_jobs; i++)
+		run_caller(s, &s->jobs[i]);
+}
+
+void fsim_run(struct fsim *s, int64_t ms)
+{
+	int64_t until = s->now + ms;
+
+	while (s->now < until)
+		step(s);
+}
+
+int fsim_driver(const struct fsim *s)
+{
+	int k;
+
+	for (k = 0; k < FSIM_INSTANCES; k++)
+		if (s->instances[k].fleet &&
+		    fleet_drives(s->instances[k].fleet))
+			return k;
+	return -1;
+}
+
+size_t fsim_count(const struct fsim *s, enum fleet_outcome outcome)
+{
+	size_t i, n = 0;
+
+	for (i = 0; i < s->n_jobs; i++)
+		n += s->jobs[i].answered && s->jobs[i].outcome == outcome;
+	return n;
+}
+
+struct fsim *fsim_new(uint64_t seed)
+{
+	struct fsim *s = xcalloc(1, sizeof(*s));
+	int k;
+
+	s->rng.state = seed;
+	s->store.rng.state = seed + 1;
+	s->store.delay_ms = 2;
+	s->now = 1000000;
+	s->store.now = s->now;
+	for (k = 0; k < FSIM_WORKERS; k++) {
+		s->workers[k].domain = k % FSIM_DOMAINS;
+		fsim_crash_worker(s, k);
+	}
+	for (k = 0; k < FSIM_INSTANCES; k++) {
+		s->instances[k].sim = s;
+		s->instances[k].domain = k % FSIM_DOMAINS;
+		snprintf(s->instances[k].inst.domain, SYC_NAME_MAX, "d%d",
+			 k % FSIM_DOMAINS);
+		fsim_start(s, k);
+	}
+	fsim_run(s, 3000);
+	return s;
+}
+
+void fsim_free(struct fsim *s)
+{
+	struct fsim_client *c;
+	struct fsim_event *e;
+	int k;
+
+	for (k = 0; k < FSIM_INSTANCES; k++)
+		fsim_kill(s, k);
+	while ((e = s->events)) {
+		s->events = e->next;
+		event_free(e);
+	}
+	fake_store_run(&s->store, s->now + 1000000);
+	while ((c = s->clients)) {
+		s->clients = c->next;
+		free(c);
+	}
+	for (k = 0; k < (int)s->store.n_keys; k++) {
+		free(s->store.keys[k].val);
+		free(s->store.keys[k].old_val);
+	}
+	free(s);
+}
--- /dev/null
+++ b/test/sim/fleet_sim_worker.c
@@ -0,0 +1,179 @@
+/* The workers of the simulated fleet. */
+#include <stdio.h>
+#include <string.h>
+
+#include "fleet_sim.h"
+#include "util/invariant.h"
+#include "util/log.h"
+
+static int64_t clock_of(const struct fsim *s, const struct fsim_worker *w)
+{
+	/* As slow as a worker's clock may be. */
+	return s->now - s->now / 50 + w->clock_ahead;
+}
+
+static void end_run(struct fsim_worker *w, size_t i, enum drive_how how)
+{
+	struct fsim_end *e;
+
+	if (w->n_ends == FSIM_ENDS) {
+		memmove(w->ends, w->ends + 1,
+			(FSIM_ENDS - 1) * sizeof(*w->ends));
+		w->n_ends--;
+	}
+	e = &w->ends[w->n_ends++];
+	e->number = ++w->last_end;
+	e->task = w->runs[i].task;
+	e->run = w->runs[i].number;
+	e->how = how;
+	w->runs[i] = w->runs[--w->n_runs];
+}
+
+void fsim_worker_run(struct fsim *s, struct fsim_worker *w)
+{
+	size_t i;
+
+	for (i = w->n_runs; i-- > 0;)
+		if (!w->runs[i].stalled && s->now >= w->runs[i].ends)
+			end_run(w, i, DRIVE_HOW_DONE);
+	if (clock_of(s, w) <= w->lease_until)
+		return;
+	while (w->n_runs)
+		end_run(w, w->n_runs - 1, DRIVE_HOW_LAPSED);
+}
+
+static void prolong(struct fsim *s, struct fsim_worker *w, int64_t lease_until)
+{
+	int64_t most = clock_of(s, w) + 1000;
+
+	if (lease_until > most)
+		lease_until = most;
+	if (lease_until > w->lease_until)
+		w->lease_until = lease_until;
+}
+
+static bool same_task(const struct drive_task *a, const struct drive_task *b)
+{
+	return !memcmp(a, b, sizeof(*a));
+}
+
+static void check_twice(struct fsim *s, const struct fsim_worker *w,
+			const struct drive_task *task, uint32_t run)
+{
+	size_t i, k;
+
+	for (i = 0; i < FSIM_WORKERS; i++) {
+		struct fsim_worker *o = &s->workers[i];
+
+		if (!o->up)
+			continue;
+		fsim_worker_run(s, o);
+		for (k = 0; k < o->n_runs; k++) {
+			if (!same_task(&o->runs[k].task, task))
+				continue;
+			log_info("TWICE", LOG_I("now", s->now));
+			if (!s->twice++)
+				snprintf(s->message, sizeof(s->message),
+					 "at %lld ms: %.20s task %u run %u on "
+					 "%.12s beside run %u on %.12s",
+					 (long long)s->now, task->job,
+					 task->index, run, w->info.name,
+					 o->runs[k].number, o->info.name);
+		}
+	}
+}
+
+static struct fsim_job *job_of(struct fsim *s, const struct drive_task *task)
+{
+	size_t i;
+
+	for (i = 0; i < s->n_jobs; i++)
+		if (!strcmp(s->jobs[i].id, task->job))
+			return &s->jobs[i];
+	return NULL;
+}
+
+enum drive_call_end fsim_worker_start(struct fsim *s, struct fsim_worker *w,
+				      const struct drive_task *task,
+				      uint32_t run, uint64_t fence,
+				      int64_t lease_until)
+{
+	struct fsim_job *j = job_of(s, task);
+	struct fsim_run *r;
+	size_t i;
+
+	fsim_worker_run(s, w);
+	if (fence < w->fence)
+		return DRIVE_CALL_FENCED;
+	w->fence = fence;
+	if (lease_until <= clock_of(s, w))
+		return DRIVE_CALL_LATE;
+	for (i = 0; i < w->n_runs; i++)
+		if (same_task(&w->runs[i].task, task))
+			return w->runs[i].number == run ? DRIVE_CALL_DONE
+							: DRIVE_CALL_OLD;
+	for (i = 0; i < w->n_ends; i++)
+		if (same_task(&w->ends[i].task, task) && w->ends[i].run >= run)
+			return DRIVE_CALL_OLD;
+	prolong(s, w, lease_until);
+	if (w->n_runs == 2)
+		return DRIVE_CALL_NO_ROOM;
+	check_twice(s, w, task, run);
+	invariant(j && w->n_runs < FSIM_RUNS);
+	j->started = true;
+	r = &w->runs[w->n_runs++];
+	memset(r, 0, sizeof(*r));
+	r->task = *task;
+	r->number = run;
+	r->began = s->now;
+	r->ends = s->now + j->run_ms;
+	return DRIVE_CALL_DONE;
+}
+
+enum drive_call_end fsim_worker_stop(struct fsim *s, struct fsim_worker *w,
+				     const struct drive_task *task,
+				     uint32_t run, uint64_t fence)
+{
+	struct fsim_end *e;
+	size_t i;
+
+	fsim_worker_run(s, w);
+	if (fence < w->fence)
+		return DRIVE_CALL_FENCED;
+	w->fence = fence;
+	for (i = 0; i < w->n_runs; i++) {
+		if (same_task(&w->runs[i].task, task) &&
+		    w->runs[i].number <= run) {
+			end_run(w, i, DRIVE_HOW_STOPPED);
+			return DRIVE_CALL_DONE;
+		}
+	}
+	if (w->n_ends == FSIM_ENDS)
+		return DRIVE_CALL_DONE;
+	/* A run that comes later is refused as old. */
+	e = &w->ends[w->n_ends++];
+	e->number = ++w->last_end;
+	e->task = *task;
+	e->run = run;
+	e->how = DRIVE_HOW_STOPPED;
+	return DRIVE_CALL_DONE;
+}
+
+enum drive_call_end fsim_worker_hold(struct fsim *s, struct fsim_worker *w,
+				     uint64_t fence, uint64_t cursor,
+				     int64_t lease_until)
+{
+	size_t i, n = 0;
+
+	fsim_worker_run(s, w);
+	if (fence < w->fence)
+		return DRIVE_CALL_FENCED;
+	w->fence = fence;
+	if (lease_until)
+		prolong(s, w, lease_until);
+	for (i = 0; i < w->n_ends; i++)
+		if (w->ends[i].number > cursor)
+			w->ends[n++] = w->ends[i];
+	w->n_ends = n;
+	return DRIVE_CALL_DONE;
+}
--- /dev/null
+++ b/test/unit/fleet_random_test.c
@@ -0,0 +1,45 @@
+/*
+ * Whole fleets under random troubles: no task has two runs at one time, no
+ * refusal is false, and all is served again after the troubles.
+ * FLEET_SEEDS="first last" plays other seeds.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "sim/fleet_sim.h"
+#include "unit.h"
+#include "util/log.h"
+
+enum { SEED_FIRST = 1, SEED_LAST = 24, RUN_MS = 20000 };
+
+static void quiet_log(void)
+{
+	struct log_options opt = {.fd = 2, .level = LOG_ERROR};
+
+	if (getenv("FLEET_LOG"))
+		opt.level = LOG_INFO;
+	log_init(&opt);
+}
+
+static void random_troubles(void)
+{
+	unsigned long first = SEED_FIRST, last = SEED_LAST, seed;
+	const char *env = getenv("FLEET_SEEDS");
+	char message[200];
+
+	quiet_log();
+	if (env)
+		sscanf(env, "%lu %lu", &first, &last);
+	for (seed = first; seed <= last; seed++) {
+		bool ok = fsim_random(seed, RUN_MS, message, sizeof(message));
+
+		CU_ASSERT(ok);
+		if (!ok)
+			printf("\nfleet seed %lu: %s\n", seed, message);
+	}
+}
+
+SUITE(fleet_random)
+{
+	TEST(random_troubles);
+}
