Distrust what was waiting while an instance stood still; know all workers

- A driver that woke took heartbeats and jobs that had waited in its sockets for fresh ones, and began a task that its home had given up meanwhile.
After 200 ms of standing still it starts nothing until all that waited is read, and leaves jobs that came meanwhile to be handed in again.
- Drivers that learned of each other took the other for silent before its first heartbeat could come, and took over in turn.
A driver heard of through others now has half a second.
- A driver that had just been restarted did not know workers that had left the list with runs on them.
The driver names those to its peers too; one that has not been told waits for the leases instead.

--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -206,6 +206,17 @@
 void drive_workers(struct drive *d, int64_t now,
 		   const struct drive_worker *list, size_t n);
 
+/*
+ * Workers that left the list so lately that something may run there; returns
+ * how many, at most `max`.
+ */
+size_t drive_unlisted(const struct drive *d, int64_t now,
+		      struct drive_worker *list, size_t max);
+
+/* The driver named these beside its list: no other worker runs anything. */
+void drive_know(struct drive *d, int64_t now, const struct drive_worker *list,
+		size_t n);
+
 /* Takes a job; `done` follows once, perhaps before this returns. */
 void drive_submit(struct drive *d, int64_t now, uint64_t home, uint64_t tag,
 		  const struct drive_job *spec);
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -136,6 +136,7 @@
 	struct list queue; /* of jobs, in the order to begin them */
 	struct list all; /* of jobs */
 	struct run_times times;
+	int64_t known_since; /* all workers listed since then are known */
 	bool list_fresh; /* the list was read since this driver began */
 	bool room_changed; /* the queue is worth another look */
 	uint32_t next_pick; /* spreads equal choices */
--- a/src/drive/queue.c
+++ b/src/drive/queue.c
@@ -137,6 +137,8 @@
 
 static void look_at(struct drive *d, struct job *j, int64_t now)
 {
+	if (now >= j->deadline_at)
+		return;
 	if (!job_settled(d, j, now) || !homes_near(d, j))
 		return;
 	if (place_job(d, j, now)) {
--- a/src/drive/worker.c
+++ b/src/drive/worker.c
@@ -179,6 +179,8 @@
 			add(d, now, &list[i]);
 	}
 	worker_drop_unlisted(d, now);
+	if (!d->known_since)
+		d->known_since = now;
 	d->list_fresh = true;
 	d->room_changed = true;
 }
@@ -198,3 +200,36 @@
 		table_del(&d->workers, handle);
 	}
 }
+
+size_t drive_unlisted(const struct drive *d, int64_t now,
+		      struct drive_worker *list, size_t max)
+{
+	const struct worker *w;
+	uint64_t handle;
+	uint32_t pos = 0;
+	size_t n = 0;
+
+	while ((w = table_next(&d->workers, &pos, &handle)) && n < max)
+		if (!w->listed && !w->ended &&
+		    (w->n_runs || now - w->unlisted_at < UNLISTED_RUNS_MS))
+			list[n++] = w->info;
+	return n;
+}
+
+void drive_know(struct drive *d, int64_t now, const struct drive_worker *list,
+		size_t n)
+{
+	struct worker *w;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		w = find(d, list[i].name);
+		if (w)
+			continue;
+		add(d, now, &list[i]);
+		w = find(d, list[i].name);
+		w->listed = false;
+		w->unlisted_at = now;
+	}
+	d->known_since = now - UNLISTED_RUNS_MS;
+}
--- a/src/fleet/beat.c
+++ b/src/fleet/beat.c
@@ -85,6 +85,14 @@
 	drive_home_gone(f->drive, now, p->inst.id);
 }
 
+void beat_judge(struct fleet *f, int64_t now)
+{
+	size_t i;
+
+	for (i = 0; i < f->n_peers; i++)
+		note_silence(f, now, &f->peers[i]);
+}
+
 static void drop_peer(struct fleet *f, size_t i)
 {
 	f->peers[i] = f->peers[--f->n_peers];
@@ -96,10 +104,10 @@
 
 	if (now >= f->beat_at)
 		beat_all(f, now);
+	beat_judge(f, now);
 	for (i = f->n_peers; i-- > 0;) {
 		struct fleet_peer *p = &f->peers[i];
 
-		note_silence(f, now, p);
 		if (!p->up && (p->gone || !p->heard_at))
 			drop_peer(f, i);
 	}
@@ -120,6 +128,10 @@
 	p->hears_driver = wire_bool(&w);
 	if (!wire_close(&w))
 		return false;
+	if (fleet_waking(f, now)) {
+		lead_heard(f, now, p->epoch, p->driver);
+		return true;
+	}
 	if (p->gone)
 		log_info("peer_heard_again", LOG_S("peer", p->inst.name),
 			 LOG_I("silent_ms", now - p->heard_at));
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -6,6 +6,13 @@
 #include "fleet/fleet_state.h"
 #include "util/alloc.h"
 
+enum {
+	/* Much longer than between two ticks. */
+	STOOD_STILL_MS = 200,
+	/* Until all that had come meanwhile has been read. */
+	WAKING_MS = 40
+};
+
 static void send_done(struct fleet *f, const struct drive_done *done)
 {
 	auto_wire_out struct wire_out w = {0};
@@ -48,10 +55,29 @@
 {
 	struct fleet *f = ctx;
 	const struct fleet_peer *p = beat_peer(f, home);
+	int64_t now = syc_now(&f->opt.clock);
 
-	if (home == f->opt.self.id)
-		return true;
-	return p && beat_near(p, syc_now(&f->opt.clock));
+	if (now - f->seen_at >= STOOD_STILL_MS || fleet_waking(f, now))
+		return false;
+	return home == f->opt.self.id || (p && beat_near(p, now));
+}
+
+bool fleet_waking(const struct fleet *f, int64_t now)
+{
+	return now - f->awake_at < WAKING_MS;
+}
+
+void fleet_enter(struct fleet *f, int64_t now)
+{
+	int64_t still = now - f->seen_at;
+
+	f->seen_at = now;
+	if (still < STOOD_STILL_MS)
+		return;
+	f->awake_at = now;
+	log_warn("stood_still", LOG_I("for_ms", still),
+		 LOG_U("drives", fleet_drives(f)));
+	beat_judge(f, now);
 }
 
 static void on_start(void *ctx, const struct drive_start *call)
@@ -92,6 +118,7 @@
 
 	f->opt = *opt;
 	f->started_at = now;
+	f->seen_at = now;
 	f->drive = drive_new(&drive);
 	table_init(&f->jobs, sizeof(struct home_job));
 	return f;
@@ -110,6 +137,7 @@
 
 void fleet_tick(struct fleet *f, int64_t now)
 {
+	fleet_enter(f, now);
 	map_sync_tick(f, now);
 	beat_tick(f, now);
 	lead_tick(f, now);
@@ -125,8 +153,11 @@
 	struct wire_in w;
 	bool ok = msg_job_unpack(&w, msg, &m);
 
-	/* Whoever does not drive leaves it to be handed in again. */
-	if (ok && drive_active(f->drive))
+	/*
+	 * Whoever does not drive leaves it to be handed in again, and so does
+	 * one that was asleep: the home may have given the job up since.
+	 */
+	if (ok && drive_active(f->drive) && !fleet_waking(f, now))
 		drive_submit(f->drive, now, from, m.tag, &m.job);
 	return wire_close(&w) && ok;
 }
@@ -188,8 +219,10 @@
 bool fleet_receive(struct fleet *f, int64_t now, uint64_t from,
 		   struct syc_bytes msg)
 {
-	struct fleet_peer *p = beat_peer(f, from);
+	struct fleet_peer *p;
 
+	fleet_enter(f, now);
+	p = beat_peer(f, from);
 	if (!p)
 		return true; /* it has been dropped meanwhile */
 	switch (wire_type(msg)) {
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -41,12 +41,15 @@
 	struct fleet_options opt;
 	struct drive *drive;
 	int64_t started_at;
+	int64_t seen_at; /* the last event */
+	int64_t awake_at; /* this instance stood still until then */
 	bool leaving;
 
 	/* lead.c */
 	uint64_t epoch;
 	uint64_t driver;
 	int64_t silent_since; /* the driver has not been heard; zero: it is */
+	int64_t learned_at; /* that this one drives */
 	bool taking_over; /* the map's change is on its way */
 	int64_t taking_until; /* it goes on without the store after this */
 	int64_t fenced_at; /* zero: no worker refused our fence */
@@ -84,6 +87,15 @@
 	size_t config_len;
 };
 
+/* fleet.c */
+/*
+ * Call first at each event. What waited in sockets while the instance stood
+ * still is older than it looks.
+ */
+void fleet_enter(struct fleet *f, int64_t now);
+/* Whether such messages may still be coming. */
+bool fleet_waking(const struct fleet *f, int64_t now);
+
 /* beat.c */
 struct fleet_peer *beat_peer(struct fleet *f, uint64_t id);
 bool beat_fresh(const struct fleet_peer *p, int64_t now);
@@ -91,6 +103,8 @@
 bool beat_near(const struct fleet_peer *p, int64_t now);
 void beat_tick(struct fleet *f, int64_t now);
 void beat_all(struct fleet *f, int64_t now);
+/* Gives up the jobs of peers that have been silent for too long. */
+void beat_judge(struct fleet *f, int64_t now);
 bool beat_receive(struct fleet *f, int64_t now, struct fleet_peer *p,
 		  struct syc_bytes msg);
 
--- a/src/fleet/home.c
+++ b/src/fleet/home.c
@@ -105,9 +105,11 @@
 		  const struct drive_job *job)
 {
 	struct home_job *j;
+	uint64_t handle;
 	void *item;
-	uint64_t handle = table_add(&f->jobs, &item);
 
+	fleet_enter(f, now);
+	handle = table_add(&f->jobs, &item);
 	j = item;
 	j->handle = handle;
 	j->tag = tag;
@@ -204,6 +206,7 @@
 	 * is answered now can have handed it in again.
 	 */
 	if (forlorn) {
+		tell_driver(f, j, now);
 		finish(f, j, FLEET_UNKNOWN, 0, "driver_lost", now);
 		return;
 	}
--- a/src/fleet/lead.c
+++ b/src/fleet/lead.c
@@ -12,6 +12,7 @@
 enum {
 	SETTLE_MS = 800, /* after a start, until the first driver is chosen */
 	UPTIME_LEAST_MS = 1500, /* an instance younger than this waits */
+	LEARNED_MS = 500, /* after word of a driver, until it must be heard */
 	STORE_PATIENCE_MS = 250, /* for the map's change */
 	MINORITY_MS = 4500, /* silence after which the store alone decides */
 	FENCED_PATIENCE_MS = 2000 /* for word of who raised the fence */
@@ -26,7 +27,10 @@
 	if (f->driver == f->opt.self.id)
 		return !f->leaving;
 	p = beat_peer((struct fleet *)f, f->driver);
-	return p && beat_fresh(p, now) && !p->leaving;
+	if (p && p->heard_at)
+		return beat_fresh(p, now) && !p->leaving;
+	/* Its first heartbeat may still be on its way. */
+	return now - f->learned_at < LEARNED_MS;
 }
 
 static uint32_t own_uptime(const struct fleet *f, int64_t now)
@@ -201,6 +205,7 @@
 		 LOG_U("epoch", epoch), LOG_U("old_driver", f->driver));
 	f->epoch = epoch;
 	f->driver = driver;
+	f->learned_at = now;
 	f->silent_since = 0;
 	f->taking_over = false;
 	f->fenced_at = 0;
--- a/src/fleet/workers.c
+++ b/src/fleet/workers.c
@@ -8,12 +8,14 @@
 
 #include "fleet/fleet_state.h"
 #include "util/alloc.h"
+#include "util/cleanup.h"
 
 enum {
 	DRIVER_READ_MS = 500,
 	OTHER_READ_MS = 10000,
 	FAILED_READ_MS = 500,
 	WORKER_FIELDS = 10,
+	UNLISTED_MAX = 256,
 	LIST_MAX = 20000, /* workers in one message */
 	RETURN_MS = 2500 /* entries may be missing for so long after */
 };
@@ -90,15 +92,26 @@
 	memcpy(info->kind, info->labels[0], sizeof(info->kind));
 }
 
+static void put_list(struct wire_out *w, const struct drive_worker *list,
+		     size_t n)
+{
+	size_t i;
+
+	wire_put_array(w, n);
+	for (i = 0; i < n; i++)
+		put_worker(w, &list[i]);
+}
+
 void workers_tell(struct fleet *f, uint64_t to)
 {
 	auto_wire_out struct wire_out w = {0};
-	size_t i;
+	struct drive_worker unlisted[UNLISTED_MAX];
+	size_t n = drive_unlisted(f->drive, syc_now(&f->opt.clock), unlisted,
+				  UNLISTED_MAX);
 
-	wire_begin(&w, SYC_PEER_WORKERS, 1);
-	wire_put_array(&w, f->n_workers);
-	for (i = 0; i < f->n_workers; i++)
-		put_worker(&w, &f->workers[i]);
+	wire_begin(&w, SYC_PEER_WORKERS, 2);
+	put_list(&w, f->workers, f->n_workers);
+	put_list(&w, unlisted, n);
 	f->opt.send(f->opt.ctx, to, wire_bytes(&w));
 }
 
@@ -136,28 +149,36 @@
 	drive_workers(f->drive, now, next, n);
 }
 
+static struct drive_worker *get_list(struct wire_in *w, uint32_t *n)
+{
+	struct drive_worker *list;
+	uint32_t i;
+
+	*n = wire_enter(w, LIST_MAX);
+	list = xcalloc(*n + 1, sizeof(*list));
+	for (i = 0; i < *n && !w->failed; i++)
+		get_worker(w, &list[i]);
+	wire_leave(w);
+	return list;
+}
+
 bool workers_receive(struct fleet *f, int64_t now, struct syc_bytes msg)
 {
-	struct drive_worker *next;
+	auto_free struct drive_worker *listed = NULL;
+	auto_free struct drive_worker *unlisted = NULL;
+	uint32_t n, n_unlisted;
 	struct wire_in w;
-	uint32_t i, n;
 
 	wire_open(&w, msg);
-	n = wire_enter(&w, LIST_MAX);
-	next = xcalloc(n + 1, sizeof(*next));
-	for (i = 0; i < n && !w.failed; i++)
-		get_worker(&w, &next[i]);
-	wire_leave(&w);
-	if (!wire_close(&w)) {
-		free(next);
+	listed = get_list(&w, &n);
+	unlisted = get_list(&w, &n_unlisted);
+	if (!wire_close(&w))
 		return false;
-	}
-	if (fleet_drives(f)) {
-		free(next); /* our own reading is as good */
-		return true;
-	}
+	if (fleet_drives(f))
+		return true; /* our own reading is as good */
 	f->workers_at = now + OTHER_READ_MS;
-	replace(f, now, next, n);
+	replace(f, now, take_ptr(listed), n);
+	drive_know(f->drive, now, unlisted, n_unlisted);
 	return true;
 }
 
