Let a failure domain that is cut off drive its own workers

Now one of its instances drives the domain's own workers until the driver of all is heard again (src/fleet/alone.c). It first calls workers of other domains with a fence that changes nothing: an instance that only lost its peers reaches them, and then the driver does too.

The driver raises the fence of the domain's workers alone when the cut heals, so that its other runs go on.

--- a/src/cmd/fleet_daemon.c
+++ b/src/cmd/fleet_daemon.c
@@ -131,7 +131,7 @@
 {
 	struct fleet_daemon *d = ctx;
 
-	drive_held(fleet_drive(d->fleet), fleet_daemon_now(), call, held);
+	fleet_held(d->fleet, fleet_daemon_now(), call, held);
 }
 
 static void open_workers(struct fleet_daemon *d)
--- a/src/drive/drive.c
+++ b/src/drive/drive.c
@@ -89,6 +89,11 @@
 		 LOG_U("jobs", d->jobs.used));
 }
 
+void drive_only(struct drive *d, const char *domain)
+{
+	copy_name(d->only, sizeof(d->only), domain);
+}
+
 void drive_end(struct drive *d, int64_t now)
 {
 	if (!d->active)
--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -174,8 +174,11 @@
 	 * another driver.
 	 */
 	bool (*home_near)(void *ctx, uint64_t home);
-	/* A worker has seen a higher fence than ours. */
-	void (*fenced)(void *ctx, const struct drive_worker *worker);
+	/*
+	 * A worker has seen a higher fence than ours. Returns a higher epoch
+	 * to go on with there, or zero to leave it.
+	 */
+	uint64_t (*fenced)(void *ctx, const struct drive_worker *worker);
 };
 
 /* Totals since the start, for the metrics. */
@@ -195,6 +198,9 @@
 /* Begins to drive all listed workers with fences of `epoch`. */
 void drive_begin(struct drive *d, int64_t now, uint64_t epoch);
 
+/* From now on drives only workers of `domain`; an empty one: all. */
+void drive_only(struct drive *d, const char *domain);
+
 /* Another drives from now on: forgets all jobs without an answer. */
 void drive_end(struct drive *d, int64_t now);
 bool drive_active(const struct drive *d);
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -67,6 +67,7 @@
 	struct list runs;
 	uint32_t n_runs;
 	uint32_t n_strays; /* adopted ones that no job in hand claims */
+	uint64_t epoch; /* higher than the driver's, when raised for it alone */
 	uint64_t fence_step; /* added to the epoch's first fence */
 	uint64_t held_fence; /* of the last answered hold; zero: none */
 	bool waiting_open; /* the waiting hold is on its way */
@@ -136,6 +137,7 @@
 	struct list queue; /* of jobs, in the order to begin them */
 	struct list all; /* of jobs */
 	struct run_times times;
+	char only[SYC_NAME_MAX]; /* failure domain; empty: all */
 	int64_t known_since; /* all workers listed since then are known */
 	bool list_fresh; /* the list was read since this driver began */
 	bool room_changed; /* the queue is worth another look */
@@ -144,6 +146,10 @@
 
 /* worker.c */
 struct worker *worker_get(const struct drive *d, uint64_t handle);
+/* Whether it has answered under the epoch in force. */
+bool worker_held(const struct drive *d, const struct worker *w);
+/* Whether it is this driver's to call. */
+bool worker_ours(const struct drive *d, const struct worker *w);
 /* Whether an earlier driver may have left something running there. */
 bool worker_unseen(const struct drive *d, const struct worker *w, int64_t now);
 /* Whether it may be given another task now. */
--- a/src/drive/hold.c
+++ b/src/drive/hold.c
@@ -47,12 +47,12 @@
 
 static bool fresh(const struct drive *d, const struct worker *w)
 {
-	return w->has_clock && w->held_fence >= d->epoch * DRIVE_FENCE_STEPS;
+	return w->has_clock && worker_held(d, w);
 }
 
 void hold_tick(struct drive *d, struct worker *w, int64_t now)
 {
-	if (!d->active || w->ended)
+	if (!d->active || !worker_ours(d, w))
 		return;
 	if (w->n_runs && w->lease_over && now > w->lease_over)
 		hold_lost(d, w, now, "lease_ended");
@@ -67,7 +67,7 @@
 
 void hold_probe(struct drive *d, struct worker *w, int64_t now)
 {
-	if (!d->active || w->probe_open || w->ended)
+	if (!d->active || w->probe_open || !worker_ours(d, w))
 		return;
 	if (w->fence_step + 1 < DRIVE_FENCE_STEPS)
 		w->fence_step++;
@@ -213,11 +213,27 @@
 	if (w->silent_since)
 		return;
 	w->silent_since = now;
+	w->held_fence = 0; /* another may drive it until it answers again */
 	log_info("worker_silent", LOG_S("worker", w->info.name),
 		 LOG_U("runs", w->n_runs),
 		 LOG_I("lease_left_ms", w->lease_over - now));
 }
 
+static void refused_by_fence(struct drive *d, struct worker *w,
+			     const struct hold_call *h, int64_t now)
+{
+	uint64_t epoch;
+
+	w->hold_at = now + RETRY_MS;
+	/* An older call that a later one of ours overtook. */
+	if (h->fence != worker_fence(d, w))
+		return;
+	w->held_fence = 0;
+	epoch = d->opt.fenced(d->opt.ctx, &w->info);
+	if (epoch > w->epoch)
+		w->epoch = epoch;
+}
+
 void drive_held(struct drive *d, int64_t now, uint64_t call,
 		const struct drive_held *held)
 {
@@ -245,11 +261,7 @@
 	} else if (held->answer.end == DRIVE_CALL_OTHER_LIFE) {
 		other_life(d, w, now);
 	} else if (held->answer.end == DRIVE_CALL_FENCED) {
-		w->hold_at = now + RETRY_MS;
-		w->held_fence = 0;
-		/* An older hold that a later one of ours overtook. */
-		if (h.fence == worker_fence(d, w))
-			d->opt.fenced(d->opt.ctx, &w->info);
+		refused_by_fence(d, w, &h, now);
 	} else {
 		fell_silent(d, w, now);
 		w->hold_at = now + (now - w->silent_since < SILENT_LONG_MS
--- a/src/drive/job.c
+++ b/src/drive/job.c
@@ -240,7 +240,8 @@
 
 	if (!j->generation || now >= j->settled_at)
 		return true;
-	if (!d->list_fresh || now - d->known_since < UNLISTED_RUNS_MS)
+	if (*d->only || !d->list_fresh ||
+	    now - d->known_since < UNLISTED_RUNS_MS)
 		return false;
 	while ((w = table_next(&d->workers, &pos, &handle)))
 		if (worker_unseen(d, w, now))
--- a/src/drive/worker.c
+++ b/src/drive/worker.c
@@ -21,26 +21,37 @@
 	return table_get(&d->workers, handle);
 }
 
+static uint64_t epoch_of(const struct drive *d, const struct worker *w)
+{
+	return w->epoch > d->epoch ? w->epoch : d->epoch;
+}
+
 uint64_t worker_fence(const struct drive *d, const struct worker *w)
 {
-	return d->epoch * DRIVE_FENCE_STEPS + w->fence_step;
+	return epoch_of(d, w) * DRIVE_FENCE_STEPS + w->fence_step;
+}
+
+bool worker_held(const struct drive *d, const struct worker *w)
+{
+	return w->held_fence >= epoch_of(d, w) * DRIVE_FENCE_STEPS;
 }
 
-static bool held(const struct drive *d, const struct worker *w)
+bool worker_ours(const struct drive *d, const struct worker *w)
 {
-	return w->held_fence >= d->epoch * DRIVE_FENCE_STEPS;
+	return !w->ended && (!*d->only || !strcmp(d->only, w->info.domain));
 }
 
 bool worker_unseen(const struct drive *d, const struct worker *w, int64_t now)
 {
-	if (w->ended || held(d, w))
+	if (w->ended || worker_held(d, w))
 		return false;
 	return w->listed || now - w->unlisted_at < UNLISTED_RUNS_MS;
 }
 
 bool worker_usable(const struct drive *d, const struct worker *w, int64_t now)
 {
-	if (!w->listed || w->ended || w->info.leaving || !held(d, w))
+	if (!w->listed || w->info.leaving || !worker_ours(d, w) ||
+	    !worker_held(d, w))
 		return false;
 	if (w->silent_since || w->lease_until < now + LEASE_LEAST_MS)
 		return false;
--- a/src/fleet/beat.c
+++ b/src/fleet/beat.c
@@ -13,7 +13,7 @@
 	NEAR_MS = 220, /* well below the time after which a driver is left */
 	FRESH_MS = 350, /* a heartbeat is as good as now for so long */
 	CONFIG_AGAIN_MS = 500, /* until a configuration is sent again */
-	BEAT_FIELDS = 6
+	BEAT_FIELDS = 7
 };
 
 struct fleet_peer *beat_peer(struct fleet *f, uint64_t id)
@@ -46,7 +46,8 @@
 	wire_put_u64(&w, f->driver);
 	wire_put_u64(&w, f->config_version);
 	wire_put_bool(&w, f->leaving);
-	wire_put_bool(&w, lead_hears_driver(f, now));
+	wire_put_bool(&w, !f->silent_since);
+	wire_put_bool(&w, f->alone == f->opt.self.id);
 	f->opt.send(f->opt.ctx, to, wire_bytes(&w));
 }
 
@@ -126,6 +127,7 @@
 	p->config_version = wire_u64(&w);
 	p->leaving = wire_bool(&w);
 	p->hears_driver = wire_bool(&w);
+	p->alone = wire_bool(&w);
 	if (!wire_close(&w))
 		return false;
 	if (fleet_waking(f, now)) {
@@ -135,12 +137,14 @@
 	if (p->gone)
 		log_info("peer_heard_again", LOG_S("peer", p->inst.name),
 			 LOG_I("silent_ms", now - p->heard_at));
-	if (p->inst.id == f->driver && !beat_fresh(p, now))
+	if (p->inst.id == lead_driver(f) && !beat_fresh(p, now))
 		again = true;
 	p->heard_at = now;
 	p->gone = false;
 	if (again)
 		home_hand_in_all(f, now);
+	if (p->alone)
+		alone_heard(f, now, p);
 	lead_heard(f, now, p->epoch, p->driver);
 	send_config(f, now, p);
 	return true;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -7,6 +7,7 @@
 #include "util/alloc.h"
 
 enum {
+	FENCED_REST_MS = 5000, /* until a domain may think itself cut off */
 	/* Much longer than between two ticks. */
 	STOOD_STILL_MS = 200,
 	/* Until all that had come meanwhile has been read. */
@@ -40,15 +41,25 @@
 			  done->reason);
 }
 
-static void on_fenced(void *ctx, const struct drive_worker *worker)
+static uint64_t on_fenced(void *ctx, const struct drive_worker *worker)
 {
 	struct fleet *f = ctx;
+	int64_t now = syc_now(&f->opt.clock);
 
-	if (f->fenced_at)
-		return;
-	f->fenced_at = syc_now(&f->opt.clock);
 	log_warn("fenced", LOG_S("worker", worker->name),
-		 LOG_U("epoch", f->epoch));
+		 LOG_U("epoch", f->epoch), LOG_U("alone", f->alone != 0));
+	if (f->alone) {
+		/* Not cut off after all: the driver reaches our workers. */
+		alone_end(f, now, "fenced");
+		f->probe_at = now + FENCED_REST_MS;
+		return 0;
+	}
+	/* A domain that was cut off drove it; it has ended or soon will. */
+	if (lead_hears_most(f, now))
+		return lead_next_epoch(f);
+	if (!f->fenced_at)
+		f->fenced_at = now;
+	return 0;
 }
 
 static bool on_home_near(void *ctx, uint64_t home)
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -14,6 +14,9 @@
 #include "sycamoreshore/clock.h"
 #include "sycamoreshore/platform.h"
 
+/* Names a hold that only tells whether a worker can be reached. */
+#define FLEET_PROBE_CALL UINT64_MAX
+
 enum fleet_outcome {
 	FLEET_COMPLETED = 1,
 	FLEET_FAILED,
@@ -86,7 +89,12 @@
 void fleet_config(struct fleet *f, int64_t now, uint64_t version,
 		  struct syc_bytes text);
 
-/* Answers to calls to workers. */
+/*
+ * Answers to calls to workers: fleet_held for holds; all others go to the
+ * driver itself.
+ */
+void fleet_held(struct fleet *f, int64_t now, uint64_t call,
+		const struct drive_held *held);
 struct drive *fleet_drive(struct fleet *f);
 
 /* Whether jobs can be served; otherwise `why` says what is waited for. */
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -22,6 +22,7 @@
 	uint64_t config_version;
 	bool leaving;
 	bool hears_driver;
+	bool alone; /* drives its failure domain, which is cut off */
 	int64_t config_sent_at;
 };
 
@@ -50,10 +51,17 @@
 	uint64_t driver;
 	int64_t silent_since; /* the driver has not been heard; zero: it is */
 	int64_t learned_at; /* that this one drives */
+	int64_t began_at; /* this instance began to drive */
+	uint64_t alone; /* drives our domain while it is cut off; zero: none */
 	bool taking_over; /* the map's change is on its way */
 	int64_t taking_until; /* it goes on without the store after this */
 	int64_t fenced_at; /* zero: no worker refused our fence */
 
+	/* alone.c */
+	int64_t probe_at; /* when other domains may be probed again */
+	int probes_open;
+	bool probes_answered;
+
 	/* map_sync.c */
 	struct fleet_map map; /* as last read */
 	struct fleet_map writing; /* by the call that is on its way */
@@ -113,9 +121,26 @@
 /* Another instance, or the map, names a driver. */
 void lead_heard(struct fleet *f, int64_t now, uint64_t epoch, uint64_t driver);
 bool lead_hears_driver(const struct fleet *f, int64_t now);
+/* The instance that jobs go to; zero when none is known. */
+uint64_t lead_driver(const struct fleet *f);
+/* Nobody drives, and a takeover would have been made by now. */
+bool lead_forlorn(const struct fleet *f, int64_t now);
+/* Whether this is the best of all instances that are heard. */
+bool lead_is_best(const struct fleet *f, int64_t now);
+/* Whether most instances of the map are heard. */
+bool lead_hears_most(const struct fleet *f, int64_t now);
+/* An epoch above all that are known. */
+uint64_t lead_next_epoch(const struct fleet *f);
 /* Another instance changed the map before us. */
 void lead_lost(struct fleet *f);
 
+/* alone.c */
+/* The driver is not heard, and this instance cannot take its place. */
+void alone_tick(struct fleet *f, int64_t now);
+/* A heartbeat of an instance that drives its own domain. */
+void alone_heard(struct fleet *f, int64_t now, const struct fleet_peer *p);
+void alone_end(struct fleet *f, int64_t now, const char *why);
+
 /* map_sync.c */
 void map_sync_tick(struct fleet *f, int64_t now);
 /* Writes the map that names us as the driver under `epoch`. */
--- a/src/fleet/home.c
+++ b/src/fleet/home.c
@@ -69,7 +69,7 @@
 	auto_wire_out struct wire_out w = {0};
 
 	msg_job_pack(&w, j->handle, &j->spec);
-	if (!f->opt.send(f->opt.ctx, f->driver, wire_bytes(&w)))
+	if (!f->opt.send(f->opt.ctx, lead_driver(f), wire_bytes(&w)))
 		return; /* handed in again once the link is up */
 	j->handed_in = true;
 }
@@ -83,12 +83,12 @@
 	if (j->handed_in)
 		j->generation++;
 	j->spec.generation = j->generation;
-	if (f->driver != f->opt.self.id) {
+	if (lead_driver(f) != f->opt.self.id) {
 		send_job(f, j, now);
 		return;
 	}
 	j->handed_in = true;
-	drive_submit(f->drive, now, f->driver, j->handle, &j->spec);
+	drive_submit(f->drive, now, f->opt.self.id, j->handle, &j->spec);
 }
 
 void home_hand_in_all(struct fleet *f, int64_t now)
@@ -124,14 +124,14 @@
 {
 	auto_wire_out struct wire_out w = {0};
 
-	if (f->driver == f->opt.self.id) {
-		drive_cancel(f->drive, now, f->driver, j->handle);
+	if (lead_driver(f) == f->opt.self.id) {
+		drive_cancel(f->drive, now, f->opt.self.id, j->handle);
 		return;
 	}
 	wire_begin(&w, SYC_PEER_JOB_CANCEL, 2);
 	wire_put_u64(&w, j->handle);
 	wire_put_str(&w, "");
-	f->opt.send(f->opt.ctx, f->driver, wire_bytes(&w));
+	f->opt.send(f->opt.ctx, lead_driver(f), wire_bytes(&w));
 }
 
 void fleet_cancel(struct fleet *f, int64_t now, uint64_t tag)
@@ -153,14 +153,15 @@
 {
 	auto_wire_out struct wire_out w = {0};
 
-	if (f->driver == f->opt.self.id) {
+	if (lead_driver(f) == f->opt.self.id) {
 		drive_cancel_id(f->drive, now, id);
 		return true;
 	}
 	wire_begin(&w, SYC_PEER_JOB_CANCEL, 2);
 	wire_put_u64(&w, 0);
 	wire_put_str(&w, id);
-	return f->driver && f->opt.send(f->opt.ctx, f->driver, wire_bytes(&w));
+	return lead_driver(f) &&
+	       f->opt.send(f->opt.ctx, lead_driver(f), wire_bytes(&w));
 }
 
 static enum fleet_outcome outcome_of(const struct home_job *j,
@@ -194,7 +195,7 @@
 
 static void tick_job(struct fleet *f, struct home_job *j, int64_t now)
 {
-	bool forlorn = f->silent_since && now - f->silent_since > NO_DRIVER_MS;
+	bool forlorn = lead_forlorn(f, now);
 
 	if (!j->handed_in && (forlorn || now - j->arrived_at > NO_DRIVER_MS)) {
 		finish(f, j, FLEET_NOT_RUN, NO_DRIVER_RETRY_MS, "no_driver",
--- a/src/fleet/lead.c
+++ b/src/fleet/lead.c
@@ -10,7 +10,9 @@
 #include "fleet/fleet_state.h"
 
 enum {
-	SETTLE_MS = 800, /* after a start, until the first driver is chosen */
+	FORLORN_MS = 600, /* a takeover takes less */
+	FIRST_MS = 800, /* after a start, until an instance may drive alone */
+	SETTLE_MS = 300, /* after a start, until it may drive */
 	UPTIME_LEAST_MS = 1500, /* an instance younger than this waits */
 	LEARNED_MS = 500, /* after word of a driver, until it must be heard */
 	STORE_PATIENCE_MS = 250, /* for the map's change */
@@ -18,19 +20,57 @@
 	FENCED_PATIENCE_MS = 2000 /* for word of who raised the fence */
 };
 
-bool lead_hears_driver(const struct fleet *f, int64_t now)
+static bool hears(const struct fleet *f, uint64_t id, int64_t now)
+{
+	const struct fleet_peer *p = beat_peer((struct fleet *)f, id);
+
+	return p && beat_fresh(p, now) && !p->leaving;
+}
+
+static bool in_map(const struct fleet *f, uint64_t id)
+{
+	return !f->map_known || fleet_map_find(&f->map, id);
+}
+
+static bool knows_leaving(const struct fleet *f, uint64_t id)
 {
-	const struct fleet_peer *p;
+	const struct fleet_peer *p = beat_peer((struct fleet *)f, id);
 
+	return p && p->leaving;
+}
+
+/* The driver of the whole fleet, as the map names it. */
+static bool hears_main(const struct fleet *f, int64_t now)
+{
 	if (!f->driver)
 		return false;
 	if (f->driver == f->opt.self.id)
 		return !f->leaving;
-	p = beat_peer((struct fleet *)f, f->driver);
-	if (p && p->heard_at)
-		return beat_fresh(p, now) && !p->leaving;
+	if (hears(f, f->driver, now))
+		return true;
 	/* Its first heartbeat may still be on its way. */
-	return now - f->learned_at < LEARNED_MS;
+	return now - f->learned_at < LEARNED_MS && in_map(f, f->driver) &&
+	       !knows_leaving(f, f->driver);
+}
+
+bool lead_hears_driver(const struct fleet *f, int64_t now)
+{
+	if (f->alone == f->opt.self.id)
+		return !f->leaving;
+	if (f->alone)
+		return hears(f, f->alone, now);
+	return hears_main(f, now);
+}
+
+uint64_t lead_driver(const struct fleet *f)
+{
+	return f->alone ? f->alone : f->driver;
+}
+
+bool lead_forlorn(const struct fleet *f, int64_t now)
+{
+	return !lead_hears_driver(f, now) && f->silent_since &&
+	       now - f->silent_since > FORLORN_MS;
 }
 
 static uint32_t own_uptime(const struct fleet *f, int64_t now)
@@ -52,7 +92,7 @@
 	return a < b;
 }
 
-static bool self_is_best(const struct fleet *f, int64_t now)
+bool lead_is_best(const struct fleet *f, int64_t now)
 {
 	size_t i;
 
@@ -82,6 +122,15 @@
 	return n;
 }
 
+bool lead_hears_most(const struct fleet *f, int64_t now)
+{
+	size_t i, n = 1;
+
+	for (i = 0; i < f->n_peers; i++)
+		n += beat_fresh(&f->peers[i], now);
+	return n * 2 > f->map.n;
+}
+
 static bool most_are_deaf(const struct fleet *f, int64_t now)
 {
 	return count_deaf(f, now) * 2 > f->map.n;
@@ -100,10 +149,11 @@
 		return false;
 	if (most_are_deaf(f, now) || driver_is_gone(f))
 		return true;
-	return !f->store_away && now - f->silent_since > MINORITY_MS;
+	return !f->store_away && now - f->silent_since > MINORITY_MS &&
+	       now - f->store_back_at > MINORITY_MS;
 }
 
-static uint64_t next_epoch(const struct fleet *f)
+uint64_t lead_next_epoch(const struct fleet *f)
 {
 	uint64_t wall = (uint64_t)syc_now(&f->opt.wall);
 	uint64_t next = f->epoch + 1;
@@ -115,8 +165,11 @@
 
 static void begin(struct fleet *f, int64_t now, uint64_t epoch)
 {
+	f->alone = 0;
+	drive_only(f->drive, "");
 	f->epoch = epoch;
 	f->driver = f->opt.self.id;
+	f->began_at = now;
 	f->silent_since = 0;
 	f->fenced_at = 0;
 	f->workers_at = now; /* what we know may be as old as our last look */
@@ -127,7 +180,7 @@
 
 static void take_over(struct fleet *f, int64_t now)
 {
-	uint64_t epoch = next_epoch(f);
+	uint64_t epoch = lead_next_epoch(f);
 
 	f->taking_over = true;
 	f->taking_until = now + STORE_PATIENCE_MS;
@@ -151,7 +204,7 @@
 	if (!most_are_deaf(f, now))
 		return;
 	log_warn("takeover_without_store", LOG_U("epoch", f->epoch));
-	begin(f, now, next_epoch(f));
+	begin(f, now, lead_next_epoch(f));
 }
 
 static void watch_fence(struct fleet *f, int64_t now)
@@ -159,15 +212,16 @@
 	if (!f->fenced_at || now - f->fenced_at < FENCED_PATIENCE_MS)
 		return;
 	log_warn("fence_raised_by_nobody", LOG_U("epoch", f->epoch));
-	begin(f, now, next_epoch(f));
+	begin(f, now, lead_next_epoch(f));
 }
 
 void lead_tick(struct fleet *f, int64_t now)
 {
 	if (f->driver == f->opt.self.id)
 		watch_fence(f, now);
-	if (lead_hears_driver(f, now)) {
+	if (hears_main(f, now)) {
 		f->silent_since = 0;
+		alone_end(f, now, "driver_heard");
 		return;
 	}
 	if (!f->silent_since) {
@@ -181,10 +235,14 @@
 			go_on_without_store(f, now);
 		return;
 	}
-	if (own_uptime(f, now) < SETTLE_MS || !self_is_best(f, now))
+	if (f->map.n < 2 && own_uptime(f, now) < FIRST_MS)
+		return;
+	if (own_uptime(f, now) < SETTLE_MS || !lead_is_best(f, now))
 		return;
 	if (may_take_over(f, now))
 		take_over(f, now);
+	else
+		alone_tick(f, now);
 }
 
 void lead_heard(struct fleet *f, int64_t now, uint64_t epoch, uint64_t driver)
@@ -209,6 +267,7 @@
 	f->silent_since = 0;
 	f->taking_over = false;
 	f->fenced_at = 0;
+	f->alone = 0;
 	drive_end(f->drive, now);
 	home_hand_in_all(f, now);
 }
--- a/src/fleet/map_sync.c
+++ b/src/fleet/map_sync.c
@@ -148,7 +148,7 @@
 
 	if (inst->id == f->opt.self.id)
 		return false;
-	if (now - f->started_at < REMOVE_MS)
+	if (now - f->began_at < REMOVE_MS)
 		return false;
 	return !p || (p->heard_at && now - p->heard_at > REMOVE_MS);
 }
--- a/test/sim/fleet_sim.c
+++ b/test/sim/fleet_sim.c
@@ -374,7 +374,7 @@
 	else if (e->order == ORDER_STOP)
 		drive_stopped(d, s->now, e->call, &e->held.answer);
 	else
-		drive_held(d, s->now, e->call, &e->held);
+		fleet_held(i->fleet, s->now, e->call, &e->held);
 }
 
 static void hand_list(struct fsim *s, struct fsim_instance *i)
