--- a/src/drive/queue.c
+++ b/src/drive/queue.c
@@ -21,6 +21,8 @@
 		return a->begun;
 	if (a->priority != b->priority)
 		return a->priority < b->priority;
+	if (a->n_tasks != b->n_tasks)
+		return a->n_tasks > b->n_tasks;
 	return a->latest_start < b->latest_start;
 }
 
@@ -135,27 +137,41 @@
 	return true;
 }
 
-static void look_at(struct drive *d, struct job *j, int64_t now)
+static bool look_at(struct drive *d, struct job *j, int64_t now)
 {
 	if (now >= j->deadline_at)
-		return;
+		return false;
 	if (!job_settled(d, j, now) || !homes_near(d, j))
-		return;
+		return false;
 	if (place_job(d, j, now)) {
 		queue_remove(j);
-		return;
+		return false;
 	}
-	if (!j->begun && now > j->latest_start)
+	if (!j->begun && now > j->latest_start) {
 		refuse(d, j, "objective_missed", now);
+		return false;
+	}
+	return true;
 }
 
 void queue_run(struct drive *d, int64_t now)
 {
 	struct list *pos, *after;
+	uint32_t blocked_priority = 0;
+	bool blocked = false;
 
 	if (!d->active || !d->room_changed)
 		return;
 	d->room_changed = false;
 	LIST_EACH(pos, after, &d->queue)
-	look_at(d, LIST_ITEM(pos, struct job, queue), now);
+	{
+		struct job *j = LIST_ITEM(pos, struct job, queue);
+
+		if (blocked && j->priority > blocked_priority)
+			break;
+		if (!look_at(d, j, now))
+			continue;
+		blocked = true;
+		blocked_priority = j->priority;
+	}
 }
--- a/src/fleet/lead.c
+++ b/src/fleet/lead.c
@@ -14,7 +14,7 @@
 	FIRST_MS = 800, /* after a start, until an instance may drive alone */
 	SETTLE_MS = 300, /* after a start, until it may drive */
 	UPTIME_LEAST_MS = 1500, /* an instance younger than this waits */
-	LEARNED_MS = 500, /* after word of a driver, until it must be heard */
+	LEARNED_MS = 350, /* after word of a driver, until it must be heard */
 	STORE_PATIENCE_MS = 250, /* for the map's change */
 	MINORITY_MS = 4500, /* silence after which the store alone decides */
 	FENCED_PATIENCE_MS = 2000 /* for word of who raised the fence */
--- a/src/fleet/map_sync.c
+++ b/src/fleet/map_sync.c
@@ -10,6 +10,7 @@
 enum {
 	WATCH_MS = 5000,
 	AGAIN_MS = 100, /* after a lost race or an absent map */
+	RACE_SPREAD_MS = 20,
 	AWAY_MS = 500, /* between tries while the store is away */
 	REMOVE_MS = 3000 /* silence after which a member is taken out */
 };
@@ -113,6 +114,8 @@
 	f->map_at = now + AGAIN_MS;
 	if (is_away(v->status))
 		return;
+	/* All instances may be starting at once: spread the next tries. */
+	f->map_at = now + (int64_t)(f->opt.self.id % RACE_SPREAD_MS);
 	lead_lost(f);
 	f->map_open = true;
 	f->opt.store.get(f->opt.store.ctx, map_key, on_read, f);
--- /dev/null
+++ b/test/unit/drive_fake.c
@@ -0,0 +1,240 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "drive_fake.h"
+#include "util/invariant.h"
+#include "util/log.h"
+
+static int worker_of(const struct drive_worker *w)
+{
+	return w->name[1] - '0';
+}
+
+static struct fake_order *record(struct fake_order *list, size_t *n)
+{
+	invariant(*n < FAKE_CALLS_MAX);
+	memset(&list[*n], 0, sizeof(list[*n]));
+	return &list[(*n)++];
+}
+
+static void on_start(void *ctx, const struct drive_start *call)
+{
+	struct drive_fake *f = ctx;
+	struct fake_order *o = record(f->starts, &f->n_starts);
+
+	o->call = call->call;
+	o->worker = worker_of(call->worker);
+	o->task = *call->task;
+	o->run = call->run;
+	o->fence = call->fence;
+	o->lease_until = call->lease_until;
+}
+
+static void on_stop(void *ctx, const struct drive_stop *call)
+{
+	struct drive_fake *f = ctx;
+	struct fake_order *o = record(f->stops, &f->n_stops);
+
+	o->call = call->call;
+	o->worker = worker_of(call->worker);
+	o->task = *call->task;
+	o->run = call->run;
+}
+
+static void on_hold(void *ctx, const struct drive_hold *call)
+{
+	struct drive_fake *f = ctx;
+	struct fake_order *o = record(f->holds, &f->n_holds);
+
+	o->call = call->call;
+	o->worker = worker_of(call->worker);
+	o->fence = call->fence;
+	o->cursor = call->cursor;
+	o->lease_until = call->lease_until;
+	o->wait_ms = call->wait_ms;
+}
+
+static void on_done(void *ctx, const struct drive_done *done)
+{
+	struct drive_fake *f = ctx;
+
+	invariant(f->n_done < FAKE_CALLS_MAX);
+	f->done[f->n_done++] = *done;
+}
+
+static bool on_near(void *ctx, uint64_t home)
+{
+	const struct drive_fake *f = ctx;
+
+	return !f->far;
+}
+
+static uint64_t on_fenced(void *ctx, const struct drive_worker *worker)
+{
+	struct drive_fake *f = ctx;
+
+	f->n_fenced++;
+	return f->raise;
+}
+
+void drive_fake_init(struct drive_fake *f, size_t n)
+{
+	struct drive_worker list[FAKE_WORKERS];
+	struct drive_options opt = {
+		.ctx = f,
+		.lease_ms = 1000,
+		.hold_wait_ms = 200,
+		.start = on_start,
+		.stop = on_stop,
+		.hold = on_hold,
+		.done = on_done,
+		.home_near = on_near,
+		.fenced = on_fenced,
+	};
+	size_t i;
+
+	log_level_set(LOG_ERROR);
+	memset(f, 0, sizeof(*f));
+	memset(list, 0, sizeof(list));
+	f->now = 100000;
+	f->n_workers = n;
+	f->drive = drive_new(&opt);
+	for (i = 0; i < n; i++) {
+		snprintf(list[i].name, sizeof(list[i].name), "w%zu", i);
+		snprintf(list[i].service, sizeof(list[i].service), "s");
+		snprintf(list[i].domain, sizeof(list[i].domain), "d%zu", i % 2);
+		list[i].cpu_milli = 16000;
+		list[i].memory_mb = 1000;
+	}
+	drive_workers(f->drive, f->now, list, n);
+	drive_begin(f->drive, f->now, 5);
+	drive_workers(f->drive, f->now, list, n);
+	drive_know(f->drive, f->now, NULL, 0);
+	drive_fake_hold_all(f);
+	drive_fake_hold_all(f);
+}
+
+void drive_fake_free(struct drive_fake *f)
+{
+	drive_free(f->drive);
+}
+
+static void answer_hold(struct drive_fake *f, struct fake_order *o,
+			struct drive_held *held)
+{
+	o->answered = true;
+	if (held->answer.end == DRIVE_CALL_DONE) {
+		held->answer.has_clock = true;
+		held->answer.clock_ms = f->now;
+	}
+	drive_held(f->drive, f->now, o->call, held);
+}
+
+void drive_fake_hold_all(struct drive_fake *f)
+{
+	size_t i, n = f->n_holds;
+
+	for (i = 0; i < n; i++) {
+		struct drive_held held = {.answer.end = DRIVE_CALL_DONE};
+
+		if (!f->holds[i].answered)
+			answer_hold(f, &f->holds[i], &held);
+	}
+}
+
+static struct fake_order *last_hold(struct drive_fake *f, int worker)
+{
+	size_t i;
+
+	for (i = f->n_holds; i-- > 0;)
+		if (f->holds[i].worker == worker && !f->holds[i].answered)
+			return &f->holds[i];
+	return NULL;
+}
+
+void drive_fake_held(struct drive_fake *f, int worker,
+		     const struct drive_running *running, size_t n_running,
+		     const struct drive_ended *ended, size_t n_ended)
+{
+	struct fake_order *o = last_hold(f, worker);
+	struct drive_held held = {
+		.answer.end = DRIVE_CALL_DONE,
+		.running = running,
+		.n_running = n_running,
+		.ended = ended,
+		.n_ended = n_ended,
+	};
+
+	invariant(o);
+	answer_hold(f, o, &held);
+}
+
+void drive_fake_hold_fails(struct drive_fake *f, int worker,
+			   enum drive_call_end end)
+{
+	struct fake_order *o = last_hold(f, worker);
+	struct drive_held held = {.answer.end = end};
+
+	invariant(o);
+	answer_hold(f, o, &held);
+}
+
+void drive_fake_started(struct drive_fake *f, size_t start,
+			enum drive_call_end end)
+{
+	struct drive_answer a = {.end = end};
+
+	f->starts[start].answered = true;
+	drive_started(f->drive, f->now, f->starts[start].call, &a);
+}
+
+void drive_fake_ended(struct drive_fake *f, size_t start, uint64_t number,
+		      enum drive_how how)
+{
+	const struct fake_order *o = &f->starts[start];
+	struct drive_ended e = {
+		.number = number,
+		.task = o->task,
+		.run = o->run,
+		.how = how,
+	};
+
+	drive_fake_held(f, o->worker, NULL, 0, &e, 1);
+}
+
+void drive_fake_run(struct drive_fake *f, int64_t ms, bool alive)
+{
+	int64_t until = f->now + ms;
+
+	while (f->now < until) {
+		f->now += 10;
+		drive_tick(f->drive, f->now);
+		if (alive && f->now % 200 == 0)
+			drive_fake_hold_all(f);
+	}
+}
+
+struct drive_job drive_fake_job(const char *id, uint32_t n)
+{
+	return (struct drive_job){
+		.id = id,
+		.service = "s",
+		.route = "r",
+		.label = "",
+		.attempts_max = 2,
+		.n_tasks = n,
+		.cpu_milli = 8000,
+		.memory_mb = 10,
+		.estimate_ms = 100,
+		.objective_percent = 100,
+		.objective_add_ms = 900,
+		.deadline_ms = 3000,
+		.body = {"x", 1},
+	};
+}
+
+void drive_fake_submit(struct drive_fake *f, uint64_t tag,
+		       const struct drive_job *job)
+{
+	drive_submit(f->drive, f->now, FAKE_HOME, tag, job);
+}
