--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -44,7 +44,6 @@
 	int64_t started_at;
 	int64_t seen_at; /* the last event */
 	int64_t awake_at; /* this instance stood still until then */
-	bool leaving;
 
 	/* lead.c */
 	uint64_t epoch;
@@ -53,23 +52,16 @@
 	int64_t learned_at; /* that this one drives */
 	int64_t began_at; /* this instance began to drive */
 	uint64_t alone; /* drives our domain while it is cut off; zero: none */
-	bool taking_over; /* the map's change is on its way */
 	int64_t taking_until; /* it goes on without the store after this */
 	int64_t fenced_at; /* zero: no worker refused our fence */
 
 	/* alone.c */
 	int64_t probe_at; /* when other domains may be probed again */
-	int probes_open;
-	bool probes_answered;
 
 	/* map_sync.c */
 	struct fleet_map map; /* as last read */
 	struct fleet_map writing; /* by the call that is on its way */
-	bool map_known;
-	bool map_open; /* a call is on its way */
-	bool watch_open;
 	int64_t map_at; /* when the next call may be sent */
-	bool store_away;
 	int64_t store_back_at;
 
 	/* beat.c */
@@ -84,8 +76,6 @@
 	/* workers.c */
 	struct drive_worker *workers;
 	size_t n_workers;
-	bool workers_known;
-	bool workers_open;
 	int64_t workers_at;
 	int64_t workers_failed_at;
 
@@ -93,6 +83,17 @@
 	uint64_t config_version;
 	void *config;
 	size_t config_len;
+
+	int probes_open; /* calls to workers of other domains */
+	bool leaving; /* a planned stop has begun */
+	bool taking_over; /* the map's change is on its way */
+	bool probes_answered; /* a worker of another domain was reached */
+	bool map_known;
+	bool map_open; /* a call is on its way */
+	bool watch_open;
+	bool store_away;
+	bool workers_known;
+	bool workers_open; /* a reading is on its way */
 };
 
 /* fleet.c */
--- /dev/null
+++ b/test/unit/platform_reader_test.c
@@ -0,0 +1,297 @@
+/*
+ * Readers of what the platform holds: entries of workers, configurations,
+ * jobs and lists of workers, whole, odd and damaged.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "platform/config.h"
+#include "platform/job.h"
+#include "platform/worker_call.h"
+#include "platform/worker_entry.h"
+#include "unit.h"
+#include "util/log.h"
+#include "util/rng.h"
+
+enum { DAMAGES = 3000, TEXT_MAX = 2048 };
+
+static const char worker_text[] =
+	"{\"service\":\"s1\",\"address\":\"10.128.0.9:8080\",\"zone\":\"z1\","
+	"\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
+	"\"coldRemainingMs\":0,\"capacity\":{\"cpu\":16000,\"memMb\":32768,"
+	"\"gpu\":1},\"labels\":[\"a\",\"r1-3\"],\"clockMs\":482113,"
+	"\"sequence\":4}";
+
+static const char config_text[] =
+	"{\"version\":7,\"routes\":[{\"name\":\"r-1\",\"host\":\"h.example\","
+	"\"prefix\":\"/p1/\",\"kind\":\"unsafe\",\"timeoutMs\":1500,"
+	"\"targetLatencyMs\":60,\"priority\":1,\"service\":\"s1\","
+	"\"maxAttempts\":4,\"slackFactor\":1.6},{\"name\":\"r-2\","
+	"\"host\":\"h.example\",\"prefix\":\"/p1/deeper/\","
+	"\"service\":\"s1\"}],\"services\":[],\"limits\":{}}";
+
+static const char job_text[] =
+	"{\"taskSpec\":\"text\",\"bestEffort\":true,\"steps\":[{\"count\":4,"
+	"\"cpu\":500,\"memMb\":256,\"estimatedMs\":900}]}";
+
+static const char lists_text[] =
+	"{\"clockMs\":482113,\"running\":[[\"5c0e7a21d94b36f8.0.1.17\",2,"
+	"\"00000bb87a21d94b\",41]],\"finished\":[[58,"
+	"\"5c0e7a21d94b36f8.0.0.9\",1,\"done\",\"\"]]}";
+
+static struct syc_bytes bytes_of(const char *text)
+{
+	return (struct syc_bytes){text, strlen(text)};
+}
+
+static bool read_worker(const char *text, struct drive_worker *w)
+{
+	return platform_worker_read("i-1", bytes_of(text), w);
+}
+
+static void worker_entry_is_read(void)
+{
+	struct drive_worker w;
+
+	CU_ASSERT(read_worker(worker_text, &w));
+	CU_ASSERT_STRING_EQUAL(w.name, "i-1");
+	CU_ASSERT_STRING_EQUAL(w.service, "s1");
+	CU_ASSERT_STRING_EQUAL(w.domain, "z1");
+	CU_ASSERT_STRING_EQUAL(w.addr.ip, "10.128.0.9");
+	CU_ASSERT_EQUAL(w.addr.port, 8080);
+	CU_ASSERT_EQUAL(w.cpu_milli, 16000);
+	CU_ASSERT_EQUAL(w.memory_mb, 32768);
+	CU_ASSERT_EQUAL(w.accelerators, 1);
+	CU_ASSERT_FALSE(w.leaving);
+	CU_ASSERT_STRING_EQUAL(w.kind, "a");
+	CU_ASSERT_EQUAL(w.n_labels, 2);
+}
+
+static void odd_worker_entry_names_no_worker(void)
+{
+	static const char *const odd[] = {
+		"", "[]", "{", "null", "{}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+		"\"state\":\"resting\",\"capacity\":{\"cpu\":1,\"memMb\":1}}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+		"\"state\":\"ready\",\"capacity\":{\"cpu\":\"1\",\"memMb\":1}}",
+		"{\"service\":\"s\",\"address\":\"here\",\"zone\":\"z\","
+		"\"state\":\"ready\",\"capacity\":{\"cpu\":1,\"memMb\":1}}",
+		"{\"service\":7,\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+		"\"state\":\"ready\",\"capacity\":{\"cpu\":1,\"memMb\":1}}",
+	};
+	struct drive_worker w;
+	size_t i;
+
+	for (i = 0; i < sizeof(odd) / sizeof(*odd); i++)
+		CU_ASSERT_FALSE(read_worker(odd[i], &w));
+	CU_ASSERT_FALSE(platform_worker_read("", bytes_of(worker_text), &w));
+}
+
+static void config_is_read_and_routes(void)
+{
+	struct fleet_routes routes;
+	const struct fleet_route *r;
+	const char *why;
+	size_t skipped;
+
+	CU_ASSERT(platform_config_read(bytes_of(config_text), &routes,
+				       &skipped, &why));
+	CU_ASSERT_EQUAL(routes.version, 7);
+	CU_ASSERT_EQUAL(routes.n, 2);
+	CU_ASSERT_EQUAL(skipped, 0);
+	r = fleet_route_find(&routes, "h.example:80", "/p1/0123");
+	CU_ASSERT_STRING_EQUAL(r->name, "r-1");
+	CU_ASSERT_EQUAL(r->objective_percent, 160);
+	CU_ASSERT_EQUAL(r->objective_add_ms, 60);
+	CU_ASSERT_EQUAL(r->attempts_max, 4);
+	r = fleet_route_find(&routes, "H.example", "/p1/deeper/0123");
+	CU_ASSERT_STRING_EQUAL(r->name, "r-2");
+	CU_ASSERT_PTR_NULL(fleet_route_find(&routes, "h.example", "/p2/"));
+	CU_ASSERT_PTR_NULL(fleet_route_find(&routes, "other", "/p1/"));
+	fleet_routes_free(&routes);
+}
+
+static void odd_route_is_left_out_and_the_others_hold(void)
+{
+	static const char text[] =
+		"{\"version\":3,\"routes\":[{\"name\":5},null,{\"name\":\"r\","
+		"\"host\":\"h\",\"prefix\":\"/\",\"service\":\"s\","
+		"\"priority\":\"high\"}]}";
+	struct fleet_routes routes;
+	const char *why;
+	size_t skipped;
+
+	CU_ASSERT(platform_config_read(bytes_of(text), &routes, &skipped,
+				       &why));
+	CU_ASSERT_EQUAL(routes.n, 1);
+	CU_ASSERT_EQUAL(skipped, 2);
+	CU_ASSERT_EQUAL(routes.list[0].priority, 0);
+	fleet_routes_free(&routes);
+	CU_ASSERT_FALSE(platform_config_read(bytes_of("{\"routes\":[]}"),
+					     &routes, &skipped, &why));
+}
+
+static enum platform_job_status read_job(const char *text)
+{
+	enum platform_job_status status;
+	struct platform_job job;
+	const char *why;
+
+	status = platform_job_read(bytes_of(text), &job, &why);
+	platform_job_free(&job);
+	return status;
+}
+
+static void jobs_of_other_sorts_are_told_apart(void)
+{
+	CU_ASSERT_EQUAL(read_job(job_text), PLATFORM_JOB_OK);
+	CU_ASSERT_EQUAL(read_job("{}"), PLATFORM_JOB_INVALID);
+	CU_ASSERT_EQUAL(read_job("{\"taskSpec\":\"\",\"bestEffort\":true,"
+				 "\"steps\":[{\"cpu\":1}]}"),
+			PLATFORM_JOB_INVALID);
+	CU_ASSERT_EQUAL(read_job("{\"taskSpec\":\"\","
+				 "\"steps\":[{\"count\":1}]}"),
+			PLATFORM_JOB_UNSUPPORTED);
+	CU_ASSERT_EQUAL(read_job("{\"taskSpec\":\"\",\"bestEffort\":true,"
+				 "\"steps\":[{\"count\":1,\"gang\":true}]}"),
+			PLATFORM_JOB_UNSUPPORTED);
+	CU_ASSERT_EQUAL(read_job("{\"taskSpec\":\"\",\"bestEffort\":true,"
+				 "\"repetitions\":2,"
+				 "\"steps\":[{\"count\":1}]}"),
+			PLATFORM_JOB_UNSUPPORTED);
+}
+
+static void lists_are_read(void)
+{
+	struct platform_held lists;
+	struct drive_answer a;
+
+	CU_ASSERT(platform_held_read(bytes_of(lists_text), &lists));
+	CU_ASSERT_EQUAL(lists.n_running, 1);
+	CU_ASSERT_STRING_EQUAL(lists.running[0].task.job, "5c0e7a21d94b36f8");
+	CU_ASSERT_EQUAL(lists.running[0].task.step, 1);
+	CU_ASSERT_EQUAL(lists.running[0].task.index, 17);
+	CU_ASSERT_EQUAL(lists.running[0].run, 2);
+	CU_ASSERT_EQUAL(lists.running[0].percent, 41);
+	CU_ASSERT_EQUAL(lists.n_ended, 1);
+	CU_ASSERT_EQUAL(lists.ended[0].number, 58);
+	CU_ASSERT_EQUAL(lists.ended[0].how, DRIVE_HOW_DONE);
+	platform_held_free(&lists);
+	platform_answer_read(200, bytes_of(lists_text), &a);
+	CU_ASSERT_EQUAL(a.end, DRIVE_CALL_DONE);
+	CU_ASSERT_EQUAL(a.clock_ms, 482113);
+}
+
+static void answers_are_told_apart(void)
+{
+	static const struct {
+		unsigned status;
+		const char *body;
+		enum drive_call_end end;
+	} rows[] = {
+		{409, "{\"clockMs\":1,\"reason\":\"room\"}",
+		 DRIVE_CALL_NO_ROOM},
+		{409, "{\"reason\":\"fence\"}", DRIVE_CALL_FENCED},
+		{409, "{\"reason\":\"late\"}", DRIVE_CALL_LATE},
+		{409, "{\"reason\":\"old\"}", DRIVE_CALL_OLD},
+		{409, "{\"reason\":\"mood\"}", DRIVE_CALL_INVALID},
+		{421, "", DRIVE_CALL_OTHER_LIFE},
+		{429, "", DRIVE_CALL_UNHEALTHY},
+		{503, "", DRIVE_CALL_UNHEALTHY},
+		{400, "", DRIVE_CALL_INVALID},
+	};
+	struct drive_answer a;
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(*rows); i++) {
+		platform_answer_read(rows[i].status, bytes_of(rows[i].body),
+				     &a);
+		CU_ASSERT_EQUAL(a.end, rows[i].end);
+	}
+}
+
+static void calls_are_written(void)
+{
+	struct drive_task task = {.job = "5c0e7a21d94b36f8", .index = 3};
+	struct drive_start start = {.task = &task,
+				    .run = 2,
+				    .fence = 7,
+				    .lease_until = 486000,
+				    .body = {"a\"b", 3}};
+	struct drive_hold hold = {.fence = 7, .cursor = 57, .wait_ms = 200};
+	auto_buf struct buf a = {0};
+	auto_buf struct buf b = {0};
+
+	platform_start_write(&start, &a);
+	CU_ASSERT_STRING_EQUAL(
+		a.data,
+		"{\"task\":\"5c0e7a21d94b36f8.0.0.3\",\"run\":2,"
+		"\"taskSpec\":\"a\\\"b\",\"deadlineAtMs\":486000,"
+		"\"fencingToken\":7}");
+	platform_hold_write(&hold, &b);
+	CU_ASSERT_STRING_EQUAL(b.data, "{\"fencingToken\":7,\"ackCursor\":57,"
+				       "\"waitMs\":200}");
+}
+
+static void read_all(struct syc_bytes text)
+{
+	struct fleet_routes routes;
+	struct platform_held lists;
+	struct platform_job job;
+	struct drive_worker w;
+	struct drive_answer a;
+	const char *why;
+	size_t skipped;
+
+	platform_worker_read("i-1", text, &w);
+	if (platform_config_read(text, &routes, &skipped, &why))
+		fleet_routes_free(&routes);
+	platform_job_read(text, &job, &why);
+	platform_job_free(&job);
+	if (platform_held_read(text, &lists))
+		platform_held_free(&lists);
+	platform_answer_read(409, text, &a);
+}
+
+static void damage(struct rng *rng, const char *text)
+{
+	char copy[TEXT_MAX];
+	size_t n = strlen(text), k, changes = 1 + rng_below(rng, 4);
+
+	memcpy(copy, text, n);
+	for (k = 0; k < changes; k++)
+		copy[rng_below(rng, n)] = (char)rng_below(rng, 256);
+	if (!rng_below(rng, 4))
+		n = rng_below(rng, n);
+	read_all((struct syc_bytes){copy, n});
+}
+
+/* Each reader reads each kind of text, damaged: none may fail on it. */
+static void damaged_bytes_are_survived(void)
+{
+	struct rng rng = {.state = 20261203};
+	int i;
+
+	log_level_set(LOG_ERROR);
+	for (i = 0; i < DAMAGES; i++) {
+		damage(&rng, worker_text);
+		damage(&rng, config_text);
+		damage(&rng, job_text);
+		damage(&rng, lists_text);
+	}
+	CU_PASS("no reader ended the process");
+}
+
+SUITE(platform_reader)
+{
+	TEST(worker_entry_is_read);
+	TEST(odd_worker_entry_names_no_worker);
+	TEST(config_is_read_and_routes);
+	TEST(odd_route_is_left_out_and_the_others_hold);
+	TEST(jobs_of_other_sorts_are_told_apart);
+	TEST(lists_are_read);
+	TEST(answers_are_told_apart);
+	TEST(calls_are_written);
+	TEST(damaged_bytes_are_survived);
+}
