--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -85,7 +85,6 @@
 	uint32_t ejections; /* in a row */
 	int64_t ejected_until;
 	bool probation; /* one task at a time until one ends well */
-	double slowness; /* of its runs against what is usual; 1: usual */
 };
 
 enum task_state { TASK_WAITING = 0, TASK_ACTIVE, TASK_DONE };
--- a/src/drive/place.c
+++ b/src/drive/place.c
@@ -86,8 +86,7 @@
 		s->accelerators = left(w->info.accelerators,
 				       w->used_accelerators);
 		s->placed = same_job_runs(d, w, j);
-		s->slow = w->slowness * run_time_kind(&d->times, w->info.kind) >
-			  slow_from;
+		s->slow = run_time_kind(&d->times, w->info.kind) > slow_from;
 		if (fits(s, j))
 			n++;
 	}
--- a/src/drive/worker.c
+++ b/src/drive/worker.c
@@ -149,7 +149,6 @@
 	w->handle = handle;
 	w->info = *info;
 	w->listed = true;
-	w->slowness = 1;
 	w->hold_at = now;
 	list_init(&w->runs);
 	index_put(&d->worker_names, index_name(info->name, strlen(info->name)),
