--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,10 @@
 SIM_OBJ = $(call obj,$(SIM_SRC))
 SOAK_OBJ = $(call obj,$(SOAK_SRC))
 STANDIN_OBJ = $(call obj,$(STANDIN_SRC))
+# The stand-in of the users' platform serves HTTP as the program does.
+STANDIN_PARTS = $(call obj,src/transport/http_server.c \
+	src/transport/http_conn.c src/transport/address.c \
+	src/transport/transport_error.c)
 
 LIBA = $(BUILD)/libsycamoreshore.a
 BIN = $(BUILD)/sycamoreshore
@@ -60,9 +64,8 @@
 $(UNIT): $(TEST_OBJ) $(SIM_OBJ) $(filter-out $(BIN_MAIN),$(BIN_OBJ)) $(LIBA)
 	$(CC) $(CFLAGS) $(SAN) $(LDFLAGS) -o $@ $^ $(LIBS) -lcunit
 
-$(STANDIN): $(STANDIN_OBJ)
-	$(CC) $(CFLAGS) $(SAN) $(LDFLAGS) -o $@ $^ -lev -lmicrohttpd \
-		-ljansson -lpopt
+$(STANDIN): $(STANDIN_OBJ) $(STANDIN_PARTS) $(LIBA)
+	$(CC) $(CFLAGS) $(SAN) $(LDFLAGS) -o $@ $^ $(LIBS)
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
--- a/src/cmd/fleet_daemon.c
+++ b/src/cmd/fleet_daemon.c
@@ -515,7 +515,10 @@
 	d->tick.data = d;
 	ev_timer_start(d->loop, &d->tick);
 	log_info("started", LOG_S("domain", d->self.domain),
-		 LOG_U("id", d->self.id), LOG_S("peers", d->self.peer_addr.ip),
+		 LOG_U("id", d->self.id),
+		 LOG_U("callers_port", job_side_port(d->jobs)),
+		 LOG_U("peers_port", peer_links_port(d->peers)),
+		 LOG_U("admin_port", admin_side_port(d->admin)),
 		 LOG_U("lease_ms", d->settings.lease_ms));
 	ev_run(d->loop, 0);
 	log_flush();
--- a/src/drive/job.c
+++ b/src/drive/job.c
@@ -261,6 +261,11 @@
 	}
 	if (j->n_active + j->n_done == j->n_tasks)
 		return;
+	if (!d->workers.used) {
+		job_end(d, j, DRIVE_REFUSED, NO_WORKER_RETRY_MS,
+			"no_worker_known", now);
+		return;
+	}
 	if (!place_possible(d, j)) {
 		job_end(d, j, DRIVE_REFUSED, TOO_LARGE_RETRY_MS,
 			"fits_no_worker", now);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -289,6 +289,8 @@
 		*why = "no configuration yet";
 	else if (!f->driver)
 		*why = "no driver yet";
+	else if (!f->workers_known)
+		*why = "no list of workers yet";
 	else if (!lead_hears_driver(f, syc_now(&f->opt.clock)))
 		*why = "the driver is not heard";
 	else
--- /dev/null
+++ b/test/standin/fleet.c
@@ -0,0 +1,136 @@
+/* `standin fleet`: the users' platform on loopback. */
+#include <popt.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet.h"
+#include "platform/names.h"
+#include "standin.h"
+
+enum {
+	BODY_MAX = 1024 * 1024, /* bytes */
+	CONNS_MAX = 1024,
+	IDLE_S = 60,
+	TICK_MS = 5,
+	DOMAINS = 2
+};
+
+static int opt_workers = 6;
+static int opt_run_ms = 60;
+
+static struct poptOption options[] = {
+	{"workers", 'n', POPT_ARG_INT, &opt_workers, 0, "workers", "N"},
+	{"run-ms", 'r', POPT_ARG_INT, &opt_run_ms, 0, "of every task", "MS"},
+	POPT_AUTOHELP POPT_TABLEEND};
+
+void fleet_reply(struct http_server *s, uint64_t id, unsigned status,
+		 json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT);
+	struct http_reply reply = {
+		.status = status,
+		.content_type = "application/json",
+		.body = {text, strlen(text)},
+	};
+
+	http_server_reply(s, id, &reply);
+	free(text);
+	json_decref(body);
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	struct fleet_platform *p = w->data;
+	size_t i;
+
+	fleet_store_tick(p);
+	for (i = 0; i < p->n_workers; i++)
+		fleet_worker_tick(&p->workers[i]);
+}
+
+static struct http_server *listen_on(
+	struct fleet_platform *p, void *ctx,
+	void (*request)(void *, uint64_t, const struct http_request *),
+	void (*gone)(void *, uint64_t))
+{
+	struct http_server_options opt = {
+		.loop = p->loop,
+		.listen = {"127.0.0.1", 0},
+		.body_max = BODY_MAX,
+		.conns_max = CONNS_MAX,
+		.idle_s = IDLE_S,
+		.ctx = ctx,
+		.request = request,
+		.gone = gone,
+	};
+	struct http_server *s;
+
+	if (http_server_new(&s, &opt)) {
+		fprintf(stderr, "standin: %s\n", transport_message());
+		exit(1);
+	}
+	return s;
+}
+
+static void add_worker(struct fleet_platform *p, size_t i)
+{
+	struct fleet_worker *w = &p->workers[i];
+	char key[64], *text;
+	json_t *entry;
+
+	w->platform = p;
+	w->server = listen_on(p, w, fleet_worker_request, fleet_worker_gone);
+	snprintf(w->name, sizeof(w->name), "w%zu", i);
+	snprintf(key, sizeof(key), STORE_WORKERS_PREFIX "%s", w->name);
+	entry = json_pack(
+		"{s:s, s:o, s:o, s:s, s:{s:i, s:i, s:i}, s:[s]}",
+		WORKER_SERVICE, "s", WORKER_ADDRESS,
+		json_sprintf("127.0.0.1:%u", http_server_port(w->server)),
+		WORKER_DOMAIN, json_sprintf("d%zu", i % DOMAINS), WORKER_STATE,
+		"ready", WORKER_CAPACITY, SIZE_CPU, 16000, SIZE_MEMORY, 65536,
+		SIZE_ACCELERATORS, 0, WORKER_LABELS, "a");
+	text = json_dumps(entry, 0);
+	fleet_store_put(p, key, text);
+	free(text);
+	json_decref(entry);
+}
+
+static void add_config(struct fleet_platform *p)
+{
+	static const char config[] =
+		"{\"version\":3,\"routes\":[{\"name\":\"quick\","
+		"\"host\":\"127.0.0.1\",\"prefix\":\"/quick/\","
+		"\"service\":\"s\",\"maxAttempts\":3,\"slackFactor\":1.6,"
+		"\"targetLatencyMs\":3000,\"timeoutMs\":5000}]}";
+
+	fleet_store_put(p, STORE_CONFIG_KEY, config);
+}
+
+int standin_fleet(int argc, const char **argv)
+{
+	poptContext ctx = poptGetContext("standin fleet", argc, argv, options,
+					 0);
+	static struct fleet_platform p;
+	size_t i;
+
+	if (poptGetNextOpt(ctx) != -1 || sodium_init() < 0 ||
+	    opt_workers > FLEET_WORKERS_MAX)
+		return 2;
+	poptFreeContext(ctx);
+	p.loop = ev_default_loop(0);
+	p.run_ms = opt_run_ms;
+	p.store = listen_on(&p, &p, fleet_store_request, fleet_store_gone);
+	for (i = 0; i < (size_t)opt_workers; i++)
+		add_worker(&p, i);
+	p.n_workers = (size_t)opt_workers;
+	add_config(&p);
+	ev_timer_init(&p.tick, on_tick, 0, TICK_MS / 1000.0);
+	p.tick.data = &p;
+	ev_timer_start(p.loop, &p.tick);
+	printf("listening 127.0.0.1:%u\n", http_server_port(p.store));
+	fflush(stdout);
+	ev_run(p.loop, 0);
+	return 0;
+}
--- /dev/null
+++ b/test/standin/fleet.h
@@ -0,0 +1,106 @@
+/*
+ * A stand-in of the users' platform in one process: its store, and workers
+ * that heed fences and leases. It counts two runs of one task at one time.
+ */
+#ifndef TEST_STANDIN_FLEET_H
+#define TEST_STANDIN_FLEET_H
+
+#include <ev.h>
+#include <jansson.h>
+
+#include "transport/http_server.h"
+
+enum {
+	FLEET_WORKERS_MAX = 64,
+	FLEET_RUNS_MAX = 16, /* on one worker */
+	FLEET_ENDS_MAX = 512, /* of one worker, not taken note of */
+	FLEET_KEYS_MAX = 256,
+	FLEET_WATCHES_MAX = 64,
+	FLEET_HOLDS_MAX = 8 /* waiting at one worker */
+};
+
+struct fleet_item {
+	char key[200];
+	char *value; /* base64 */
+	uint64_t revision;
+};
+
+struct fleet_watch {
+	uint64_t request; /* zero: free */
+	char prefix[200];
+	uint64_t after;
+	double until;
+};
+
+struct fleet_run {
+	char task[80];
+	uint64_t run;
+	double ends;
+	double began;
+};
+
+struct fleet_end {
+	uint64_t number;
+	char task[80];
+	uint64_t run;
+	const char *how;
+};
+
+struct fleet_waiting {
+	uint64_t request; /* zero: free */
+	uint64_t cursor;
+	double until;
+};
+
+struct fleet_platform;
+
+struct fleet_worker {
+	struct fleet_platform *platform;
+	struct http_server *server;
+	char name[32];
+	uint64_t fence;
+	double lease_until;
+	struct fleet_run runs[FLEET_RUNS_MAX];
+	size_t n_runs;
+	struct fleet_end ends[FLEET_ENDS_MAX];
+	size_t n_ends;
+	uint64_t last_end;
+	struct fleet_waiting holds[FLEET_HOLDS_MAX];
+};
+
+struct fleet_platform {
+	struct ev_loop *loop;
+	struct http_server *store;
+	ev_timer tick;
+	int run_ms; /* of every task */
+	bool down; /* the store answers nobody */
+	uint64_t revision;
+	struct fleet_item items[FLEET_KEYS_MAX];
+	size_t n_items;
+	struct fleet_watch watches[FLEET_WATCHES_MAX];
+	struct fleet_worker workers[FLEET_WORKERS_MAX];
+	size_t n_workers;
+	/* what was seen */
+	unsigned starts, done, twice;
+};
+
+/* Answers with a JSON value, which is released. */
+void fleet_reply(struct http_server *s, uint64_t id, unsigned status,
+		 json_t *body);
+
+/* fleet_store.c */
+void fleet_store_request(void *ctx, uint64_t id,
+			 const struct http_request *req);
+void fleet_store_gone(void *ctx, uint64_t id);
+void fleet_store_tick(struct fleet_platform *p);
+/* Writes a value as the platform itself would. */
+void fleet_store_put(struct fleet_platform *p, const char *key,
+		     const char *text);
+
+/* fleet_worker.c */
+void fleet_worker_request(void *ctx, uint64_t id,
+			  const struct http_request *req);
+void fleet_worker_gone(void *ctx, uint64_t id);
+void fleet_worker_tick(struct fleet_worker *w);
+
+#endif
--- /dev/null
+++ b/test/standin/fleet_store.c
@@ -0,0 +1,233 @@
+/* The store of the platform's stand-in. */
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet.h"
+#include "platform/names.h"
+#include "util/alloc.h"
+
+static struct fleet_item *find(struct fleet_platform *p, const char *key)
+{
+	size_t i;
+
+	for (i = 0; i < p->n_items; i++)
+		if (!strcmp(p->items[i].key, key))
+			return &p->items[i];
+	return NULL;
+}
+
+static uint64_t revision_of(struct fleet_platform *p, const char *key)
+{
+	const struct fleet_item *item = find(p, key);
+
+	return item ? item->revision : 0;
+}
+
+static void put(struct fleet_platform *p, const char *key, const char *value)
+{
+	struct fleet_item *item = find(p, key);
+
+	if (!item && p->n_items == FLEET_KEYS_MAX)
+		return;
+	if (!item) {
+		item = &p->items[p->n_items++];
+		copy_name(item->key, sizeof(item->key), key);
+	}
+	free(item->value);
+	item->value = xstrdup(value);
+	item->revision = ++p->revision;
+}
+
+void fleet_store_put(struct fleet_platform *p, const char *key,
+		     const char *text)
+{
+	size_t n = strlen(text);
+	size_t size = sodium_base64_ENCODED_LEN(n,
+						sodium_base64_VARIANT_ORIGINAL);
+	char *value = xcalloc(1, size);
+
+	sodium_bin2base64(value, size, (const unsigned char *)text, n,
+			  sodium_base64_VARIANT_ORIGINAL);
+	put(p, key, value);
+	free(value);
+}
+
+static json_t *item_json(const struct fleet_platform *p,
+			 const struct fleet_item *item)
+{
+	return json_pack("{s:s, s:s, s:I, s:I}", ITEM_KEY, item->key,
+			 ITEM_VALUE, item->value, ITEM_REVISION,
+			 (json_int_t)item->revision, STORE_REVISION,
+			 (json_int_t)p->revision);
+}
+
+static void get_key(struct fleet_platform *p, uint64_t id, const char *key)
+{
+	const struct fleet_item *item = key ? find(p, key) : NULL;
+
+	fleet_reply(p->store, id, item ? 200 : 404,
+		    item ? item_json(p, item) : json_object());
+}
+
+static json_t *items_json(const struct fleet_platform *p, const char *prefix,
+			  uint64_t after)
+{
+	json_t *list = json_array();
+	size_t i;
+
+	for (i = 0; i < p->n_items; i++)
+		if (!strncmp(p->items[i].key, prefix, strlen(prefix)) &&
+		    p->items[i].revision > after)
+			json_array_append_new(list, item_json(p, &p->items[i]));
+	return list;
+}
+
+static void get_range(struct fleet_platform *p, uint64_t id, const char *prefix)
+{
+	fleet_reply(p->store, id, 200,
+		    json_pack("{s:o, s:b, s:I}", RANGE_ITEMS,
+			      items_json(p, prefix ? prefix : "", 0),
+			      RANGE_MORE, 0, STORE_REVISION,
+			      (json_int_t)p->revision));
+}
+
+static void watch(struct fleet_platform *p, uint64_t id,
+		  const struct http_request *req)
+{
+	const char *prefix = http_query(req, "prefix");
+	const char *after = http_query(req, "after");
+	const char *wait = http_query(req, "waitMs");
+	size_t i;
+
+	for (i = 0; i < FLEET_WATCHES_MAX; i++) {
+		struct fleet_watch *w = &p->watches[i];
+
+		if (w->request)
+			continue;
+		w->request = id;
+		copy_name(w->prefix, sizeof(w->prefix), prefix ? prefix : "");
+		w->after = after ? strtoull(after, NULL, 10) : 0;
+		w->until = ev_now(p->loop) +
+			   (wait ? strtod(wait, NULL) / 1000 : 0);
+		return;
+	}
+	fleet_reply(p->store, id, 429, json_object());
+}
+
+static bool conditions_hold(struct fleet_platform *p, const json_t *body)
+{
+	const json_t *row, *list = json_object_get(body, WRITE_CONDITIONS);
+	const char *key;
+	size_t i;
+
+	json_array_foreach(list, i, row)
+	{
+		key = json_string_value(json_object_get(row, ITEM_KEY));
+		if (!key ||
+		    revision_of(p, key) !=
+			    (uint64_t)json_integer_value(
+				    json_object_get(row, ITEM_REVISION)))
+			return false;
+	}
+	return true;
+}
+
+static void write_keys(struct fleet_platform *p, uint64_t id,
+		       struct syc_bytes text)
+{
+	json_t *body = json_loadb(text.p ? text.p : "", text.n, 0, NULL);
+	const json_t *row, *puts = json_object_get(body, WRITE_PUTS);
+	size_t i;
+
+	if (!body || !conditions_hold(p, body)) {
+		fleet_reply(p->store, id, body ? 412 : 400, json_object());
+		json_decref(body);
+		return;
+	}
+	json_array_foreach(puts, i, row)
+		put(p, json_string_value(json_object_get(row, ITEM_KEY)),
+		    json_string_value(json_object_get(row, ITEM_VALUE)));
+	fleet_reply(
+		p->store, id, 200,
+		json_pack("{s:I}", WRITE_REVISION, (json_int_t)p->revision));
+	json_decref(body);
+}
+
+static void show_counts(struct fleet_platform *p, uint64_t id)
+{
+	fleet_reply(p->store, id, 200,
+		    json_pack("{s:i, s:i, s:i}", "starts", (int)p->starts,
+			      "done", (int)p->done, "twice", (int)p->twice));
+}
+
+static void set_knobs(struct fleet_platform *p, uint64_t id,
+		      const struct http_request *req)
+{
+	const char *down = http_query(req, "down");
+	const char *run_ms = http_query(req, "run_ms");
+
+	if (down)
+		p->down = *down == '1';
+	if (run_ms)
+		p->run_ms = (int)strtol(run_ms, NULL, 10);
+	fleet_reply(p->store, id, 200, json_object());
+}
+
+void fleet_store_request(void *ctx, uint64_t id, const struct http_request *req)
+{
+	struct fleet_platform *p = ctx;
+
+	if (!strcmp(req->path, "/standin/knobs"))
+		set_knobs(p, id, req);
+	else if (!strcmp(req->path, "/standin/counts"))
+		show_counts(p, id);
+	else if (p->down)
+		fleet_reply(p->store, id, 503, json_object());
+	else if (!strcmp(req->path, STORE_KEY_PATH))
+		get_key(p, id, http_query(req, "key"));
+	else if (!strcmp(req->path, STORE_RANGE_PATH))
+		get_range(p, id, http_query(req, "prefix"));
+	else if (!strcmp(req->path, STORE_WATCH_PATH))
+		watch(p, id, req);
+	else if (!strcmp(req->path, STORE_WRITE_PATH))
+		write_keys(p, id, req->body);
+	else
+		fleet_reply(p->store, id, 404, json_object());
+}
+
+void fleet_store_gone(void *ctx, uint64_t id)
+{
+	struct fleet_platform *p = ctx;
+	size_t i;
+
+	for (i = 0; i < FLEET_WATCHES_MAX; i++)
+		if (p->watches[i].request == id)
+			p->watches[i].request = 0;
+}
+
+static void tick_watch(struct fleet_platform *p, struct fleet_watch *w)
+{
+	json_t *events;
+	uint64_t id = w->request;
+
+	if (!id)
+		return;
+	events = items_json(p, w->prefix, w->after);
+	if (!json_array_size(events) && ev_now(p->loop) < w->until) {
+		json_decref(events);
+		return;
+	}
+	w->request = 0;
+	fleet_reply(p->store, id, 200,
+		    json_pack("{s:o, s:I}", WATCH_EVENTS, events,
+			      STORE_REVISION, (json_int_t)p->revision));
+}
+
+void fleet_store_tick(struct fleet_platform *p)
+{
+	size_t i;
+
+	for (i = 0; i < FLEET_WATCHES_MAX; i++)
+		tick_watch(p, &p->watches[i]);
+}
--- /dev/null
+++ b/test/standin/fleet_worker.c
@@ -0,0 +1,233 @@
+/* The workers of the platform's stand-in. */
+#include <stdio.h>
+#include <string.h>
+
+#include "fleet.h"
+#include "platform/names.h"
+#include "util/alloc.h"
+
+enum {
+	ROOM = 2, /* tasks at once */
+	LEASE_MAX_S = 1
+};
+
+static double now_of(const struct fleet_worker *w)
+{
+	return ev_now(w->platform->loop);
+}
+
+static json_int_t clock_ms(const struct fleet_worker *w)
+{
+	return (json_int_t)(now_of(w) * 1000);
+}
+
+static void answer(struct fleet_worker *w, uint64_t id, unsigned status,
+		   const char *reason)
+{
+	json_t *body = json_pack("{s:I}", CALL_CLOCK, clock_ms(w));
+
+	if (reason)
+		json_object_set_new(body, CALL_REASON, json_string(reason));
+	fleet_reply(w->server, id, status, body);
+}
+
+static void end_run(struct fleet_worker *w, size_t i, const char *how)
+{
+	struct fleet_end *e;
+
+	if (w->n_ends == FLEET_ENDS_MAX)
+		memmove(w->ends, w->ends + 1, --w->n_ends * sizeof(*w->ends));
+	e = &w->ends[w->n_ends++];
+	e->number = ++w->last_end;
+	copy_name(e->task, sizeof(e->task), w->runs[i].task);
+	e->run = w->runs[i].run;
+	e->how = how;
+	w->platform->done += !strcmp(how, "done");
+	w->runs[i] = w->runs[--w->n_runs];
+}
+
+static json_t *lists_json(const struct fleet_worker *w)
+{
+	json_t *running = json_array(), *ended = json_array();
+	size_t i;
+
+	for (i = 0; i < w->n_runs; i++) {
+		const struct fleet_run *r = &w->runs[i];
+		double part = (now_of(w) - r->began) / (r->ends - r->began);
+
+		json_array_append_new(running,
+				      json_pack("[s, I, s, i]", r->task,
+						(json_int_t)r->run, "",
+						(int)(part * 100)));
+	}
+	for (i = 0; i < w->n_ends; i++)
+		json_array_append_new(ended,
+				      json_pack("[I, s, I, s, s]",
+						(json_int_t)w->ends[i].number,
+						w->ends[i].task,
+						(json_int_t)w->ends[i].run,
+						w->ends[i].how, ""));
+	return json_pack("{s:I, s:o, s:o}", CALL_CLOCK, clock_ms(w),
+			 HELD_RUNNING, running, HELD_ENDED, ended);
+}
+
+static void forget_ends(struct fleet_worker *w, uint64_t cursor)
+{
+	size_t i, n = 0;
+
+	for (i = 0; i < w->n_ends; i++)
+		if (w->ends[i].number > cursor)
+			w->ends[n++] = w->ends[i];
+	w->n_ends = n;
+}
+
+static void prolong(struct fleet_worker *w, const json_t *body)
+{
+	double until = json_number_value(json_object_get(body, CALL_LEASE)) /
+		       1000;
+
+	if (until > now_of(w) + LEASE_MAX_S)
+		until = now_of(w) + LEASE_MAX_S;
+	if (until > w->lease_until)
+		w->lease_until = until;
+}
+
+static void hold(struct fleet_worker *w, uint64_t id, const json_t *body)
+{
+	double wait = json_number_value(json_object_get(body, CALL_WAIT));
+	size_t i;
+
+	prolong(w, body);
+	forget_ends(w, (uint64_t)json_integer_value(
+			       json_object_get(body, CALL_CURSOR)));
+	for (i = 0; wait > 0 && !w->n_ends && i < FLEET_HOLDS_MAX; i++) {
+		if (w->holds[i].request)
+			continue;
+		w->holds[i].request = id;
+		w->holds[i].until = now_of(w) + wait / 1000;
+		return;
+	}
+	fleet_reply(w->server, id, 200, lists_json(w));
+}
+
+static bool runs_elsewhere(const struct fleet_platform *p, const char *task)
+{
+	size_t i, k;
+
+	for (i = 0; i < p->n_workers; i++)
+		for (k = 0; k < p->workers[i].n_runs; k++)
+			if (!strcmp(p->workers[i].runs[k].task, task))
+				return true;
+	return false;
+}
+
+static const char *start_refusal(const struct fleet_worker *w, const char *task,
+				 uint64_t run)
+{
+	size_t i;
+
+	for (i = 0; i < w->n_ends; i++)
+		if (!strcmp(w->ends[i].task, task) && w->ends[i].run >= run)
+			return "old";
+	return w->n_runs >= ROOM ? "room" : NULL;
+}
+
+static void start(struct fleet_worker *w, uint64_t id, const json_t *body,
+		  const char *task, uint64_t run)
+{
+	const char *refusal = start_refusal(w, task, run);
+	struct fleet_run *r;
+
+	prolong(w, body);
+	if (refusal) {
+		answer(w, id, 409, refusal);
+		return;
+	}
+	w->platform->starts++;
+	w->platform->twice += runs_elsewhere(w->platform, task);
+	r = &w->runs[w->n_runs++];
+	copy_name(r->task, sizeof(r->task), task);
+	r->run = run;
+	r->began = now_of(w);
+	r->ends = r->began + w->platform->run_ms / 1000.0;
+	answer(w, id, 200, NULL);
+}
+
+static void stop(struct fleet_worker *w, uint64_t id, const char *task)
+{
+	size_t i;
+
+	for (i = w->n_runs; i-- > 0;)
+		if (!strcmp(w->runs[i].task, task))
+			end_run(w, i, "stopped");
+	answer(w, id, 200, NULL);
+}
+
+static void on_call(struct fleet_worker *w, uint64_t id, const char *path,
+		    const json_t *body)
+{
+	const char *task = json_string_value(json_object_get(body, CALL_TASK));
+	uint64_t run = (uint64_t)json_integer_value(
+		json_object_get(body, CALL_RUN));
+	uint64_t fence = (uint64_t)json_integer_value(
+		json_object_get(body, CALL_FENCE));
+
+	if (fence < w->fence) {
+		answer(w, id, 409, "fence");
+		return;
+	}
+	w->fence = fence;
+	if (!strcmp(path, CALL_HOLD_PATH))
+		hold(w, id, body);
+	else if (!strcmp(path, CALL_START_PATH) && task)
+		start(w, id, body, task, run);
+	else if (!strcmp(path, CALL_STOP_PATH) && task)
+		stop(w, id, task);
+	else
+		answer(w, id, 400, NULL);
+}
+
+void fleet_worker_request(void *ctx, uint64_t id,
+			  const struct http_request *req)
+{
+	struct fleet_worker *w = ctx;
+	const char *life = http_header(req, HEADER_LIFE);
+	json_t *body = json_loadb(req->body.p ? req->body.p : "", req->body.n,
+				  0, NULL);
+
+	if (life && strcmp(life, w->name))
+		answer(w, id, 421, NULL);
+	else
+		on_call(w, id, req->path, body);
+	json_decref(body);
+}
+
+void fleet_worker_gone(void *ctx, uint64_t id)
+{
+	struct fleet_worker *w = ctx;
+	size_t i;
+
+	for (i = 0; i < FLEET_HOLDS_MAX; i++)
+		if (w->holds[i].request == id)
+			w->holds[i].request = 0;
+}
+
+void fleet_worker_tick(struct fleet_worker *w)
+{
+	uint64_t id;
+	size_t i;
+
+	for (i = w->n_runs; i-- > 0;) {
+		if (now_of(w) > w->lease_until)
+			end_run(w, i, "lapsed");
+		else if (now_of(w) >= w->runs[i].ends)
+			end_run(w, i, "done");
+	}
+	for (i = 0; i < FLEET_HOLDS_MAX; i++) {
+		id = w->holds[i].request;
+		if (!id || (!w->n_ends && now_of(w) < w->holds[i].until))
+			continue;
+		w->holds[i].request = 0;
+		fleet_reply(w->server, id, 200, lists_json(w));
+	}
+}
--- a/test/standin/standin.h
+++ b/test/standin/standin.h
@@ -3,6 +3,7 @@
 #define TEST_STANDIN_H
 
 int standin_store(int argc, const char **argv);
+int standin_fleet(int argc, const char **argv);
 int standin_ask(int argc, const char **argv);
 int standin_target(int argc, const char **argv);
 
--- a/test/unit/platform_reader_test.c
+++ b/test/unit/platform_reader_test.c
@@ -70,7 +70,11 @@
 static void odd_worker_entry_names_no_worker(void)
 {
 	static const char *const odd[] = {
-		"", "[]", "{", "null", "{}",
+		"",
+		"[]",
+		"{",
+		"null",
+		"{}",
 		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
 		"\"state\":\"resting\",\"capacity\":{\"cpu\":1,\"memMb\":1}}",
 		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
@@ -95,8 +99,8 @@
 	const char *why;
 	size_t skipped;
 
-	CU_ASSERT(platform_config_read(bytes_of(config_text), &routes,
-				       &skipped, &why));
+	CU_ASSERT(platform_config_read(bytes_of(config_text), &routes, &skipped,
+				       &why));
 	CU_ASSERT_EQUAL(routes.version, 7);
 	CU_ASSERT_EQUAL(routes.n, 2);
 	CU_ASSERT_EQUAL(skipped, 0);
@@ -122,8 +126,8 @@
 	const char *why;
 	size_t skipped;
 
-	CU_ASSERT(platform_config_read(bytes_of(text), &routes, &skipped,
-				       &why));
+	CU_ASSERT(
+		platform_config_read(bytes_of(text), &routes, &skipped, &why));
 	CU_ASSERT_EQUAL(routes.n, 1);
 	CU_ASSERT_EQUAL(skipped, 2);
 	CU_ASSERT_EQUAL(routes.list[0].priority, 0);
@@ -225,10 +229,9 @@
 
 	platform_start_write(&start, &a);
 	CU_ASSERT_STRING_EQUAL(
-		a.data,
-		"{\"task\":\"5c0e7a21d94b36f8.0.0.3\",\"run\":2,"
-		"\"taskSpec\":\"a\\\"b\",\"deadlineAtMs\":486000,"
-		"\"fencingToken\":7}");
+		a.data, "{\"task\":\"5c0e7a21d94b36f8.0.0.3\",\"run\":2,"
+			"\"taskSpec\":\"a\\\"b\",\"deadlineAtMs\":486000,"
+			"\"fencingToken\":7}");
 	platform_hold_write(&hold, &b);
 	CU_ASSERT_STRING_EQUAL(b.data, "{\"fencingToken\":7,\"ackCursor\":57,"
 				       "\"waitMs\":200}");
