Log each decision on a job; follow one request through the logs

A line when a job is taken, waits, begins, is refused and ends, with the inputs that decided: room, expected and latest start, configuration version, driver and epoch. `sycamoreshore explain ID LOG...` joins the logs of all instances in the order of time and shows what they believed then. Histograms of answers and of the delay until a job begins are on the metrics address.

The log is written in batches that never block; a reader that stops reading is a test.

--- a/src/cmd/admin_side.c
+++ b/src/cmd/admin_side.c
@@ -60,6 +60,8 @@
 
 	a->opt.refresh(a->opt.ctx);
 	metrics_render(a->opt.metrics, &body);
+	if (a->opt.histograms)
+		a->opt.histograms(a->opt.ctx, &body);
 	reply(a, id, 200, "text/plain; version=0.0.4",
 	      body.data ? body.data : "");
 }
--- a/src/cmd/admin_side.h
+++ b/src/cmd/admin_side.h
@@ -9,6 +9,7 @@
 
 #include "sycamoreshore/types.h"
 #include "transport/transport_error.h"
+#include "util/buf.h"
 #include "util/metrics.h"
 
 struct admin_side;
@@ -25,6 +26,8 @@
 	char *(*ledger)(void *ctx);
 	/* Brings gauges up to date before /metrics is rendered. */
 	void (*refresh)(void *ctx);
+	/* Appends histograms to /metrics; NULL: there are none. */
+	void (*histograms)(void *ctx, struct buf *out);
 };
 
 enum transport_status admin_side_new(struct admin_side **a,
--- a/src/cmd/cmd.h
+++ b/src/cmd/cmd.h
@@ -13,6 +13,7 @@
 
 int cmd_entry(int argc, const char **argv);
 int cmd_fleet(int argc, const char **argv);
+int cmd_explain(int argc, const char **argv);
 int cmd_bundle(int argc, const char **argv);
 int cmd_state(int argc, const char **argv);
 int cmd_report(int argc, const char **argv);
--- a/src/cmd/fleet_daemon.c
+++ b/src/cmd/fleet_daemon.c
@@ -252,6 +252,11 @@
 	return fleet_dump(d->fleet, fleet_daemon_now());
 }
 
+static void histograms_cb(void *ctx, struct buf *out)
+{
+	fleet_metrics_histograms(ctx, out);
+}
+
 static void refresh_cb(void *ctx)
 {
 	fleet_metrics_refresh(ctx);
@@ -268,6 +273,7 @@
 		.state = state_cb,
 		.ledger = state_cb,
 		.refresh = refresh_cb,
+		.histograms = histograms_cb,
 	};
 
 	if (!admin_side_new(&d->admin, &opt))
@@ -337,6 +343,9 @@
 	struct fleet_answer answer;
 
 	memcpy(&answer, m->payload, sizeof(answer));
+	histogram_add(answer.outcome <= FLEET_FAILED ? &d->served_ms
+						     : &d->refused_ms,
+		      answer.took_ms);
 	job_side_answer(d->jobs, m->id, &answer);
 }
 
--- a/src/cmd/fleet_daemon.h
+++ b/src/cmd/fleet_daemon.h
@@ -17,6 +17,7 @@
 #include "platform/store.h"
 #include "platform/worker_side.h"
 #include "transport/peer_link.h"
+#include "util/histogram.h"
 #include "util/metrics.h"
 
 struct fleet_daemon {
@@ -24,6 +25,7 @@
 	const char *settings_path;
 	struct fleet_settings settings;
 	struct metrics metrics;
+	struct histogram served_ms, refused_ms; /* until the answer */
 	uint8_t cluster_key[PEER_KEY_LEN];
 	struct syc_instance self;
 	struct fleet *fleet;
@@ -54,6 +56,7 @@
 
 /* fleet_metrics.c: brings the metrics up to date. */
 void fleet_metrics_refresh(struct fleet_daemon *d);
+void fleet_metrics_histograms(struct fleet_daemon *d, struct buf *out);
 
 int64_t fleet_daemon_now(void);
 
--- a/src/cmd/fleet_metrics.c
+++ b/src/cmd/fleet_metrics.c
@@ -122,3 +122,19 @@
 	set_answers(d);
 	set_drive(d);
 }
+
+void fleet_metrics_histograms(struct fleet_daemon *d, struct buf *out)
+{
+	static const char answer[] = "sycamoreshore_answer_seconds";
+	struct drive_counts c;
+
+	drive_count(fleet_drive(d->fleet), &c);
+	histogram_render(&d->served_ms, answer,
+			 "From a job's arrival until its answer.",
+			 "outcome=\"ended\"", out);
+	histogram_render(&d->refused_ms, answer, NULL, "outcome=\"given_up\"",
+			 out);
+	histogram_render(&c.begin_delay, "sycamoreshore_begin_delay_seconds",
+			 "From a job's arrival until this driver began it.",
+			 NULL, out);
+}
--- a/src/cmd/main.c
+++ b/src/cmd/main.c
@@ -15,6 +15,7 @@
 	{"load", cmd_load, "sends work and measures what comes back"},
 	{"jobs", cmd_jobs, "submits, shows and cancels jobs"},
 	{"state", cmd_state, "prints the state of running instances"},
+	{"explain", cmd_explain, "follows one request through the logs"},
 	{"report", cmd_report, "prints who got what"},
 	{"bundle", cmd_bundle, "makes, signs and rolls bundles"},
 	{NULL, NULL, NULL},
--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -12,6 +12,7 @@
 #define DRIVE_DRIVE_H
 
 #include "sycamoreshore/types.h"
+#include "util/histogram.h"
 
 enum {
 	DRIVE_ID_MAX = 24, /* bytes of a job's id with its terminator */
@@ -188,6 +189,8 @@
 	uint64_t starts_refused, starts_unanswered, stops, stalls, holds;
 	uint64_t ejections, adopted;
 	uint64_t queued, running, workers, workers_usable; /* right now */
+	/* From a job's arrival at its home until it is begun. */
+	struct histogram begin_delay;
 };
 
 struct drive;
--- a/src/drive/job.c
+++ b/src/drive/job.c
@@ -249,6 +249,18 @@
 	return true;
 }
 
+/* What decides whether a job that does not fit now may wait. */
+static void note_waits(const struct drive *d, const struct job *j,
+		       int64_t start, int64_t now)
+{
+	bool never = start == INT64_MAX;
+
+	log_info("job_waits", LOG_S("job", j->id), LOG_U("tasks", j->n_tasks),
+		 LOG_U("priority", j->priority), LOG_U("runs", d->runs.used),
+		 LOG_I("expected_in_ms", never ? -1 : start - now),
+		 LOG_I("to_latest_start_ms", j->latest_start - now));
+}
+
 /* Decides on a new job: begin, wait or refuse. */
 static void admit(struct drive *d, struct job *j, int64_t now)
 {
@@ -279,6 +291,7 @@
 	if (!job_settled(d, j, now))
 		return;
 	start = queue_expected_start(d, j, now);
+	note_waits(d, j, start, now);
 	if (start > j->latest_start)
 		job_end(d, j, DRIVE_REFUSED, NO_WORKER_RETRY_MS,
 			"no_room_in_time", now);
--- a/src/drive/queue.c
+++ b/src/drive/queue.c
@@ -117,6 +117,15 @@
 	return ends[needed - 1];
 }
 
+static void note_begun(struct drive *d, const struct job *j, int64_t now)
+{
+	histogram_add(&d->counts.begin_delay, now - j->arrived_at);
+	log_info("job_begun", LOG_S("job", j->id), LOG_U("tasks", j->n_active),
+		 LOG_U("done", j->n_done), LOG_U("priority", j->priority),
+		 LOG_I("waited_ms", now - j->arrived_at),
+		 LOG_I("to_latest_start_ms", j->latest_start - now));
+}
+
 static void refuse(struct drive *d, struct job *j, const char *reason,
 		   int64_t now)
 {
@@ -145,6 +154,7 @@
 		return false;
 	if (place_job(d, j, now)) {
 		queue_remove(j);
+		note_begun(d, j, now);
 		return false;
 	}
 	if (!j->begun && now > j->latest_start) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -29,6 +29,7 @@
 	enum fleet_outcome outcome;
 	uint32_t retry_after_ms; /* zero: coming back does not help */
 	const char *reason; /* for the log */
+	int64_t took_ms; /* since the job was handed in */
 };
 
 struct fleet_options {
--- a/src/fleet/home.c
+++ b/src/fleet/home.c
@@ -28,7 +28,8 @@
 		   enum fleet_outcome outcome, uint32_t retry_after_ms,
 		   const char *reason, int64_t now)
 {
-	struct fleet_answer answer = {outcome, retry_after_ms, reason};
+	struct fleet_answer answer = {outcome, retry_after_ms, reason,
+				      now - j->arrived_at};
 	uint64_t tag = j->tag;
 
 	log_info("job_answered", LOG_S("job", j->spec.id),
@@ -117,6 +118,11 @@
 	j->deadline_at = now + job->deadline_ms;
 	keep_spec(j, job);
 	index_put(&f->tags, index_number(tag), handle);
+	log_info("job_taken", LOG_S("job", j->spec.id),
+		 LOG_S("route", j->spec.route), LOG_U("tasks", job->n_tasks),
+		 LOG_U("config", f->config_version),
+		 LOG_U("driver", lead_driver(f)), LOG_U("epoch", f->epoch),
+		 LOG_U("deadline_ms", job->deadline_ms));
 	hand_in(f, j, now);
 }
 
--- a/src/util/log.c
+++ b/src/util/log.c
@@ -28,6 +28,7 @@
 	logger.level = opt->level;
 	logger.json = opt->json;
 	logger.batch_max = opt->batch_max;
+	logger.batch.len = 0;
 	if (opt->batch_max)
 		fcntl(opt->fd, F_SETFL, fcntl(opt->fd, F_GETFL) | O_NONBLOCK);
 	copy_name(logger.instance, sizeof(logger.instance),
--- /dev/null
+++ b/test/unit/log_test.c
@@ -0,0 +1,111 @@
+/* The log in batches, its lines read back, and histograms. */
+#include <fcntl.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "cmd/log_lines.h"
+#include "unit.h"
+#include "util/histogram.h"
+#include "util/log.h"
+
+enum { BATCH = 8192, LINES = 20000 };
+
+static void restore_log(void)
+{
+	struct log_options opt = {.fd = 2, .level = LOG_ERROR};
+
+	log_init(&opt);
+}
+
+/* A reader that stops reading costs lines, never the program's time. */
+static void log_never_blocks_and_counts_what_it_drops(void)
+{
+	struct log_options opt = {
+		.level = LOG_INFO, .instance = "i", .batch_max = BATCH};
+	uint64_t before = log_dropped();
+	int fds[2], i;
+
+	CU_ASSERT_EQUAL(pipe(fds), 0);
+	opt.fd = fds[1];
+	log_init(&opt);
+	for (i = 0; i < LINES; i++) {
+		log_info("line", LOG_I("i", i));
+		log_flush();
+	}
+	CU_ASSERT(log_dropped() > before);
+	CU_ASSERT(log_dropped() < before + LINES);
+	restore_log();
+	close(fds[0]);
+	close(fds[1]);
+}
+
+static void batched_lines_come_out_whole_and_in_order(void)
+{
+	struct log_options opt = {
+		.level = LOG_INFO, .instance = "i", .batch_max = BATCH};
+	char text[1024] = "";
+	int fds[2];
+
+	CU_ASSERT_EQUAL(pipe(fds), 0);
+	opt.fd = fds[1];
+	log_init(&opt);
+	log_info("first", LOG_S("job", "a"));
+	log_info("second", LOG_S("job", "b"));
+	log_flush();
+	CU_ASSERT(read(fds[0], text, sizeof(text) - 1) > 0);
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, "first"));
+	CU_ASSERT(strstr(text, "first") < strstr(text, "second"));
+	CU_ASSERT_EQUAL(text[strlen(text) - 1], '\n');
+	restore_log();
+	close(fds[0]);
+	close(fds[1]);
+}
+
+static void fields_are_found_in_both_formats(void)
+{
+	static const char plain[] =
+		"time=\"2026-01-01T00:00:00.000Z\" event=\"job_ended\" "
+		"job=\"ab\" took_ms=12\n";
+	static const char json[] = "{\"time\":\"t\",\"event\":\"e\","
+				   "\"job\":\"ab\",\"took_ms\":12}\n";
+	char val[64];
+
+	CU_ASSERT(log_line_field(plain, "job", val, sizeof(val)));
+	CU_ASSERT_STRING_EQUAL(val, "ab");
+	CU_ASSERT(log_line_field(plain, "took_ms", val, sizeof(val)));
+	CU_ASSERT_STRING_EQUAL(val, "12");
+	CU_ASSERT(log_line_field(json, "job", val, sizeof(val)));
+	CU_ASSERT_STRING_EQUAL(val, "ab");
+	CU_ASSERT(log_line_field(json, "took_ms", val, sizeof(val)));
+	CU_ASSERT_STRING_EQUAL(val, "12");
+	CU_ASSERT_FALSE(log_line_field(plain, "ob", val, sizeof(val)));
+	CU_ASSERT_FALSE(log_line_field(plain, "epoch", val, sizeof(val)));
+}
+
+static void histogram_counts_up_to_each_limit(void)
+{
+	struct histogram h = {{0}, 0};
+	auto_buf struct buf out = {0};
+
+	histogram_add(&h, 1);
+	histogram_add(&h, 4);
+	histogram_add(&h, 9000);
+	histogram_render(&h, "x_seconds", "Help.", "a=\"b\"", &out);
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "# TYPE x_seconds histogram"));
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(out.data, "x_seconds_bucket{a=\"b\",le=\"0.001\"} 1\n"));
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(out.data, "x_seconds_bucket{a=\"b\",le=\"0.005\"} 2\n"));
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(out.data, "x_seconds_bucket{a=\"b\",le=\"+Inf\"} 3\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "x_seconds_count{a=\"b\"} 3"));
+}
+
+SUITE(logging)
+{
+	TEST(log_never_blocks_and_counts_what_it_drops);
+	TEST(batched_lines_come_out_whole_and_in_order);
+	TEST(fields_are_found_in_both_formats);
+	TEST(histogram_counts_up_to_each_limit);
+}
