Let a new driver begin with each worker's first answer

The logs show a driver 0.4 s after the start, and then 115 refusals for want of room in 0.4 s while no worker ran anything. A worker was not used before a call that asked for a lease had been answered, and that call waits up to 200 ms for an end. A start carries its own lease, so the first answer under our fence is enough.

Ruled out: runs left over (leases had ended), the map's change (9 ms), the list of workers (read at once).

--- a/src/drive/worker.c
+++ b/src/drive/worker.c
@@ -8,7 +8,6 @@
 	EJECT_MS = 1000, /* doubled with each ejection in a row */
 	EJECT_MOST_MS = 8000,
 	SILENT_MS = 40, /* beyond its wait, until a hold counts as silent */
-	LEASE_LEAST_MS = 100, /* left of a lease to be given a task */
 	/*
 	 * A worker that left the list may come back to it, and remembers the
 	 * highest fence that it was called with.
@@ -53,7 +52,8 @@
 	if (!w->listed || w->info.leaving || !worker_ours(d, w) ||
 	    !worker_held(d, w))
 		return false;
-	if (w->silent_since || w->lease_until < now + LEASE_LEAST_MS)
+	/* A start carries its own lease, so none need be held before it. */
+	if (w->silent_since)
 		return false;
 	if (now < w->ejected_until)
 		return false;
--- a/test/unit/drive_test.c
+++ b/test/unit/drive_test.c
@@ -99,6 +99,19 @@
 	drive_fake_free(&f);
 }
 
+/* The first list that proves the fence is enough; no wait for the next. */
+static void new_driver_begins_with_the_first_answer(void)
+{
+	struct drive_fake f;
+
+	drive_fake_init(&f, 1);
+	drive_begin(f.drive, f.now, 6);
+	drive_fake_held(&f, 0, NULL, 0, NULL, 0);
+	submit(&f, 1, "a", 1, 0);
+	CU_ASSERT_EQUAL(f.n_starts, 1);
+	drive_fake_free(&f);
+}
+
 static void job_ends_with_its_last_task(void)
 {
 	struct drive_fake f;
@@ -439,6 +452,7 @@
 	TEST(widest_of_one_priority_begins_first);
 	TEST(job_without_room_in_time_is_refused_at_once);
 	TEST(job_larger_than_any_worker_is_refused_for_good);
+	TEST(new_driver_begins_with_the_first_answer);
 	TEST(job_ends_with_its_last_task);
 	TEST(failed_task_is_tried_as_often_as_it_may);
 	TEST(worker_that_fails_twice_in_a_row_is_passed_over);
