--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -49,6 +49,7 @@
 	const char *id;
 	const char *service;
 	const char *route; /* run times are learned by route */
+	const char *domain; /* of its home, where it best runs */
 	const char *label; /* that a worker must have; empty: none */
 	uint32_t generation; /* times that it was handed to another driver */
 	uint32_t priority; /* zero comes first */
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -107,6 +107,7 @@
 	char id[DRIVE_ID_MAX];
 	char service[SYC_NAME_MAX];
 	char label[SYC_NAME_MAX];
+	char domain[SYC_NAME_MAX]; /* of its home */
 	struct run_time *times; /* of its route */
 	struct waiter waiters[WAITERS_MAX];
 	size_t n_waiters;
--- a/src/drive/job.c
+++ b/src/drive/job.c
@@ -143,6 +143,7 @@
 	copy_name(j->id, sizeof(j->id), spec->id);
 	copy_name(j->service, sizeof(j->service), spec->service);
 	copy_name(j->label, sizeof(j->label), spec->label);
+	copy_name(j->domain, sizeof(j->domain), spec->domain);
 	j->generation = spec->generation;
 	j->priority = spec->priority;
 	j->attempts_max = spec->attempts_max;
--- a/src/drive/place.c
+++ b/src/drive/place.c
@@ -1,7 +1,8 @@
 /*
  * Chooses the workers of a job: room for all its waiting tasks, or none. The
- * fast and sound come first, then the tightest fit, which keeps room whole
- * for wide tasks. Answers loads where jobs of several tasks compete for room
+ * fast and sound come first, then the failure domain of the job's home, so
+ * that losing a domain costs few jobs of others, then the tightest fit, which
+ * keeps room whole for wide tasks. Answers loads where jobs of several tasks compete for room
  * that one task's ask nearly fills.
  */
 #include <stdlib.h>
@@ -19,6 +20,7 @@
 	uint32_t cpu, memory, accelerators; /* free */
 	uint32_t placed;
 	bool slow;
+	bool near; /* in the failure domain of the job's home */
 };
 
 static bool has_label(const struct drive_worker *info, const char *label)
@@ -87,6 +89,7 @@
 				       w->used_accelerators);
 		s->placed = same_job_runs(d, w, j);
 		s->slow = run_time_kind(&d->times, w->info.kind) > slow_from;
+		s->near = !strcmp(w->info.domain, j->domain);
 		if (fits(s, j))
 			n++;
 	}
@@ -98,6 +101,8 @@
 {
 	if (a->slow != b->slow)
 		return b->slow;
+	if (a->near != b->near)
+		return a->near;
 	return a->cpu < b->cpu;
 }
 
--- a/src/fleet/fleet_msgs.c
+++ b/src/fleet/fleet_msgs.c
@@ -1,7 +1,7 @@
 /* Messages about jobs between a home and the driver. */
 #include "fleet/fleet_state.h"
 
-enum { JOB_FIELDS = 19 };
+enum { JOB_FIELDS = 20 };
 
 void msg_job_pack(struct wire_out *w, uint64_t tag, const struct drive_job *job)
 {
@@ -11,6 +11,7 @@
 	wire_put_str(w, job->service);
 	wire_put_str(w, job->route);
 	wire_put_str(w, job->label);
+	wire_put_str(w, job->domain);
 	wire_put_u64(w, job->generation);
 	wire_put_u64(w, job->priority);
 	wire_put_u64(w, job->attempts_max);
@@ -37,10 +38,12 @@
 	wire_str(w, m->service, sizeof(m->service));
 	wire_str(w, m->route, sizeof(m->route));
 	wire_str(w, m->label, sizeof(m->label));
+	wire_str(w, m->domain, sizeof(m->domain));
 	job->id = m->id;
 	job->service = m->service;
 	job->route = m->route;
 	job->label = m->label;
+	job->domain = m->domain;
 	job->generation = (uint32_t)wire_u64(w);
 	job->priority = (uint32_t)wire_u64(w);
 	job->attempts_max = (uint32_t)wire_u64(w);
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -173,6 +173,7 @@
 	char service[SYC_NAME_MAX];
 	char route[64];
 	char label[SYC_NAME_MAX];
+	char domain[SYC_NAME_MAX];
 };
 bool msg_job_unpack(struct wire_in *w, struct syc_bytes msg, struct msg_job *m);
 
--- a/src/fleet/home.c
+++ b/src/fleet/home.c
@@ -41,7 +41,8 @@
 }
 
 /* Copies the job with all its text into one block. */
-static void keep_spec(struct home_job *j, const struct drive_job *spec)
+static void keep_spec(const struct fleet *f, struct home_job *j,
+		      const struct drive_job *spec)
 {
 	const char *parts[] = {spec->id, spec->service, spec->route,
 			       spec->label};
@@ -53,6 +54,7 @@
 	for (i = 0; i < sizeof(parts) / sizeof(*parts); i++)
 		n += strlen(parts[i]) + 1;
 	j->spec = *spec;
+	j->spec.domain = f->opt.self.domain;
 	j->text = at = xcalloc(1, n);
 	for (i = 0; i < sizeof(parts) / sizeof(*parts); i++) {
 		n = strlen(parts[i]) + 1;
@@ -116,7 +118,7 @@
 	j->tag = tag;
 	j->arrived_at = now - job->age_ms;
 	j->deadline_at = now + job->deadline_ms;
-	keep_spec(j, job);
+	keep_spec(f, j, job);
 	index_put(&f->tags, index_number(tag), handle);
 	log_info("job_taken", LOG_S("job", j->spec.id),
 		 LOG_S("route", j->spec.route), LOG_U("tasks", job->n_tasks),
--- a/test/unit/drive_fake.c
+++ b/test/unit/drive_fake.c
@@ -221,6 +221,7 @@
 		.service = "s",
 		.route = "r",
 		.label = "",
+		.domain = "d0",
 		.attempts_max = 2,
 		.n_tasks = n,
 		.cpu_milli = 8000,
--- a/test/unit/drive_test.c
+++ b/test/unit/drive_test.c
@@ -99,6 +99,19 @@
 	drive_fake_free(&f);
 }
 
+static void tasks_begin_in_the_domain_of_their_home(void)
+{
+	struct drive_job j = drive_fake_job("a", 2);
+	struct drive_fake f;
+
+	drive_fake_init(&f, 4); /* domains d0, d1, d0, d1 */
+	j.domain = "d1";
+	drive_fake_submit(&f, 1, &j);
+	CU_ASSERT_EQUAL(f.starts[0].worker % 2, 1);
+	CU_ASSERT_EQUAL(f.starts[1].worker % 2, 1);
+	drive_fake_free(&f);
+}
+
 /* The first list that proves the fence is enough; no wait for the next. */
 static void new_driver_begins_with_the_first_answer(void)
 {
@@ -452,6 +465,7 @@
 	TEST(widest_of_one_priority_begins_first);
 	TEST(job_without_room_in_time_is_refused_at_once);
 	TEST(job_larger_than_any_worker_is_refused_for_good);
+	TEST(tasks_begin_in_the_domain_of_their_home);
 	TEST(new_driver_begins_with_the_first_answer);
 	TEST(job_ends_with_its_last_task);
 	TEST(failed_task_is_tried_as_often_as_it_may);
