Join the map only with the driver heard; wait for it at a heal

An instance that was taken out now joins when it hears the driver, and the silence counts anew when its domain stops driving.

--- a/src/fleet/alone.c
+++ b/src/fleet/alone.c
@@ -120,6 +120,8 @@
 	log_info("domain_driver_left", LOG_S("why", why),
 		 LOG_U("drove", drove));
 	f->alone = 0;
+	if (f->silent_since)
+		f->silent_since = now; /* the driver may be heard any moment */
 	if (drove) {
 		drive_end(f->drive, now);
 		drive_only(f->drive, "");
--- a/src/fleet/map_sync.c
+++ b/src/fleet/map_sync.c
@@ -178,6 +178,16 @@
 	return true;
 }
 
+/*
+ * Whoever was taken out joins again once it hears the driver, which would
+ * only take it out again before. A new instance is heard of through the map.
+ */
+static bool may_join(const struct fleet *f, int64_t now)
+{
+	return !f->silent_since || !f->driver ||
+	       now - f->started_at < REMOVE_MS;
+}
+
 /* The map as this instance would have it; false when it is so already. */
 static bool wanted(struct fleet *f, int64_t now, struct fleet_map *next)
 {
@@ -186,7 +196,7 @@
 	bool changed = false;
 
 	*next = f->map;
-	if (!f->leaving && !in_map) {
+	if (!f->leaving && !in_map && may_join(f, now)) {
 		fleet_map_add(next, &f->opt.self);
 		changed = true;
 	} else if (f->leaving && in_map && !drives) {
