--- a/src/cmd/fleet_settings.c
+++ b/src/cmd/fleet_settings.c
@@ -158,10 +158,20 @@
 		s, path, (struct syc_bytes){text.data, text.len}, err, errlen);
 }
 
+void fleet_settings_reference(struct buf *out)
+{
+	buf_puts(out, "# Settings of a fleet's instance\n\n"
+		      "The settings of `sycamoreshore fleet`: an INI file of "
+		      "at most 196 bytes a\nline, checked as a whole. This "
+		      "page is printed by\n`sycamoreshore fleet "
+		      "--reference`; docs/SETTINGS.md is that of `entry`.\n");
+	settings_reference_sections(out, sections);
+}
+
 void fleet_settings_print_reference(void)
 {
 	auto_buf struct buf out = {0};
 
-	settings_reference_sections(&out, sections);
-	fwrite(out.data, 1, out.len, stdout);
+	fleet_settings_reference(&out);
+	fputs(out.data, stdout);
 }
--- a/src/cmd/fleet_settings.h
+++ b/src/cmd/fleet_settings.h
@@ -45,6 +45,9 @@
 bool fleet_settings_parse(struct fleet_settings *s, const char *file,
 			  struct syc_bytes text, char *err, size_t errlen);
 
+/* Appends the reference page, as docs/SETTINGS-FLEET.md has it. */
+void fleet_settings_reference(struct buf *out);
+
 /* Prints the reference of all keys. */
 void fleet_settings_print_reference(void);
 
--- a/src/drive/run.c
+++ b/src/drive/run.c
@@ -157,10 +157,13 @@
 {
 	struct worker *w = worker_get(d, r->worker);
 
-	if (r->stray && w)
-		w->n_strays--;
-	r->stray = false;
 	r->job = j->handle;
+	if (!w)
+		return;
+	w->n_strays -= r->stray;
+	r->stray = false;
+	give_room(w, r);
+	take_room(w, r, j->cpu_milli, j->memory_mb, j->accelerators);
 }
 
 /* A task of a job in hand that waits may be running unseen: join the two. */
--- a/test/unit/drive_test.c
+++ b/test/unit/drive_test.c
@@ -336,6 +336,25 @@
 	drive_fake_free(&f);
 }
 
+/* Its size is known once its job is: 13 cores are free beside its 3. */
+static void adopted_run_takes_the_room_of_its_job(void)
+{
+	struct drive_running row = {.run = 4, .task = {.job = "a"}};
+	struct drive_job j = drive_fake_job("a", 1);
+	struct drive_fake f;
+
+	drive_fake_init(&f, 1);
+	drive_fake_held(&f, 0, &row, 1, NULL, 0);
+	j.generation = 1;
+	j.cpu_milli = 3000;
+	drive_fake_submit(&f, 1, &j);
+	j = drive_fake_job("b", 1);
+	j.cpu_milli = 13000;
+	drive_fake_submit(&f, 2, &j);
+	CU_ASSERT_EQUAL(f.n_starts, 1);
+	drive_fake_free(&f);
+}
+
 /* One that no job claims is not prolonged, and is stopped soon. */
 static void stray_run_is_stopped_and_not_prolonged(void)
 {
@@ -515,6 +534,7 @@
 	TEST(caller_that_leaves_has_its_tasks_stopped);
 	TEST(same_job_handed_in_twice_runs_once);
 	TEST(run_of_an_earlier_driver_is_adopted);
+	TEST(adopted_run_takes_the_room_of_its_job);
 	TEST(stray_run_is_stopped_and_not_prolonged);
 	TEST(late_second_run_is_stopped_at_once);
 	TEST(job_of_another_driver_waits_for_the_fence_everywhere);
--- a/test/unit/settings_test.c
+++ b/test/unit/settings_test.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "cmd/fleet_settings.h"
 #include "cmd/settings.h"
 #include "unit.h"
 #include "util/rng.h"
@@ -135,19 +136,56 @@
 				    "directory");
 }
 
-/* docs/SETTINGS.md is the printed reference, byte for byte. */
-static void page_equals_reference(void)
+static void expect_page(const char *path, const struct buf *want)
 {
-	auto_buf struct buf want = {0}, have = {0};
-	FILE *f = fopen("docs/SETTINGS.md", "re");
+	auto_buf struct buf have = {0};
+	FILE *f = fopen(path, "re");
 	int c;
 
 	CU_ASSERT_PTR_NOT_NULL_FATAL(f);
 	while ((c = fgetc(f)) != EOF)
 		buf_add(&have, &(char){(char)c}, 1);
 	fclose(f);
-	settings_reference(&want);
-	CU_ASSERT_STRING_EQUAL(have.data, want.data);
+	CU_ASSERT_STRING_EQUAL(have.data, want->data);
+}
+
+/* The pages are the printed references, byte for byte. */
+static void pages_equal_references(void)
+{
+	auto_buf struct buf entry = {0}, fleet = {0};
+
+	settings_reference(&entry);
+	expect_page("docs/SETTINGS.md", &entry);
+	fleet_settings_reference(&fleet);
+	expect_page("docs/SETTINGS-FLEET.md", &fleet);
+}
+
+static bool parse_fleet(const char *extra, char *err, size_t errlen)
+{
+	static const char head[] =
+		"[instance]\nname = a\ndomain = d\n[listen]\n"
+		"callers = 127.0.0.1:1\npeers = 127.0.0.1:2\n"
+		"admin = 127.0.0.1:3\n[platform]\nstore = 127.0.0.1:4\n";
+	struct fleet_settings s;
+	char text[1024];
+
+	snprintf(text, sizeof(text), "%s%s", head, extra);
+	return fleet_settings_parse(
+		&s, "f", (struct syc_bytes){text, strlen(text)}, err, errlen);
+}
+
+static void fleet_settings_are_checked(void)
+{
+	char err[256] = "";
+
+	CU_ASSERT(parse_fleet("", err, sizeof(err)));
+	CU_ASSERT_FALSE(
+		parse_fleet("[workers]\nlease_ms = 300\n", err, sizeof(err)));
+	CU_ASSERT_PTR_NOT_NULL(strstr(err, "hold_wait_ms"));
+	CU_ASSERT_FALSE(
+		parse_fleet("[limits]\nstop_ms = 2000\n", err, sizeof(err)));
+	CU_ASSERT_FALSE(parse_fleet("[nonsense]\n", err, sizeof(err)));
+	CU_ASSERT_FALSE(parse_fleet("[log]\nlevel = loud\n", err, sizeof(err)));
 }
 
 SUITE(settings)
@@ -158,5 +196,6 @@
 	TEST(damaged_text_does_no_harm);
 	TEST(example_is_accepted);
 	TEST(unreadable_file_is_named);
-	TEST(page_equals_reference);
+	TEST(pages_equal_references);
+	TEST(fleet_settings_are_checked);
 }
