--- a/test/measure/rules-out.sh
+++ b/test/measure/rules-out.sh
@@ -35,12 +35,14 @@
 	's/ && !w->silent_since && / \&\& /'
 try "runs that no job claims are not prolonged" src/drive/hold.c \
 	's/ && !w->n_strays)/)/'
-try "a lease is counted anew with each call that is sent" src/drive/worker.c \
-	's/^	worker_may_run(d, w, now);$/	if (!w->lease_over) worker_may_run(d, w, now);/'
+try "a lease counts from the last call sent, not answered" \
+	src/drive/hold.c 's/now > w->lease_over)/now > w->lease_until + 110)/'
 try "an adopted run may have been prolonged by another" src/drive/run.c \
 	's/^	worker_may_run(d, w, now);$//'
 try "a job handed over waits for our fence everywhere" src/drive/job.c \
 	's/^	if (!j->generation || now >= j->settled_at)$/	if (true)/'
+try "lists are asked for after a job was handed over" src/drive/job.c \
+	's/worker_unseen(d, w, j->handed_at, now)/worker_unseen(d, w, 0, now)/'
 try "a worker that fell silent must prove our fence again" \
 	src/drive/hold.c 's/^	w->held_fence = 0; .*//'
 try "nothing starts for a home that is not heard" src/fleet/fleet.c \
