--- a/src/cmd/cmd_entry.c
+++ b/src/cmd/cmd_entry.c
@@ -2,7 +2,6 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <inttypes.h>
-#include <popt.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
@@ -11,6 +10,7 @@
 #include <unistd.h>
 
 #include "cmd/cmd.h"
+#include "cmd/daemon_options.h"
 #include "cmd/entry.h"
 #include "util/cleanup.h"
 
@@ -169,37 +169,20 @@
 int cmd_entry(int argc, const char **argv)
 {
 	struct entry e = {.exit_code = EXIT_DONE};
-	char *path = NULL;
-	int check = 0, reference = 0, rc;
-	struct poptOption options[] = {
-		{"settings", 's', POPT_ARG_STRING, &path, 0,
-		 "the settings of this instance", "FILE"},
-		{"check", 'c', POPT_ARG_NONE, &check, 0,
-		 "check the settings and exit", NULL},
-		{"reference", 0, POPT_ARG_NONE, &reference, 0,
-		 "print the reference of all settings and exit", NULL},
-		POPT_AUTOHELP POPT_TABLEEND};
-	poptContext ctx = poptGetContext("sycamoreshore entry", argc, argv,
-					 options, 0);
-
-	rc = poptGetNextOpt(ctx);
-	if (rc < -1 || poptPeekArg(ctx)) {
-		fprintf(stderr, "sycamoreshore: entry: %s: %s\n",
-			rc < -1 ? poptBadOption(ctx, 0) : poptPeekArg(ctx),
-			rc < -1 ? poptStrerror(rc) : "unexpected argument");
-		poptFreeContext(ctx);
+	struct daemon_options o = {0};
+	int rc;
+
+	if (!daemon_options_read(&o, "sycamoreshore entry", argc, argv))
 		return EXIT_USAGE;
-	}
-	poptFreeContext(ctx);
-	if (reference) {
+	if (o.reference) {
 		settings_print_reference();
 		return EXIT_DONE;
 	}
 	if (sodium_init() < 0)
 		return EXIT_FAILED;
-	rc = read_settings(&e, path);
-	free(path);
-	if (rc || check)
-		return rc;
-	return run_entry(&e);
+	rc = read_settings(&e, o.settings);
+	if (!rc && !o.check)
+		rc = run_entry(&e);
+	free(o.settings);
+	return rc;
 }
--- a/src/cmd/cmd_fleet.c
+++ b/src/cmd/cmd_fleet.c
@@ -1,11 +1,11 @@
 /* `sycamoreshore fleet`: runs one instance that drives leased workers. */
-#include <popt.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <unistd.h>
 
 #include "cmd/cmd.h"
+#include "cmd/daemon_options.h"
 #include "cmd/crash.h"
 #include "cmd/fleet_daemon.h"
 
@@ -60,38 +60,21 @@
 int cmd_fleet(int argc, const char **argv)
 {
 	struct fleet_daemon d = {.exit_code = EXIT_DONE};
-	char *path = NULL;
-	int check = 0, reference = 0, rc;
-	struct poptOption options[] = {
-		{"settings", 's', POPT_ARG_STRING, &path, 0,
-		 "the settings of this instance", "FILE"},
-		{"check", 'c', POPT_ARG_NONE, &check, 0,
-		 "check the settings and exit", NULL},
-		{"reference", 0, POPT_ARG_NONE, &reference, 0,
-		 "print the reference of all settings and exit", NULL},
-		POPT_AUTOHELP POPT_TABLEEND};
-	poptContext ctx = poptGetContext("sycamoreshore fleet", argc, argv,
-					 options, 0);
+	struct daemon_options o = {0};
+	int rc;
 
-	rc = poptGetNextOpt(ctx);
-	if (rc < -1 || poptPeekArg(ctx)) {
-		fprintf(stderr, "sycamoreshore: fleet: %s: %s\n",
-			rc < -1 ? poptBadOption(ctx, 0) : poptPeekArg(ctx),
-			rc < -1 ? poptStrerror(rc) : "unexpected argument");
-		poptFreeContext(ctx);
+	if (!daemon_options_read(&o, "sycamoreshore fleet", argc, argv))
 		return EXIT_USAGE;
-	}
-	poptFreeContext(ctx);
-	if (reference) {
+	if (o.reference) {
 		fleet_settings_print_reference();
 		return EXIT_DONE;
 	}
 	if (sodium_init() < 0)
 		return EXIT_FAILED;
-	rc = read_settings(&d, path);
-	d.settings_path = path;
-	if (!rc && !check)
+	rc = read_settings(&d, o.settings);
+	d.settings_path = o.settings;
+	if (!rc && !o.check)
 		rc = run(&d);
-	free(path);
+	free(o.settings);
 	return rc;
 }
--- a/src/cmd/fleet_daemon.h
+++ b/src/cmd/fleet_daemon.h
@@ -54,6 +54,12 @@
 /* Runs until it has been stopped. */
 void fleet_daemon_run(struct fleet_daemon *d);
 
+/* fleet_sides.c: binds the sockets and connects the tasks. */
+bool fleet_sides_open(struct fleet_daemon *d, char *err, size_t errlen);
+
+/* The whole state as JSON text; the caller frees it. */
+char *fleet_daemon_state(struct fleet_daemon *d);
+
 /* fleet_metrics.c: brings the metrics up to date. */
 void fleet_metrics_refresh(struct fleet_daemon *d);
 void fleet_metrics_histograms(struct fleet_daemon *d, struct buf *out);
--- /dev/null
+++ b/src/cmd/fleet_sides.c
@@ -0,0 +1,379 @@
+/* The sides of a fleet's daemon, and the callbacks between them. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cmd/fleet_daemon.h"
+#include "platform/config.h"
+#include "util/alloc.h"
+#include "util/invariant.h"
+
+enum {
+	DIAL_PAUSE_MAX_MS = 400, /* a healed cut is noticed that soon */
+	SEND_MAX = 4 * 1024 * 1024 /* bytes waiting on one peer link */
+};
+
+static const struct syc_bytes nothing = {NULL, 0};
+
+/* Callbacks of the fleet. */
+
+static void fleet_dial_cb(void *ctx, const struct syc_addr *addr)
+{
+	struct fleet_daemon *d = ctx;
+
+	peer_links_dial(d->peers, addr);
+}
+
+static bool fleet_send_cb(void *ctx, uint64_t to, struct syc_bytes msg)
+{
+	struct fleet_daemon *d = ctx;
+
+	return peer_links_send(d->peers, to, msg);
+}
+
+static void fleet_answer_cb(void *ctx, uint64_t tag,
+			    const struct fleet_answer *answer)
+{
+	struct fleet_daemon *d = ctx;
+	struct fleet_answer a = *answer;
+	struct syc_bytes head = {&a, sizeof(a)};
+
+	a.reason = NULL; /* it has been logged and may not outlive the mail */
+	mailbox_post(&d->to_jobs, MAIL_ANSWER, tag, head, nothing);
+}
+
+static void fleet_config_cb(void *ctx, uint64_t version, struct syc_bytes text)
+{
+	struct fleet_daemon *d = ctx;
+
+	config_side_offer(d->config, text, "peer");
+}
+
+static void fleet_read_workers_cb(void *ctx)
+{
+	struct fleet_daemon *d = ctx;
+
+	platform_store_workers(d->store);
+}
+
+static void fleet_start_cb(void *ctx, const struct drive_start *call)
+{
+	struct fleet_daemon *d = ctx;
+
+	worker_side_start(d->workers, call);
+}
+
+static void fleet_stop_cb(void *ctx, const struct drive_stop *call)
+{
+	struct fleet_daemon *d = ctx;
+
+	worker_side_stop(d->workers, call);
+}
+
+static void fleet_hold_cb(void *ctx, const struct drive_hold *call)
+{
+	struct fleet_daemon *d = ctx;
+
+	worker_side_hold(d->workers, call);
+}
+
+static void open_fleet(struct fleet_daemon *d)
+{
+	struct fleet_options opt = {
+		.self = d->self,
+		.clock = syc_clock_boot,
+		.wall = syc_clock_wall,
+		.store = platform_store_ops(d->store),
+		.lease_ms = d->settings.lease_ms,
+		.hold_wait_ms = d->settings.hold_wait_ms,
+		.ctx = d,
+		.dial = fleet_dial_cb,
+		.send = fleet_send_cb,
+		.answer = fleet_answer_cb,
+		.config = fleet_config_cb,
+		.read_workers = fleet_read_workers_cb,
+		.start = fleet_start_cb,
+		.stop = fleet_stop_cb,
+		.hold = fleet_hold_cb,
+	};
+
+	d->fleet = fleet_new(&opt, fleet_daemon_now());
+}
+
+/* Callbacks of the sides. */
+
+static void started_cb(void *ctx, uint64_t call, const struct drive_answer *a)
+{
+	struct fleet_daemon *d = ctx;
+
+	drive_started(fleet_drive(d->fleet), fleet_daemon_now(), call, a);
+}
+
+static void stopped_cb(void *ctx, uint64_t call, const struct drive_answer *a)
+{
+	struct fleet_daemon *d = ctx;
+
+	drive_stopped(fleet_drive(d->fleet), fleet_daemon_now(), call, a);
+}
+
+static void held_cb(void *ctx, uint64_t call, const struct drive_held *held)
+{
+	struct fleet_daemon *d = ctx;
+
+	fleet_held(d->fleet, fleet_daemon_now(), call, held);
+}
+
+static void open_workers(struct fleet_daemon *d)
+{
+	struct worker_side_options opt = {
+		.loop = d->loop,
+		.ctx = d,
+		.started = started_cb,
+		.stopped = stopped_cb,
+		.held = held_cb,
+	};
+
+	d->workers = worker_side_new(&opt);
+}
+
+static void workers_cb(void *ctx, const struct drive_worker *list, size_t n)
+{
+	struct fleet_daemon *d = ctx;
+
+	fleet_workers(d->fleet, fleet_daemon_now(), list, n);
+}
+
+static void open_store(struct fleet_daemon *d)
+{
+	struct platform_store_options opt = {
+		.loop = d->loop,
+		.addr = d->settings.store,
+		.timeout_ms = d->settings.store_timeout_ms,
+		.ctx = d,
+		.workers = workers_cb,
+	};
+
+	d->store = platform_store_new(&opt);
+}
+
+static void adopted_cb(void *ctx, uint64_t version, struct syc_bytes text)
+{
+	struct fleet_daemon *d = ctx;
+
+	fleet_config(d->fleet, fleet_daemon_now(), version, text);
+}
+
+static void open_config(struct fleet_daemon *d)
+{
+	struct config_side_options opt = {
+		.loop = d->loop,
+		.store = platform_store_ops(d->store),
+		.key = PLATFORM_CONFIG,
+		.read = platform_config_read,
+		.ctx = d,
+		.adopted = adopted_cb,
+	};
+
+	d->config = config_side_new(&opt);
+}
+
+static const struct fleet_routes *routes_cb(void *ctx)
+{
+	struct fleet_daemon *d = ctx;
+
+	return config_side_routes(d->config);
+}
+
+static void submit_cb(void *ctx, uint64_t tag, const struct drive_job *job)
+{
+	struct fleet_daemon *d = ctx;
+
+	fleet_submit(d->fleet, fleet_daemon_now(), tag, job);
+}
+
+static void gone_cb(void *ctx, uint64_t tag)
+{
+	struct fleet_daemon *d = ctx;
+
+	fleet_cancel(d->fleet, fleet_daemon_now(), tag);
+}
+
+static bool cancel_cb(void *ctx, const char *id)
+{
+	struct fleet_daemon *d = ctx;
+
+	return fleet_cancel_id(d->fleet, fleet_daemon_now(), id);
+}
+
+static bool open_jobs(struct fleet_daemon *d, char *err, size_t errlen)
+{
+	const struct fleet_settings *s = &d->settings;
+	struct job_side_options opt = {
+		.loop = d->loop,
+		.listen = s->callers,
+		.body_max = s->body_max,
+		.conns_max = s->connections_max,
+		.idle_s = s->idle_s,
+		.ctx = d,
+		.routes = routes_cb,
+		.submit = submit_cb,
+		.gone = gone_cb,
+		.cancel = cancel_cb,
+	};
+
+	if (!job_side_new(&d->jobs, &opt))
+		return true;
+	snprintf(err, errlen, "callers: %s", transport_message());
+	return false;
+}
+
+static bool ready_cb(void *ctx, const char **why)
+{
+	struct fleet_daemon *d = ctx;
+
+	return fleet_ready(d->fleet, why);
+}
+
+char *fleet_daemon_state(struct fleet_daemon *d)
+{
+	return fleet_dump(d->fleet, fleet_daemon_now());
+}
+
+static char *state_cb(void *ctx)
+{
+	return fleet_daemon_state(ctx);
+}
+
+static void histograms_cb(void *ctx, struct buf *out)
+{
+	fleet_metrics_histograms(ctx, out);
+}
+
+static void refresh_cb(void *ctx)
+{
+	fleet_metrics_refresh(ctx);
+}
+
+static bool open_admin(struct fleet_daemon *d, char *err, size_t errlen)
+{
+	struct admin_side_options opt = {
+		.loop = d->loop,
+		.listen = d->settings.admin,
+		.metrics = &d->metrics,
+		.ctx = d,
+		.ready = ready_cb,
+		.state = state_cb,
+		.ledger = state_cb,
+		.refresh = refresh_cb,
+		.histograms = histograms_cb,
+	};
+
+	if (!admin_side_new(&d->admin, &opt))
+		return true;
+	snprintf(err, errlen, "admin: %s", transport_message());
+	return false;
+}
+
+/* Mail. */
+
+static void peer_up_cb(void *ctx, const struct syc_instance *peer)
+{
+	struct fleet_daemon *d = ctx;
+	struct syc_bytes head = {peer, sizeof(*peer)};
+
+	log_info("peer_up", LOG_S("peer", peer->name), LOG_U("id", peer->id));
+	mailbox_post(&d->to_fleet, MAIL_PEER_UP, peer->id, head, nothing);
+}
+
+static void peer_down_cb(void *ctx, uint64_t peer)
+{
+	struct fleet_daemon *d = ctx;
+
+	log_info("peer_down", LOG_U("id", peer));
+	mailbox_post(&d->to_fleet, MAIL_PEER_DOWN, peer, nothing, nothing);
+}
+
+static void peer_receive_cb(void *ctx, uint64_t from, struct syc_bytes msg)
+{
+	struct fleet_daemon *d = ctx;
+
+	mailbox_post(&d->to_fleet, MAIL_PEER_MESSAGE, from, msg, nothing);
+}
+
+static void peer_rejected_cb(void *ctx, const char *addr, const char *why)
+{
+	log_warn("peer_rejected", LOG_S("addr", addr), LOG_S("why", why));
+}
+
+static void deliver_to_fleet(void *ctx, const struct mail *m)
+{
+	struct fleet_daemon *d = ctx;
+	struct syc_bytes msg = {m->payload, m->len};
+	int64_t now = fleet_daemon_now();
+	struct syc_instance peer;
+
+	switch (m->type) {
+	case MAIL_PEER_UP:
+		memcpy(&peer, m->payload, sizeof(peer));
+		fleet_peer_up(d->fleet, now, &peer);
+		return;
+	case MAIL_PEER_DOWN:
+		fleet_peer_down(d->fleet, now, m->id);
+		return;
+	case MAIL_PEER_MESSAGE:
+		if (!fleet_receive(d->fleet, now, m->id, msg))
+			log_warn("bad_message", LOG_U("peer", m->id));
+		return;
+	default:
+		invariant(!"mail that is not for the fleet");
+	}
+}
+
+static void deliver_to_jobs(void *ctx, const struct mail *m)
+{
+	struct fleet_daemon *d = ctx;
+	struct fleet_answer answer;
+
+	memcpy(&answer, m->payload, sizeof(answer));
+	histogram_add(answer.outcome <= FLEET_FAILED ? &d->served_ms
+						     : &d->refused_ms,
+		      answer.took_ms);
+	job_side_answer(d->jobs, m->id, &answer);
+}
+
+static bool open_peers(struct fleet_daemon *d, char *err, size_t errlen)
+{
+	struct peer_links_options opt = {
+		.loop = d->loop,
+		.self = d->self,
+		.listen = d->settings.peers,
+		.cluster_key = d->cluster_key,
+		.send_max = SEND_MAX,
+		.pause_max_ms = DIAL_PAUSE_MAX_MS,
+		.ctx = d,
+		.up = peer_up_cb,
+		.down = peer_down_cb,
+		.receive = peer_receive_cb,
+		.rejected = peer_rejected_cb,
+	};
+
+	if (peer_links_new(&d->peers, &opt)) {
+		snprintf(err, errlen, "peers: %s", transport_message());
+		return false;
+	}
+	d->self.peer_addr.port = peer_links_port(d->peers);
+	return true;
+}
+
+bool fleet_sides_open(struct fleet_daemon *d, char *err, size_t errlen)
+{
+	mailbox_init(&d->to_fleet, d->loop, deliver_to_fleet, d);
+	mailbox_init(&d->to_jobs, d->loop, deliver_to_jobs, d);
+	if (!open_peers(d, err, errlen))
+		return false;
+	open_store(d);
+	open_workers(d);
+	open_fleet(d);
+	open_config(d);
+	return open_jobs(d, err, errlen) && open_admin(d, err, errlen);
+}
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -207,8 +207,15 @@
 void run_keep_end(struct drive *d, struct worker *w,
 		  const struct drive_ended *end, int64_t now);
 
+/* admit.c */
+/* Whether nothing of `j` that an earlier driver started can run unseen. */
+bool job_settled(const struct drive *d, const struct job *j, int64_t now);
+
 /* job.c */
 struct job *job_get(const struct drive *d, uint64_t handle);
+struct job *job_find(const struct drive *d, const char id[DRIVE_ID_MAX]);
+/* Makes it found by its id. */
+void job_index(struct drive *d, const struct job *j);
 void job_task_over(struct drive *d, struct job *j, uint32_t index,
 		   enum drive_how how, int64_t now);
 void job_end(struct drive *d, struct job *j, enum drive_outcome outcome,
@@ -230,7 +237,4 @@
 /* Whether any listed worker could ever hold a task of it. */
 bool place_possible(const struct drive *d, const struct job *j);
 
-/* Whether nothing of `j` that an earlier driver started can run unseen. */
-bool job_settled(const struct drive *d, const struct job *j, int64_t now);
-
 #endif
--- a/src/drive/run.c
+++ b/src/drive/run.c
@@ -9,7 +9,6 @@
 	ENDED_KEEP_MS = 1500, /* an end whose job may be handed in again */
 	STALL_LEAST_MS = 150, /* without progress until a run is stalled */
 	STALL_PART = 4, /* or this part of what it should take */
-	OLD_RUN_STEP = 64, /* a worker has seen a higher run number */
 	GENERATION_RUNS = 1024 /* run numbers of one generation of a job */
 };
 
@@ -293,88 +292,6 @@
 		job_task_over(d, j, index, how, now);
 }
 
-static void doubt(struct drive *d, struct run *r, struct worker *w, int64_t now)
-{
-	r->state = RUN_DOUBTFUL;
-	d->counts.starts_unanswered++;
-	log_info("start_unanswered", LOG_S("job", r->task.job),
-		 LOG_U("task", r->task.index), LOG_U("run", r->number),
-		 LOG_S("worker", w->info.name),
-		 LOG_I("after_ms", now - r->sent_at));
-	worker_bad_end(d, w, now, "start_unanswered");
-	hold_probe(d, w, now);
-}
-
-static void refused(struct drive *d, struct run *r, struct worker *w,
-		    enum drive_call_end end, int64_t now)
-{
-	struct job *j = job_get(d, r->job);
-
-	d->counts.starts_refused++;
-	log_info("start_refused", LOG_S("job", r->task.job),
-		 LOG_U("task", r->task.index), LOG_U("run", r->number),
-		 LOG_S("worker", w->info.name), LOG_U("end", end));
-	if (end == DRIVE_CALL_OLD && j)
-		j->tasks[r->task.index].runs += OLD_RUN_STEP;
-	if (end == DRIVE_CALL_UNHEALTHY)
-		worker_eject(d, w, now, "refuses_starts");
-	if (end == DRIVE_CALL_NO_ROOM)
-		hold_probe(d, w, now);
-	run_over(d, r, DRIVE_HOW_OTHER, now);
-}
-
-void drive_started(struct drive *d, int64_t now, uint64_t call,
-		   const struct drive_answer *answer)
-{
-	struct run *r = run_get(d, call);
-	struct worker *w = r ? worker_get(d, r->worker) : NULL;
-
-	if (!w || !d->active)
-		return;
-	worker_note_clock(w, now, answer);
-	switch (answer->end) {
-	case DRIVE_CALL_DONE:
-		if (r->state == RUN_RUNNING)
-			break;
-		r->state = RUN_RUNNING;
-		r->running_at = r->percent_at = now;
-		break;
-	case DRIVE_CALL_UNANSWERED:
-		if (r->state == RUN_STARTING)
-			doubt(d, r, w, now);
-		break;
-	case DRIVE_CALL_OTHER_LIFE:
-		w->ended = true;
-		hold_lost(d, w, now, "other_life");
-		break;
-	default:
-		/* Seen running or in doubt: a list will tell. */
-		if (r->state == RUN_STARTING)
-			refused(d, r, w, answer->end, now);
-		break;
-	}
-	queue_run(d, now);
-}
-
-void drive_stopped(struct drive *d, int64_t now, uint64_t call,
-		   const struct drive_answer *answer)
-{
-	struct run *r = run_get(d, call);
-	struct worker *w = r ? worker_get(d, r->worker) : NULL;
-
-	if (!w || !d->active)
-		return;
-	r->stop_open = false;
-	if (answer->end == DRIVE_CALL_OTHER_LIFE) {
-		w->ended = true;
-		hold_lost(d, w, now, "other_life");
-	} else if (answer->end == DRIVE_CALL_DONE && r->state != RUN_RUNNING) {
-		/* It cannot begin any more; a list tells if it had. */
-		hold_probe(d, w, now);
-	}
-	queue_run(d, now);
-}
-
 static bool stalled(const struct drive *d, const struct run *r, int64_t now)
 {
 	const struct job *j = job_get(d, r->job);
