--- a/src/fleet/alone.c
+++ b/src/fleet/alone.c
@@ -10,7 +10,6 @@
 enum {
 	PROBES = 3, /* workers called at once */
 	PROBE_AGAIN_MS = 1000,
-	PROBE_WAIT_MS = 0,
 	UPTIME_LEAST_MS = 500 /* a new instance first hears of the others */
 };
 
@@ -32,11 +31,7 @@
 
 static void probe(struct fleet *f, const struct drive_worker *w)
 {
-	struct drive_hold call = {
-		.call = FLEET_PROBE_CALL,
-		.worker = w,
-		.wait_ms = PROBE_WAIT_MS,
-	};
+	struct drive_hold call = {.call = FLEET_PROBE_CALL, .worker = w};
 
 	f->probes_open++;
 	f->opt.hold(f->opt.ctx, &call);
@@ -58,7 +53,7 @@
 
 bool alone_is_heard(const struct fleet *f, int64_t now)
 {
-	const struct fleet_peer *p = beat_peer((struct fleet *)f, f->alone);
+	const struct fleet_peer *p = beat_known(f, f->alone);
 
 	return p && beat_fresh(p, now);
 }
@@ -72,7 +67,7 @@
 		return true;
 	if (f->alone == f->opt.self.id)
 		return f->leaving;
-	p = beat_peer((struct fleet *)f, f->alone);
+	p = beat_known(f, f->alone);
 	return p && p->leaving;
 }
 
--- a/src/fleet/beat.c
+++ b/src/fleet/beat.c
@@ -16,7 +16,7 @@
 	BEAT_FIELDS = 7
 };
 
-struct fleet_peer *beat_peer(struct fleet *f, uint64_t id)
+const struct fleet_peer *beat_known(const struct fleet *f, uint64_t id)
 {
 	size_t i;
 
@@ -26,6 +26,13 @@
 	return NULL;
 }
 
+struct fleet_peer *beat_peer(struct fleet *f, uint64_t id)
+{
+	const struct fleet_peer *p = beat_known(f, id);
+
+	return p ? &f->peers[p - f->peers] : NULL;
+}
+
 bool beat_fresh(const struct fleet_peer *p, int64_t now)
 {
 	return p->heard_at && now - p->heard_at <= FRESH_MS;
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -106,6 +106,8 @@
 bool fleet_waking(const struct fleet *f, int64_t now);
 
 /* beat.c */
+/* The peer with this id, or NULL when no link to it was up lately. */
+const struct fleet_peer *beat_known(const struct fleet *f, uint64_t id);
 struct fleet_peer *beat_peer(struct fleet *f, uint64_t id);
 bool beat_fresh(const struct fleet_peer *p, int64_t now);
 /* Heard so lately that it still hears us, unless we are cut off just now. */
--- a/src/fleet/lead.c
+++ b/src/fleet/lead.c
@@ -5,8 +5,6 @@
  * that try at once; while the store is away the workers do, as they heed
  * only the higher fence.
  */
-#include <inttypes.h>
-
 #include "fleet/fleet_state.h"
 
 enum {
@@ -22,7 +20,7 @@
 
 static bool hears(const struct fleet *f, uint64_t id, int64_t now)
 {
-	const struct fleet_peer *p = beat_peer((struct fleet *)f, id);
+	const struct fleet_peer *p = beat_known(f, id);
 
 	return p && beat_fresh(p, now) && !p->leaving;
 }
@@ -34,7 +32,7 @@
 
 static bool knows_leaving(const struct fleet *f, uint64_t id)
 {
-	const struct fleet_peer *p = beat_peer((struct fleet *)f, id);
+	const struct fleet_peer *p = beat_known(f, id);
 
 	return p && p->leaving;
 }
