End driving at once when another drives the cut-off domain on

The domain's other instance took over; the one that left followed it, but drove on beside it, and after 2 s without word of who had raised the fence began with a new epoch.

It now ends driving when it follows, and an instance that leaves or whose domain drives itself never begins anew.

--- a/src/fleet/alone.c
+++ b/src/fleet/alone.c
@@ -129,10 +129,10 @@
 	    p->leaving || !is_vacant(f))
 		return;
 	log_info("domain_driver_followed", LOG_S("driver", p->inst.name));
-	if (f->alone == f->opt.self.id) {
-		drive_end(f->drive, now);
-		drive_only(f->drive, "");
-	}
+	/* One that leaves has driven the domain, or all, until now. */
+	drive_end(f->drive, now);
+	drive_only(f->drive, "");
+	f->fenced_at = 0;
 	f->alone = p->inst.id;
 	home_hand_in_all(f, now);
 }
--- a/src/fleet/lead.c
+++ b/src/fleet/lead.c
@@ -214,7 +214,7 @@
 
 void lead_tick(struct fleet *f, int64_t now)
 {
-	if (f->driver == f->opt.self.id)
+	if (f->driver == f->opt.self.id && !f->alone && !f->leaving)
 		watch_fence(f, now);
 	if (hears_main(f, now)) {
 		f->silent_since = 0;
--- a/test/unit/fleet_test.c
+++ b/test/unit/fleet_test.c
@@ -144,6 +144,27 @@
 	end_fleet(s);
 }
 
+/* hunt-93bf-7 of reskassa-nord: it drove on beside its successor. */
+static void driver_of_all_leaves_while_its_domain_is_cut_off(void)
+{
+	struct fsim *s = start_fleet();
+	int old = fsim_driver(s), domain = s->instances[old].domain, k;
+
+	fsim_cut_domain(s, domain, true);
+	fsim_run(s, 900);
+	fsim_leave(s, old);
+	fsim_run(s, 500);
+	CU_ASSERT_FALSE(fleet_drives(s->instances[old].fleet));
+	for (k = 0; k < 40; k++) {
+		fsim_submit(s, domain, 2, 400);
+		fsim_run(s, 100);
+	}
+	fsim_run(s, 4000);
+	CU_ASSERT_FALSE(fleet_drives(s->instances[old].fleet));
+	CU_ASSERT_EQUAL(serve_all(s, 900), DOMAINS);
+	end_fleet(s);
+}
+
 /* It reaches workers of other domains, so the driver does too. */
 static void instance_that_lost_its_peers_drives_nothing(void)
 {
@@ -205,6 +226,7 @@
 	TEST(cut_off_domain_serves_its_callers);
 	TEST(domain_of_the_driver_is_cut_off);
 	TEST(driver_of_a_cut_off_domain_leaves);
+	TEST(driver_of_all_leaves_while_its_domain_is_cut_off);
 	TEST(instance_that_lost_its_peers_drives_nothing);
 	TEST(paused_driver_that_wakes_gives_way);
 	TEST(all_instances_start_again);
