--- a/test/measure/rules-out.sh
+++ b/test/measure/rules-out.sh
@@ -29,7 +29,7 @@
 }
 
 try "all rules in place" "" ""
-try "a start in doubt waits for a proof" src/drive/run.c \
+try "a start in doubt waits for a proof" src/drive/run_calls.c \
 	's/^	hold_probe(d, w, now);$/	run_over(d, r, DRIVE_HOW_OTHER, now);/'
 try "a silent worker is not prolonged" src/drive/hold.c \
 	's/ && !w->silent_since && / \&\& /'
@@ -40,9 +40,9 @@
 	's/now > w->lease_over)/w->lease_until \&\& now > w->lease_until + 110)/'
 try "an adopted run may have been prolonged by another" src/drive/run.c \
 	's/^	worker_may_run(d, w, now);$//'
-try "a job handed over waits for our fence everywhere" src/drive/job.c \
+try "a job handed over waits for our fence everywhere" src/drive/admit.c \
 	's/^	if (!j->generation || now >= j->settled_at)$/	if (true)/'
-try "lists are asked for after a job was handed over" src/drive/job.c \
+try "lists are asked for after a job was handed over" src/drive/admit.c \
 	's/worker_unseen(d, w, j->handed_at, now)/worker_unseen(d, w, 0, now)/'
 try "a worker that fell silent must prove our fence again" \
 	src/drive/hold.c 's/^	w->held_fence = 0; .*//'
