Let members taken out come back without a driver

All domains had been apart for so long that the driver had taken the others out of the map; then it died.

Ruled out: joining freely again, since a driver that cannot hear the member takes it out each time, and the two go through the store in a circle; that is why the condition came in. Letting those outside the map drive: two could then do so by different maps.

Change: without the driver, an instance joins at most once a second.

Figures: the new test those_taken_out_find_a_driver fails before and passes after.

--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -63,6 +63,7 @@
 	struct fleet_map writing; /* by the call that is on its way */
 	int64_t map_at; /* when the next call may be sent */
 	int64_t store_back_at;
+	int64_t joined_at; /* the last try to join the map */
 
 	/* beat.c */
 	struct fleet_peer peers[FLEET_MEMBERS_MAX];
--- a/src/fleet/map_sync.c
+++ b/src/fleet/map_sync.c
@@ -12,7 +12,8 @@
 	AGAIN_MS = 100, /* after a lost race or an absent map */
 	RACE_SPREAD_MS = 20,
 	AWAY_MS = 500, /* between tries while the store is away */
-	REMOVE_MS = 3000 /* silence after which a member is taken out */
+	REMOVE_MS = 3000, /* silence after which a member is taken out */
+	JOIN_AGAIN_MS = 1000
 };
 
 static const char map_key[] = "map";
@@ -179,13 +180,16 @@
 }
 
 /*
- * Whoever was taken out joins again once it hears the driver, which would
- * only take it out again before. A new instance is heard of through the map.
+ * Whoever was taken out joins again at once when it hears the driver. A
+ * driver that does not hear it takes it out again, so without the driver it
+ * joins seldom; but it does, or no driver could be found after the last one
+ * is gone. A new instance is heard of through the map.
  */
 static bool may_join(const struct fleet *f, int64_t now)
 {
 	return !f->silent_since || !f->driver ||
-	       now - f->started_at < REMOVE_MS;
+	       now - f->started_at < REMOVE_MS ||
+	       now - f->joined_at >= JOIN_AGAIN_MS;
 }
 
 /* The map as this instance would have it; false when it is so already. */
@@ -198,6 +202,7 @@
 	*next = f->map;
 	if (!f->leaving && !in_map && may_join(f, now)) {
 		fleet_map_add(next, &f->opt.self);
+		f->joined_at = now;
 		changed = true;
 	} else if (f->leaving && in_map && !drives) {
 		fleet_map_remove(next, f->opt.self.id);
--- a/test/unit/fleet_test.c
+++ b/test/unit/fleet_test.c
@@ -124,6 +124,30 @@
 	end_fleet(s);
 }
 
+/*
+ * The driver has taken the cut off ones out of the map before it dies: with
+ * nobody left in it, they have to come back without a driver (seed 5353).
+ */
+static void those_taken_out_find_a_driver(void)
+{
+	struct fsim *s = start_fleet();
+	int domain = s->instances[fsim_driver(s)].domain, drivers = 0, k;
+
+	for (k = 0; k < DOMAINS; k++)
+		fsim_cut_domain(s, k, true);
+	fsim_run(s, 6000);
+	for (k = domain; k < FSIM_INSTANCES; k += DOMAINS)
+		fsim_kill(s, k);
+	for (k = 0; k < DOMAINS; k++)
+		fsim_cut_domain(s, k, false);
+	fsim_run(s, 4000);
+	for (k = 0; k < FSIM_INSTANCES; k++)
+		if (s->instances[k].fleet)
+			drivers += fleet_drives(s->instances[k].fleet);
+	CU_ASSERT_EQUAL(drivers, 1);
+	end_fleet(s);
+}
+
 /* Two instances are in each domain: the other one drives it on. */
 static void driver_of_a_cut_off_domain_leaves(void)
 {
@@ -226,6 +250,7 @@
 	TEST(store_outage_alone_changes_nothing);
 	TEST(cut_off_domain_serves_its_callers);
 	TEST(domain_of_the_driver_is_cut_off);
+	TEST(those_taken_out_find_a_driver);
 	TEST(driver_of_a_cut_off_domain_leaves);
 	TEST(driver_of_all_leaves_while_its_domain_is_cut_off);
 	TEST(instance_that_lost_its_peers_drives_nothing);
