Read both files of settings by one reader

fleet_settings.c and settings.c each had the same section and key callbacks, the same pass over the table at the end, and the same opening of the file; settings_table.c looked sections up a second time. settings_file.c now does all of that by a form that names the table, the struct and two callbacks. Messages, bounds and both reference pages are the same (compared with docs/).

--- a/src/cmd/fleet_settings.c
+++ b/src/cmd/fleet_settings.c
@@ -1,13 +1,10 @@
 #include <stdio.h>
-#include <string.h>
 
 #include "cmd/fleet_settings.h"
 #include "cmd/settings_file.h"
 #include "cmd/settings_reference.h"
-#include "cmd/settings_table.h"
 
 enum {
-	SECTIONS_MAX = 16,
 	HOLDS_IN_LEASE = 2 /* a lease outlives this many waiting holds */
 };
 
@@ -94,40 +91,10 @@
 	{0},
 };
 
-struct reading {
-	struct fleet_settings *s;
-	const struct settings_section *sec;
-	uint64_t seen[SECTIONS_MAX]; /* keys given, by section */
-};
-
-static bool on_section(void *ctx, const struct ini_pos *pos, const char *name)
+static bool check(const void *base, const struct ini_pos *pos)
 {
-	struct reading *rd = ctx;
-
-	for (rd->sec = sections; rd->sec->name; rd->sec++)
-		if (!strcmp(rd->sec->name, name))
-			return true;
-	return ini_fail(pos, "unknown section [%s]", name);
-}
+	const struct fleet_settings *s = base;
 
-static bool on_key(void *ctx, const struct ini_pos *pos, const char *key,
-		   const char *value)
-{
-	struct reading *rd = ctx;
-
-	return field_set(rd->sec->fields, rd->s, &rd->seen[rd->sec - sections],
-			 pos, key, value);
-}
-
-static bool finish(struct reading *rd, const struct ini_pos *pos)
-{
-	const struct settings_section *sec;
-	const struct fleet_settings *s = rd->s;
-
-	for (sec = sections; sec->name; sec++)
-		if (!field_finish(sec->fields, rd->s, rd->seen[sec - sections],
-				  pos, sec->name))
-			return false;
 	if (s->lease_ms < HOLDS_IN_LEASE * s->hold_wait_ms)
 		return ini_fail(pos, "lease_ms is less than %d hold_wait_ms",
 				HOLDS_IN_LEASE);
@@ -136,26 +103,30 @@
 	return true;
 }
 
+static struct settings_form form_of(struct fleet_settings *s)
+{
+	return (struct settings_form){
+		.sections = sections,
+		.base = s,
+		.size = sizeof(*s),
+		.check = check,
+	};
+}
+
 bool fleet_settings_parse(struct fleet_settings *s, const char *file,
 			  struct syc_bytes text, char *err, size_t errlen)
 {
-	struct reading rd = {s, NULL, {0}};
-	struct ini_events events = {&rd, on_section, on_key};
-	struct ini_pos pos = {file, 0, err, errlen};
+	struct settings_form form = form_of(s);
 
-	memset(s, 0, sizeof(*s));
-	return ini_text_read(text, &pos, &events) && finish(&rd, &pos);
+	return settings_file_parse(&form, file, text, err, errlen);
 }
 
 bool fleet_settings_read(struct fleet_settings *s, const char *path, char *err,
 			 size_t errlen)
 {
-	auto_buf struct buf text = {0};
+	struct settings_form form = form_of(s);
 
-	if (!settings_file_read(path, &text, err, errlen))
-		return false;
-	return fleet_settings_parse(
-		s, path, (struct syc_bytes){text.data, text.len}, err, errlen);
+	return settings_file_read(&form, path, err, errlen);
 }
 
 void fleet_settings_reference(struct buf *out)
--- a/src/cmd/settings.c
+++ b/src/cmd/settings.c
@@ -2,31 +2,12 @@
 
 #include "cmd/settings.h"
 #include "cmd/settings_file.h"
-#include "cmd/settings_table.h"
 #include "util/alloc.h"
-#include "util/buf.h"
 
 enum {
-	SETTINGS_SECTIONS_MAX = 16,
 	HEARTBEATS_TO_SUSPECT = 3 /* fewest heartbeats in suspect_ms */
 };
 
-struct reading {
-	struct settings *s;
-	const struct settings_section *sec;
-	uint64_t seen[SETTINGS_SECTIONS_MAX]; /* keys given, by section */
-};
-
-static bool on_section(void *ctx, const struct ini_pos *pos, const char *name)
-{
-	struct reading *rd = ctx;
-
-	rd->sec = settings_section(name);
-	if (!rd->sec)
-		return ini_fail(pos, "unknown section [%s]", name);
-	return true;
-}
-
 static bool add_operator(struct settings *s, const struct ini_pos *pos,
 			 const char *name, const char *value)
 {
@@ -60,18 +41,12 @@
 	return true;
 }
 
-static bool on_key(void *ctx, const struct ini_pos *pos, const char *key,
-		   const char *value)
+static bool take_named(void *base, const struct ini_pos *pos,
+		       const char *section, const char *key, const char *value)
 {
-	struct reading *rd = ctx;
-
-	if (rd->sec->fields)
-		return field_set(rd->sec->fields, rd->s,
-				 &rd->seen[rd->sec - settings_sections], pos,
-				 key, value);
-	if (!strcmp(rd->sec->name, "seeds"))
-		return add_seed(rd->s, pos, key, value);
-	return add_operator(rd->s, pos, key, value);
+	if (!strcmp(section, "seeds"))
+		return add_seed(base, pos, key, value);
+	return add_operator(base, pos, key, value);
 }
 
 /* Two names for one key would let one operator sign twice. */
@@ -93,41 +68,39 @@
 	return true;
 }
 
-static bool finish(struct reading *rd, const struct ini_pos *pos)
+static bool check(const void *base, const struct ini_pos *pos)
 {
-	const struct settings_section *sec;
-	struct settings *s = rd->s;
+	const struct settings *s = base;
 
-	for (sec = settings_sections; sec->name; sec++)
-		if (sec->fields &&
-		    !field_finish(sec->fields, s,
-				  rd->seen[sec - settings_sections], pos,
-				  sec->name))
-			return false;
 	if (s->suspect_ms < HEARTBEATS_TO_SUSPECT * s->heartbeat_ms)
 		return ini_fail(pos, "suspect_ms is less than %d heartbeat_ms",
 				HEARTBEATS_TO_SUSPECT);
 	return check_operators(s, pos);
 }
 
+static struct settings_form form_of(struct settings *s)
+{
+	return (struct settings_form){
+		.sections = settings_sections,
+		.base = s,
+		.size = sizeof(*s),
+		.named = take_named,
+		.check = check,
+	};
+}
+
 bool settings_parse(struct settings *s, const char *file, struct syc_bytes text,
 		    char *err, size_t errlen)
 {
-	struct reading rd = {s, NULL, {0}};
-	struct ini_events events = {&rd, on_section, on_key};
-	struct ini_pos pos = {file, 0, err, errlen};
+	struct settings_form form = form_of(s);
 
-	memset(s, 0, sizeof(*s));
-	return ini_text_read(text, &pos, &events) && finish(&rd, &pos);
+	return settings_file_parse(&form, file, text, err, errlen);
 }
 
 bool settings_read(struct settings *s, const char *path, char *err,
 		   size_t errlen)
 {
-	auto_buf struct buf text = {0};
+	struct settings_form form = form_of(s);
 
-	if (!settings_file_read(path, &text, err, errlen))
-		return false;
-	return settings_parse(s, path, (struct syc_bytes){text.data, text.len},
-			      err, errlen);
+	return settings_file_read(&form, path, err, errlen);
 }
--- a/src/cmd/settings_table.c
+++ b/src/cmd/settings_table.c
@@ -1,5 +1,3 @@
-#include <string.h>
-
 #include "cmd/settings.h"
 #include "cmd/settings_table.h"
 
@@ -92,13 +90,3 @@
 	{"log", log_fields, "The log."},
 	{0},
 };
-
-const struct settings_section *settings_section(const char *name)
-{
-	const struct settings_section *sec;
-
-	for (sec = settings_sections; sec->name; sec++)
-		if (!strcmp(sec->name, name))
-			return sec;
-	return NULL;
-}
--- a/src/cmd/settings_table.h
+++ b/src/cmd/settings_table.h
@@ -12,7 +12,4 @@
 
 extern const struct settings_section settings_sections[];
 
-/* The section named `name`, or NULL. */
-const struct settings_section *settings_section(const char *name);
-
 #endif
