Write pieces of the driver once that stood in two places

- hold_other_life: run_calls.c had the two lines of hold.c's other_life twice.
- job_find in place of a second lookup by id in run.c's attach.
- worker_lease_most: the time a run may outlive a lease was worked out in admit.c and in worker.c.
- worker_drop_old in the one pass of a tick over the workers; a second whole pass followed each 10 ms.
- name_key, and an add that returns the worker instead of a second lookup.
- home.c packs the message that cancels a job in one place.

--- a/src/drive/admit.c
+++ b/src/drive/admit.c
@@ -44,8 +44,7 @@
 	j->latest_start = j->objective_at - (int64_t)expected;
 	j->deadline_at = now + spec->deadline_ms;
 	j->handed_at = now;
-	j->settled_at = now + DRIVE_HOME_SILENT_MS + d->opt.lease_ms +
-			d->opt.lease_ms / CLOCK_DRIFT + LEASE_MARGIN_MS;
+	j->settled_at = now + DRIVE_HOME_SILENT_MS + worker_lease_most(d);
 }
 
 static struct job *job_new(struct drive *d, const struct drive_job *spec,
--- a/src/drive/drive.c
+++ b/src/drive/drive.c
@@ -117,9 +117,10 @@
 	uint64_t handle;
 	uint32_t pos = 0;
 
-	while ((w = table_next(&d->workers, &pos, &handle)))
+	while ((w = table_next(&d->workers, &pos, &handle))) {
 		hold_tick(d, w, now);
-	worker_drop_unlisted(d, now);
+		worker_drop_old(d, w, now);
+	}
 }
 
 static void tick_runs(struct drive *d, int64_t now)
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -168,6 +168,8 @@
 		  const char *why);
 void worker_note_clock(struct worker *w, int64_t now,
 		       const struct drive_answer *a);
+/* How long a run may outlive a call that carried a lease, in ms. */
+int64_t worker_lease_most(const struct drive *d);
 /* Its runs may live for a whole lease from now, whoever prolonged it. */
 void worker_may_run(const struct drive *d, struct worker *w, int64_t now);
 /*
@@ -177,7 +179,8 @@
 int64_t worker_lease(const struct drive *d, struct worker *w, int64_t now);
 /* The fence to call it with. */
 uint64_t worker_fence(const struct drive *d, const struct worker *w);
-void worker_drop_unlisted(struct drive *d, int64_t now);
+/* Forgets it when it left the list long ago. */
+void worker_drop_old(struct drive *d, struct worker *w, int64_t now);
 
 /* hold.c */
 void hold_tick(struct drive *d, struct worker *w, int64_t now);
@@ -185,6 +188,8 @@
 void hold_probe(struct drive *d, struct worker *w, int64_t now);
 /* The lease of what runs there has ended for sure, or its life has. */
 void hold_lost(struct drive *d, struct worker *w, int64_t now, const char *why);
+/* Another process answers at its address: it is gone for good. */
+void hold_other_life(struct drive *d, struct worker *w, int64_t now);
 
 /* run.c */
 struct run *run_get(const struct drive *d, uint64_t handle);
--- a/src/drive/hold.c
+++ b/src/drive/hold.c
@@ -90,7 +90,7 @@
 	}
 }
 
-static void other_life(struct drive *d, struct worker *w, int64_t now)
+void hold_other_life(struct drive *d, struct worker *w, int64_t now)
 {
 	w->ended = true;
 	hold_lost(d, w, now, "other_life");
@@ -261,7 +261,7 @@
 		take_lists(d, w, &h, held, now);
 		hold_tick(d, w, now);
 	} else if (held->answer.end == DRIVE_CALL_OTHER_LIFE) {
-		other_life(d, w, now);
+		hold_other_life(d, w, now);
 	} else if (held->answer.end == DRIVE_CALL_FENCED) {
 		refused_by_fence(d, w, &h, now);
 	} else {
--- a/src/drive/run.c
+++ b/src/drive/run.c
@@ -168,14 +168,9 @@
 /* A task of a job in hand that waits may be running unseen: join the two. */
 static void attach(struct drive *d, struct run *r)
 {
-	struct index_key key = index_name(r->task.job, sizeof(r->task.job));
-	struct job *j;
+	struct job *j = job_find(d, r->task.job);
 	struct task *t;
-	uint64_t handle;
 
-	if (!index_get(&d->job_ids, key, &handle))
-		return;
-	j = job_get(d, handle);
 	if (!j || r->task.step || r->task.index >= j->n_tasks)
 		return;
 	t = &j->tasks[r->task.index];
--- a/src/drive/run_calls.c
+++ b/src/drive/run_calls.c
@@ -56,8 +56,7 @@
 			doubt(d, r, w, now);
 		break;
 	case DRIVE_CALL_OTHER_LIFE:
-		w->ended = true;
-		hold_lost(d, w, now, "other_life");
+		hold_other_life(d, w, now);
 		break;
 	default:
 		/* Seen running or in doubt: a list will tell. */
@@ -78,8 +77,7 @@
 		return;
 	r->stop_open = false;
 	if (answer->end == DRIVE_CALL_OTHER_LIFE) {
-		w->ended = true;
-		hold_lost(d, w, now, "other_life");
+		hold_other_life(d, w, now);
 	} else if (answer->end == DRIVE_CALL_DONE && r->state != RUN_RUNNING) {
 		/* It cannot begin any more; a list tells if it had. */
 		hold_probe(d, w, now);
--- a/src/drive/worker.c
+++ b/src/drive/worker.c
@@ -115,11 +115,16 @@
 	w->has_clock = true;
 }
 
-void worker_may_run(const struct drive *d, struct worker *w, int64_t now)
+int64_t worker_lease_most(const struct drive *d)
 {
 	int64_t lease = d->opt.lease_ms;
 
-	w->lease_over = now + lease + lease / CLOCK_DRIFT + LEASE_MARGIN_MS;
+	return lease + lease / CLOCK_DRIFT + LEASE_MARGIN_MS;
+}
+
+void worker_may_run(const struct drive *d, struct worker *w, int64_t now)
+{
+	w->lease_over = now + worker_lease_most(d);
 }
 
 int64_t worker_lease(const struct drive *d, struct worker *w, int64_t now)
@@ -130,17 +135,22 @@
 	return now + w->clock_ahead + lease - (now - w->clock_at) / CLOCK_DRIFT;
 }
 
+static struct index_key name_key(const char *name)
+{
+	return index_name(name, strlen(name));
+}
+
 static struct worker *find(const struct drive *d, const char *name)
 {
 	uint64_t handle;
 
-	if (!index_get(&d->worker_names, index_name(name, strlen(name)),
-		       &handle))
+	if (!index_get(&d->worker_names, name_key(name), &handle))
 		return NULL;
 	return worker_get(d, handle);
 }
 
-static void add(struct drive *d, int64_t now, const struct drive_worker *info)
+static struct worker *add(struct drive *d, int64_t now,
+			  const struct drive_worker *info)
 {
 	struct worker *w;
 	void *item;
@@ -152,12 +162,12 @@
 	w->listed = true;
 	w->hold_at = now;
 	list_init(&w->runs);
-	index_put(&d->worker_names, index_name(info->name, strlen(info->name)),
-		  handle);
+	index_put(&d->worker_names, name_key(info->name), handle);
 	if (d->active)
 		log_info("worker_listed", LOG_S("worker", info->name),
 			 LOG_S("domain", info->domain),
 			 LOG_U("cpu", info->cpu_milli));
+	return w;
 }
 
 static void update(struct worker *w, const struct drive_worker *info)
@@ -189,28 +199,21 @@
 		else
 			add(d, now, &list[i]);
 	}
-	worker_drop_unlisted(d, now);
+	for (pos = 0; (w = table_next(&d->workers, &pos, &handle));)
+		worker_drop_old(d, w, now);
 	if (!d->known_since)
 		d->known_since = now;
 	d->list_fresh = true;
 	d->room_changed = true;
 }
 
-void worker_drop_unlisted(struct drive *d, int64_t now)
+void worker_drop_old(struct drive *d, struct worker *w, int64_t now)
 {
-	struct worker *w;
-	uint64_t handle;
-	uint32_t pos = 0;
-
-	while ((w = table_next(&d->workers, &pos, &handle))) {
-		if (w->listed || w->n_runs ||
-		    now - w->unlisted_at < REMEMBER_MS)
-			continue;
-		d->forgot = true;
-		index_del(&d->worker_names,
-			  index_name(w->info.name, strlen(w->info.name)));
-		table_del(&d->workers, handle);
-	}
+	if (w->listed || w->n_runs || now - w->unlisted_at < REMEMBER_MS)
+		return;
+	d->forgot = true;
+	index_del(&d->worker_names, name_key(w->info.name));
+	table_del(&d->workers, w->handle);
 }
 
 void drive_domain_back(struct drive *d, int64_t now, const char *domain)
@@ -249,11 +252,9 @@
 	size_t i;
 
 	for (i = 0; i < n; i++) {
-		w = find(d, list[i].name);
-		if (w)
+		if (find(d, list[i].name))
 			continue;
-		add(d, now, &list[i]);
-		w = find(d, list[i].name);
+		w = add(d, now, &list[i]);
 		w->listed = false;
 		w->unlisted_at = now;
 	}
--- a/src/fleet/home.c
+++ b/src/fleet/home.c
@@ -128,18 +128,23 @@
 	hand_in(f, j, now);
 }
 
-static void tell_driver(struct fleet *f, const struct home_job *j, int64_t now)
+/* `id` is empty where the home's tag names the job. */
+static bool send_cancel(struct fleet *f, uint64_t tag, const char *id)
 {
 	auto_wire_out struct wire_out w = {0};
 
-	if (lead_driver(f) == f->opt.self.id) {
-		drive_cancel(f->drive, now, f->opt.self.id, j->handle);
-		return;
-	}
 	wire_begin(&w, SYC_PEER_JOB_CANCEL, 2);
-	wire_put_u64(&w, j->handle);
-	wire_put_str(&w, "");
-	f->opt.send(f->opt.ctx, lead_driver(f), wire_bytes(&w));
+	wire_put_u64(&w, tag);
+	wire_put_str(&w, id);
+	return f->opt.send(f->opt.ctx, lead_driver(f), wire_bytes(&w));
+}
+
+static void tell_driver(struct fleet *f, const struct home_job *j, int64_t now)
+{
+	if (lead_driver(f) == f->opt.self.id)
+		drive_cancel(f->drive, now, f->opt.self.id, j->handle);
+	else
+		send_cancel(f, j->handle, "");
 }
 
 void fleet_cancel(struct fleet *f, int64_t now, uint64_t tag)
@@ -159,17 +164,11 @@
 
 bool fleet_cancel_id(struct fleet *f, int64_t now, const char *id)
 {
-	auto_wire_out struct wire_out w = {0};
-
 	if (lead_driver(f) == f->opt.self.id) {
 		drive_cancel_id(f->drive, now, id);
 		return true;
 	}
-	wire_begin(&w, SYC_PEER_JOB_CANCEL, 2);
-	wire_put_u64(&w, 0);
-	wire_put_str(&w, id);
-	return lead_driver(f) &&
-	       f->opt.send(f->opt.ctx, lead_driver(f), wire_bytes(&w));
+	return lead_driver(f) && send_cancel(f, 0, id);
 }
 
 static enum fleet_outcome outcome_of(const struct home_job *j,
