Share the stand-ins' options, addresses and signals

store.c and target.c each had the reading of options and the two signals, and with dial.c three took IP:PORT apart by hand. serve.c holds the first two; field_parse_addr, which the product uses, the third: a port that is no number is now refused where atoi made it 0.

--- a/test/standin/dial.c
+++ b/test/standin/dial.c
@@ -6,22 +6,20 @@
 #include <unistd.h>
 
 #include "dial.h"
+#include "util/field.h"
 
 enum { ANSWER_CHUNK = 64 * 1024 };
 
 static int dial(const char *addr)
 {
 	struct sockaddr_in sin = {.sin_family = AF_INET};
-	const char *colon = strrchr(addr, ':');
-	char ip[64];
+	struct syc_addr to;
 	int fd;
 
-	if (!colon || (size_t)(colon - addr) >= sizeof(ip))
+	if (!field_parse_addr(addr, &to))
 		return -1;
-	memcpy(ip, addr, (size_t)(colon - addr));
-	ip[colon - addr] = '\0';
-	sin.sin_port = htons((uint16_t)atoi(colon + 1));
-	if (inet_pton(AF_INET, ip, &sin.sin_addr) != 1)
+	sin.sin_port = htons(to.port);
+	if (inet_pton(AF_INET, to.ip, &sin.sin_addr) != 1)
 		return -1;
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	if (fd >= 0 && connect(fd, (struct sockaddr *)&sin, sizeof(sin))) {
--- /dev/null
+++ b/test/standin/serve.c
@@ -0,0 +1,34 @@
+#include <signal.h>
+#include <stdio.h>
+
+#include "serve.h"
+
+bool serve_options(const char *name, int argc, const char **argv,
+		   const struct poptOption *options)
+{
+	poptContext ctx = poptGetContext(name, argc, argv, options, 0);
+	int rc = poptGetNextOpt(ctx);
+	bool ok = rc == -1 && !poptPeekArg(ctx);
+
+	if (!ok)
+		fprintf(stderr, "%s: bad arguments: %s\n", name,
+			poptBadOption(ctx, 0));
+	poptFreeContext(ctx);
+	return ok;
+}
+
+static void stop(struct ev_loop *loop, ev_signal *w, int events)
+{
+	ev_break(loop, EVBREAK_ALL);
+}
+
+void serve_until_stopped(struct ev_loop *loop)
+{
+	static ev_signal term, intr;
+
+	ev_signal_init(&term, stop, SIGTERM);
+	ev_signal_start(loop, &term);
+	ev_signal_init(&intr, stop, SIGINT);
+	ev_signal_start(loop, &intr);
+	ev_run(loop, 0);
+}
--- a/test/standin/target.c
+++ b/test/standin/target.c
@@ -1,12 +1,11 @@
 /* The command line of the target stand-in. */
-#include <popt.h>
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
+#include "serve.h"
 #include "standin.h"
 #include "target.h"
+#include "util/field.h"
 
 enum { TARGETS_MAX = 1000 };
 
@@ -46,22 +45,8 @@
 
 static bool read_options(int argc, const char **argv)
 {
-	poptContext ctx = poptGetContext("standin target", argc, argv, options,
-					 0);
-	int rc = poptGetNextOpt(ctx);
-	bool ok = rc == -1 && !poptPeekArg(ctx);
-
-	if (!ok)
-		fprintf(stderr, "standin target: bad arguments: %s\n",
-			poptBadOption(ctx, 0));
-	poptFreeContext(ctx);
-	return ok && opt_count >= 1 && opt_count <= TARGETS_MAX &&
-	       reg.racks >= 1;
-}
-
-static void stop(struct ev_loop *loop, ev_signal *w, int events)
-{
-	ev_break(loop, EVBREAK_ALL);
+	return serve_options("standin target", argc, argv, options) &&
+	       opt_count >= 1 && opt_count <= TARGETS_MAX && reg.racks >= 1;
 }
 
 static bool open_target(struct targets *all, int i, uint16_t port)
@@ -88,31 +73,21 @@
 int standin_target(int argc, const char **argv)
 {
 	static struct targets all;
-	static ev_signal term, intr;
-	static char ip[64];
-	const char *colon;
+	static struct syc_addr at;
 	int i;
 
-	if (!read_options(argc, argv))
-		return 2;
-	colon = strrchr(opt_listen, ':');
-	if (!colon || (size_t)(colon - opt_listen) >= sizeof(ip))
+	if (!read_options(argc, argv) || !field_parse_addr(opt_listen, &at))
 		return 2;
-	memcpy(ip, opt_listen, (size_t)(colon - opt_listen));
-	reg.ip = ip;
+	reg.ip = at.ip;
 	all.loop = ev_default_loop(0);
 	all.n = opt_count;
 	all.target = calloc((size_t)opt_count, sizeof(*all.target));
 	if (!all.target)
 		return 1;
 	for (i = 0; i < all.n; i++)
-		if (!open_target(&all, i, (uint16_t)atoi(colon + 1)))
+		if (!open_target(&all, i, at.port))
 			return 1;
 	fflush(stdout);
-	ev_signal_init(&term, stop, SIGTERM);
-	ev_signal_start(all.loop, &term);
-	ev_signal_init(&intr, stop, SIGINT);
-	ev_signal_start(all.loop, &intr);
-	ev_run(all.loop, 0);
+	serve_until_stopped(all.loop);
 	return 0;
 }
