--- a/src/cmd/cmd_bundle_propose.c
+++ b/src/cmd/cmd_bundle_propose.c
@@ -63,7 +63,23 @@
 	return true;
 }
 
-/* One try; -1 asks for another, since somebody changed the proposal. */
+/* -1 asks for another try, since somebody changed the proposal. */
+static int put_proposal(struct bundle_store *st, uint64_t index,
+			const struct buf *text, struct bundle_value *done)
+{
+	switch (bundle_store_cas(st, BUNDLE_PROPOSED_KEY, index, buf_view(text),
+				 done)) {
+	case SYC_PLATFORM_OK:
+		return EXIT_DONE;
+	case SYC_PLATFORM_CONFLICT:
+	case SYC_PLATFORM_UNCERTAIN:
+		return -1;
+	default:
+		return say_store(done);
+	}
+}
+
+/* One try; -1 as of put_proposal. */
 static int propose_once(struct bundle_store *st, const struct bundle_args *args,
 			const struct buf *text, uint64_t current)
 {
@@ -78,16 +94,7 @@
 		return say_other("another proposal waits; --replace drops it",
 				 &v.text);
 	index = v.status == SYC_PLATFORM_ABSENT ? 0 : v.index;
-	switch (bundle_store_cas(st, BUNDLE_PROPOSED_KEY, index, buf_view(text),
-				 &v)) {
-	case SYC_PLATFORM_OK:
-		return EXIT_DONE;
-	case SYC_PLATFORM_CONFLICT:
-	case SYC_PLATFORM_UNCERTAIN:
-		return -1;
-	default:
-		return say_store(&v);
-	}
+	return put_proposal(st, index, text, &v);
 }
 
 int bundle_propose(const struct bundle_args *args)
@@ -151,16 +158,7 @@
 		return say_other("another text is proposed", &v.text);
 	if (!add_signature(sg, &v.text))
 		return EXIT_DONE;
-	switch (bundle_store_cas(st, BUNDLE_PROPOSED_KEY, v.index,
-				 buf_view(&v.text), &done)) {
-	case SYC_PLATFORM_OK:
-		return EXIT_DONE;
-	case SYC_PLATFORM_CONFLICT:
-	case SYC_PLATFORM_UNCERTAIN:
-		return -1;
-	default:
-		return say_store(&done);
-	}
+	return put_proposal(st, v.index, &v.text, &done);
 }
 
 /* A wrong signature would stop the roll, so it is never stored. */
