Add a load for the driver on a virtual clock, with a bound

build/fleet_load draws jobs, workers and troubles from a profile file and plays them against the real decision code, first come first served, and two bounds that nobody can pass: one free, one that keeps to the priorities. It reports worth by kind, size, domain and window, processor time a start, and plots worth against load.

--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,9 @@
 BENCH = $(BUILD)/bench-transport
 DISPATCH_RATE = $(BUILD)/dispatch_rate
 DISPATCH_POLICY = $(BUILD)/dispatch_policy
+FLEET_LOAD = $(BUILD)/fleet_load
+FLEET_LOAD_OBJ = $(call obj,$(addprefix test/bench/fleet_,profile.c draw.c \
+	play.c base.c report.c))
 EXAMPLE = $(BUILD)/embed_claims
 SEEDS = 1..50
 MS = 120000
@@ -61,7 +64,7 @@
 $(BIN): $(BIN_OBJ) $(LIBA)
 	$(CC) $(CFLAGS) $(SAN) $(LDFLAGS) -o $@ $^ $(LIBS)
 
-$(UNIT): $(TEST_OBJ) $(SIM_OBJ) $(filter-out $(BIN_MAIN),$(BIN_OBJ)) $(LIBA)
+$(UNIT): $(TEST_OBJ) $(SIM_OBJ) $(FLEET_LOAD_OBJ) $(filter-out $(BIN_MAIN),$(BIN_OBJ)) $(LIBA)
 	$(CC) $(CFLAGS) $(SAN) $(LDFLAGS) -o $@ $^ $(LIBS) -lcunit
 
 $(STANDIN): $(STANDIN_OBJ) $(STANDIN_PARTS) $(LIBA)
@@ -108,7 +111,11 @@
 		$(LIBA)
 	$(CC) $(CFLAGS) $(SAN) $(LDFLAGS) -o $@ $^ $(LIBS)
 
-bench: $(COORD_BENCH) $(BENCH) $(DISPATCH_RATE) $(DISPATCH_POLICY)
+$(FLEET_LOAD): $(call obj,test/bench/fleet_load.c) $(FLEET_LOAD_OBJ) \
+		$(filter-out $(BIN_MAIN),$(BIN_OBJ)) $(LIBA)
+	$(CC) $(CFLAGS) $(SAN) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+bench: $(FLEET_LOAD) $(COORD_BENCH) $(BENCH) $(DISPATCH_RATE) $(DISPATCH_POLICY)
 
 # Randomised coordination runs of MS virtual milliseconds by seed.
 soak: $(SOAK)
@@ -146,6 +153,7 @@
 	rm -rf $(BUILD)
 
 -include $(LIB_OBJ:.o=.d) $(BIN_OBJ:.o=.d) $(TEST_OBJ:.o=.d) \
-	$(STANDIN_OBJ:.o=.d) $(SIM_OBJ:.o=.d) $(SOAK_OBJ:.o=.d)
+	$(STANDIN_OBJ:.o=.d) $(SIM_OBJ:.o=.d) $(SOAK_OBJ:.o=.d) \
+	$(FLEET_LOAD_OBJ:.o=.d)
 
 .PHONY: all check check-asan check-processes bench soak lint format install clean
