Let the first job in line begin in part

Cause: a job begins when there is room for all its tasks. While the first in line waits for that, what comes free lies idle, as it is kept from lower priorities; wide jobs with large tasks wait longest.

Changed: the first in line begins with the tasks that fit, if the expected ends of what runs leave room for the rest before its latest start. All others begin whole or not at all, as before.

--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -240,6 +240,8 @@
 
 /* place.c: chooses workers for all waiting tasks of a job, or none. */
 bool place_job(struct drive *d, struct job *j, int64_t now);
+/* Starts as many of its waiting tasks as there is room for; false: none. */
+bool place_part(struct drive *d, struct job *j, int64_t now);
 /* Whether any listed worker could ever hold a task of it. */
 bool place_possible(const struct drive *d, const struct job *j);
 
--- a/src/drive/place.c
+++ b/src/drive/place.c
@@ -1,9 +1,9 @@
 /*
- * Chooses the workers of a job: room for all its waiting tasks, or none. The
- * fast and sound come first, then the failure domain of the job's home, so
- * that losing a domain costs few jobs of others, then the tightest fit, which
- * keeps room whole for wide tasks. Answers loads where jobs of several tasks compete for room
- * that one task's ask nearly fills.
+ * Chooses the workers of a job's waiting tasks. The fast and sound come
+ * first, then the failure domain of the job's home, so that losing a domain
+ * costs few jobs of others, then the tightest fit, which keeps room whole for
+ * wide tasks. Answers loads where jobs of several tasks compete for room that
+ * one task's ask nearly fills.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -128,18 +128,18 @@
 	s->placed++;
 }
 
-bool place_job(struct drive *d, struct job *j, int64_t now)
+/* Fills `picks` with workers for as many waiting tasks as find room. */
+static uint32_t pick(struct drive *d, const struct job *j,
+		     struct worker **picks, int64_t now)
 {
 	auto_free struct seat *seats = NULL;
-	auto_free struct worker **picks = NULL;
 	uint32_t i, n_picks = 0;
 	size_t n;
 
 	seats = xcalloc(d->workers.used + 1, sizeof(*seats));
-	picks = xcalloc(j->n_tasks, sizeof(struct worker *));
 	n = collect(d, j, seats, now);
 	if (!n)
-		return false;
+		return 0;
 	d->next_pick++;
 	for (i = 0; i < j->n_tasks; i++) {
 		struct seat *s;
@@ -148,14 +148,39 @@
 			continue;
 		s = choose(d, j, seats, n);
 		if (!s)
-			return false;
+			break;
 		sit(s, j);
 		picks[n_picks++] = s->w;
 	}
-	for (i = 0, n_picks = 0; i < j->n_tasks; i++)
+	return n_picks;
+}
+
+static uint32_t place(struct drive *d, struct job *j, uint32_t least,
+		      int64_t now)
+{
+	auto_free struct worker **picks = NULL;
+	uint32_t i, n, at = 0;
+
+	picks = xcalloc(j->n_tasks, sizeof(struct worker *));
+	n = pick(d, j, picks, now);
+	if (n < least)
+		return 0;
+	for (i = 0; i < j->n_tasks && at < n; i++)
 		if (j->tasks[i].state == TASK_WAITING)
-			run_start(d, j, i, picks[n_picks++], now);
-	return true;
+			run_start(d, j, i, picks[at++], now);
+	return n;
+}
+
+bool place_job(struct drive *d, struct job *j, int64_t now)
+{
+	uint32_t waiting = j->n_tasks - j->n_done - j->n_active;
+
+	return place(d, j, waiting, now) > 0;
+}
+
+bool place_part(struct drive *d, struct job *j, int64_t now)
+{
+	return place(d, j, 1, now) > 0;
 }
 
 bool place_possible(const struct drive *d, const struct job *j)
--- a/src/drive/queue.c
+++ b/src/drive/queue.c
@@ -1,9 +1,11 @@
 /*
  * Which waiting jobs begin, and in which order. A job earns its caller
  * anything only when its last task has ended, so it begins with room for all
- * of its tasks or not at all, and one that can no longer make its objective
- * leaves at once. Jobs that lost a task come first, then by priority, then
- * by how soon they must begin. Answers loads above the room there is.
+ * of its tasks, and one that can no longer make its objective leaves at once.
+ * Only the first in line begins in part, as room that others may not use
+ * would lie idle until it is enough. Jobs that began come first, then by
+ * priority, the widest, and by how soon they must begin. Answers loads above
+ * the room there is.
  */
 #include <stdlib.h>
 
@@ -146,7 +148,33 @@
 	return true;
 }
 
-static bool look_at(struct drive *d, struct job *j, int64_t now)
+/*
+ * The first in the queue keeps what comes free from all others, so it may as
+ * well use it, if the rest is sure to follow in time.
+ */
+static bool may_begin_in_part(const struct drive *d, const struct job *j,
+			      int64_t now)
+{
+	if (j->begun)
+		return true;
+	return slots_free(d, j, now) &&
+	       queue_expected_start(d, j, now) < j->latest_start;
+}
+
+static void begin_part(struct drive *d, struct job *j, int64_t now)
+{
+	bool begun = j->begun;
+
+	if (!place_part(d, j, now) || begun)
+		return;
+	log_info("job_begun_in_part", LOG_S("job", j->id),
+		 LOG_U("tasks", j->n_active), LOG_U("of", j->n_tasks),
+		 LOG_U("priority", j->priority),
+		 LOG_I("waited_ms", now - j->arrived_at),
+		 LOG_I("to_latest_start_ms", j->latest_start - now));
+}
+
+static bool look_at(struct drive *d, struct job *j, bool first, int64_t now)
 {
 	if (now >= j->deadline_at)
 		return false;
@@ -161,6 +189,8 @@
 		refuse(d, j, "objective_missed", now);
 		return false;
 	}
+	if (first && may_begin_in_part(d, j, now))
+		begin_part(d, j, now);
 	return true;
 }
 
@@ -179,7 +209,7 @@
 
 		if (blocked && j->priority > blocked_priority)
 			break;
-		if (!look_at(d, j, now))
+		if (!look_at(d, j, !blocked, now))
 			continue;
 		blocked = true;
 		blocked_priority = j->priority;
