Keep the log of a loaded instance to a budget, by whole jobs

The log had no bound but what standard output takes. Now lines_per_s (1,000) bounds it: over that, lines about jobs are left out by a hash of the job's id, so that a job is told of whole or not at all and by the same choice on all instances, as explain needs. Lines about no job, warnings and errors are kept. log_thinned and sycamoreshore_log_left_out_total tell of it, explain names it when it finds nothing.

Ways weighed: dropping by the second (leaves halves of jobs), a level that rises under load (loses the refusals that a user asks about), sampling at the home and telling the driver (a field more in each message for the same).

--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,7 @@
 BENCH = $(BUILD)/bench-transport
 DISPATCH_RATE = $(BUILD)/dispatch_rate
 DISPATCH_POLICY = $(BUILD)/dispatch_policy
+LOG_COST = $(BUILD)/log_cost
 FLEET_LOAD = $(BUILD)/fleet_load
 FLEET_LOAD_OBJ = $(call obj,$(addprefix test/bench/fleet_,profile.c draw.c \
 	play.c base.c report.c))
@@ -115,7 +116,10 @@
 		$(filter-out $(BIN_MAIN),$(BIN_OBJ)) $(LIBA)
 	$(CC) $(CFLAGS) $(SAN) $(LDFLAGS) -o $@ $^ $(LIBS)
 
-bench: $(FLEET_LOAD) $(COORD_BENCH) $(BENCH) $(DISPATCH_RATE) $(DISPATCH_POLICY)
+$(LOG_COST): $(call obj,test/bench/log_cost.c) $(LIBA)
+	$(CC) $(CFLAGS) $(SAN) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+bench: $(LOG_COST) $(FLEET_LOAD) $(COORD_BENCH) $(BENCH) $(DISPATCH_RATE) $(DISPATCH_POLICY)
 
 # Randomised coordination runs of MS virtual milliseconds by seed.
 soak: $(SOAK)
--- a/src/cmd/cmd_explain.c
+++ b/src/cmd/cmd_explain.c
@@ -105,7 +105,10 @@
 	struct span s = find_span(l, id);
 
 	if (!s.n) {
-		fprintf(stderr, "sycamoreshore: no line about %s\n", id);
+		fprintf(stderr,
+			"sycamoreshore: no line about %s (where log_thinned "
+			"stands, lines of some jobs were left out)\n",
+			id);
 		return EXIT_FAILED;
 	}
 	print_path(l, id, &s);
--- a/src/cmd/cmd_fleet.c
+++ b/src/cmd/cmd_fleet.c
@@ -19,6 +19,7 @@
 		.json = s->log_json,
 		.instance = s->name,
 		.batch_max = s->log_batch,
+		.lines_per_s = s->log_lines_per_s,
 	};
 
 	log_init(&opt);
--- a/src/cmd/fleet_metrics.c
+++ b/src/cmd/fleet_metrics.c
@@ -108,6 +108,9 @@
 	    platform_store_calls(d->store));
 	set(d, METRIC_COUNTER, "sycamoreshore_log_dropped_total",
 	    "Log lines that could not be written.", NULL, log_dropped());
+	set(d, METRIC_COUNTER, "sycamoreshore_log_left_out_total",
+	    "Log lines about jobs left out to keep to lines_per_s.", NULL,
+	    log_left_out());
 	set(d, METRIC_GAUGE, "sycamoreshore_jobs_open",
 	    "Jobs of callers not yet answered.", NULL, fleet_open(d->fleet));
 	set(d, METRIC_GAUGE, "sycamoreshore_config_version",
--- a/src/cmd/fleet_settings.c
+++ b/src/cmd/fleet_settings.c
@@ -77,6 +77,10 @@
 	 "JSON lines instead of logfmt."},
 	{"batch", FIELD_U32, AT(log_batch), 4096, 16777216, "bytes", "262144",
 	 "Lines kept while standard output takes none; more are dropped."},
+	{"lines_per_s", FIELD_U32, AT(log_lines_per_s), 0, 1000000, "lines/s",
+	 "1000",
+	 "Over this, lines about jobs are left out by the job's id, so that "
+	 "some jobs are told of whole; 0: no bound."},
 	{0},
 };
 
--- a/src/cmd/fleet_settings.h
+++ b/src/cmd/fleet_settings.h
@@ -37,6 +37,7 @@
 	enum log_level log_level;
 	bool log_json;
 	uint32_t log_batch; /* bytes */
+	uint32_t log_lines_per_s; /* zero: no bound */
 };
 
 /* On failure returns false and writes a message into `err`. */
--- a/src/util/log.c
+++ b/src/util/log.c
@@ -8,6 +8,7 @@
 #include "util/alloc.h"
 #include "util/buf.h"
 #include "util/log.h"
+#include "util/log_budget.h"
 
 static struct {
 	int fd;
@@ -18,6 +19,7 @@
 	int64_t now_ms; /* of a simulation; zero: the time of day */
 	size_t batch_max;
 	struct buf batch;
+	struct log_budget budget;
 } logger = {.fd = 2, .level = LOG_INFO};
 
 static const char *const level_names[] = {"error", "warn", "info", "debug"};
@@ -29,6 +31,7 @@
 	logger.json = opt->json;
 	logger.batch_max = opt->batch_max;
 	logger.batch.len = 0;
+	log_budget_init(&logger.budget, opt->lines_per_s);
 	if (opt->batch_max)
 		fcntl(opt->fd, F_SETFL, fcntl(opt->fd, F_GETFL) | O_NONBLOCK);
 	copy_name(logger.instance, sizeof(logger.instance),
@@ -55,6 +58,11 @@
 	return logger.dropped;
 }
 
+uint64_t log_left_out(void)
+{
+	return logger.budget.left_out;
+}
+
 bool log_level_parse(const char *name, enum log_level *level)
 {
 	int i;
@@ -149,6 +157,39 @@
 	buf_add(&logger.batch, line->data, line->len);
 }
 
+static int64_t now_ms(void)
+{
+	struct timespec ts;
+
+	if (logger.now_ms)
+		return logger.now_ms;
+	clock_gettime(CLOCK_MONOTONIC_COARSE, &ts);
+	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+static const char *job_of(const struct log_field *fields, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (!strcmp(fields[i].name, "job"))
+			return fields[i].text;
+	return NULL;
+}
+
+/* Warnings and errors are never left out. */
+static bool within_budget(enum log_level level, const struct log_field *fields,
+			  size_t n)
+{
+	if (log_budget_turn(&logger.budget, now_ms()))
+		log_warn("log_thinned",
+			 LOG_U("kept_percent",
+			       logger.budget.keep * 100ULL / LOG_BUDGET_ALL),
+			 LOG_U("left_out", logger.budget.left_out));
+	return log_budget_take(&logger.budget,
+			       level >= LOG_INFO ? job_of(fields, n) : NULL);
+}
+
 void log_write(enum log_level level, const char *event,
 	       const struct log_field *fields, size_t n)
 {
@@ -160,7 +201,7 @@
 	auto_buf struct buf b = {0};
 	size_t i;
 
-	if (level > logger.level)
+	if (level > logger.level || !within_budget(level, fields, n))
 		return;
 	put_time(&b);
 	for (i = 0; i < sizeof(head) / sizeof(*head); i++)
--- a/src/util/log.h
+++ b/src/util/log.h
@@ -30,6 +30,7 @@
 	bool json;
 	const char *instance; /* in every line; copied */
 	size_t batch_max; /* bytes kept until log_flush; zero: no batches */
+	uint32_t lines_per_s; /* see util/log_budget.h; zero: no bound */
 };
 
 void log_init(const struct log_options *opt);
@@ -49,6 +50,8 @@
 
 /* Lines lost because they could not be written. */
 uint64_t log_dropped(void);
+/* Lines about jobs left out to keep to `lines_per_s`. */
+uint64_t log_left_out(void);
 /* Reads a level name; returns false when there is none such. */
 bool log_level_parse(const char *name, enum log_level *level);
 
--- /dev/null
+++ b/src/util/log_budget.c
@@ -0,0 +1,57 @@
+#include <string.h>
+#include <xxhash.h>
+
+#include "util/log_budget.h"
+
+enum {
+	SECOND_MS = 1000,
+	BURST_FACTOR = 2 /* times the budget in a second that began calm */
+};
+
+void log_budget_init(struct log_budget *b, uint32_t lines_per_s)
+{
+	memset(b, 0, sizeof(*b));
+	b->lines_per_s = lines_per_s;
+	b->keep = LOG_BUDGET_ALL;
+}
+
+static uint32_t keep_for(const struct log_budget *b)
+{
+	if (b->offered <= b->lines_per_s)
+		return LOG_BUDGET_ALL;
+	return (uint32_t)((uint64_t)b->lines_per_s * LOG_BUDGET_ALL /
+			  b->offered);
+}
+
+bool log_budget_turn(struct log_budget *b, int64_t now_ms)
+{
+	uint32_t before = b->keep;
+
+	if (!b->lines_per_s || now_ms - b->began < SECOND_MS)
+		return false;
+	b->keep = keep_for(b);
+	b->began = now_ms;
+	b->offered = 0;
+	b->written = 0;
+	return b->keep != before;
+}
+
+static bool is_kept(const struct log_budget *b, const char *job)
+{
+	if (b->written >= BURST_FACTOR * b->lines_per_s)
+		return false;
+	return XXH64(job, strlen(job), 0) % LOG_BUDGET_ALL < b->keep;
+}
+
+bool log_budget_take(struct log_budget *b, const char *job)
+{
+	if (!b->lines_per_s)
+		return true;
+	b->offered++;
+	if (job && !is_kept(b, job)) {
+		b->left_out++;
+		return false;
+	}
+	b->written++;
+	return true;
+}
--- /dev/null
+++ b/test/bench/log_cost.c
@@ -0,0 +1,65 @@
+/* Processor time of a log line, written and left out: log_cost */
+#include <fcntl.h>
+#include <stdio.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "util/log.h"
+
+enum { LINES = 400000, LINES_A_FLUSH = 20 };
+
+static double cpu_us(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+	return (double)t.tv_sec * 1e6 + (double)t.tv_nsec / 1e3;
+}
+
+static void write_lines(void)
+{
+	char id[17];
+	int i;
+
+	for (i = 0; i < LINES; i++) {
+		snprintf(id, sizeof(id), "%016x", i);
+		log_info("job_begun", LOG_S("job", id), LOG_U("tasks", 8),
+			 LOG_U("done", 0), LOG_U("priority", 1),
+			 LOG_I("waited_ms", 12),
+			 LOG_I("to_latest_start_ms", 345));
+		if (i % LINES_A_FLUSH == 0)
+			log_flush();
+	}
+}
+
+static void measure(const char *what, int fd, uint32_t lines_per_s)
+{
+	struct log_options opt = {.fd = fd,
+				  .level = LOG_INFO,
+				  .instance = "instance-of-a-domain-1",
+				  .batch_max = 262144,
+				  .lines_per_s = lines_per_s};
+	uint64_t left_out = log_left_out();
+	double from;
+
+	log_init(&opt);
+	from = cpu_us();
+	write_lines();
+	printf("%s: %.2f us a line, %llu of %d left out\n", what,
+	       (cpu_us() - from) / LINES,
+	       (unsigned long long)(log_left_out() - left_out), LINES);
+}
+
+int main(void)
+{
+	int fd = open("/dev/null", O_WRONLY);
+
+	if (fd < 0) {
+		perror("/dev/null");
+		return 1;
+	}
+	measure("written", fd, 0);
+	measure("over the budget", fd, 1000);
+	close(fd);
+	return 0;
+}
--- a/test/unit/log_test.c
+++ b/test/unit/log_test.c
@@ -8,6 +8,7 @@
 #include "unit.h"
 #include "util/histogram.h"
 #include "util/log.h"
+#include "util/log_budget.h"
 
 enum { BATCH = 8192, LINES = 20000 };
 
@@ -102,10 +103,111 @@
 	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "x_seconds_count{a=\"b\"} 3"));
 }
 
+enum { BUDGET = 100, JOBS = 100, LINES_OF_A_JOB = 4 };
+
+/* One second of jobs; notes how many lines of each were kept. */
+static uint32_t second_of_jobs(struct log_budget *b, int64_t now,
+			       uint32_t kept[JOBS])
+{
+	uint32_t i, k, n = 0;
+	char job[8];
+
+	log_budget_turn(b, now);
+	for (i = 0; i < JOBS; i++)
+		kept[i] = 0;
+	for (k = 0; k < LINES_OF_A_JOB; k++) {
+		for (i = 0; i < JOBS; i++) {
+			snprintf(job, sizeof(job), "j%u", i);
+			kept[i] += log_budget_take(b, job);
+		}
+	}
+	for (i = 0; i < JOBS; i++)
+		n += kept[i];
+	return n;
+}
+
+static void loaded_log_keeps_to_its_budget_by_whole_jobs(void)
+{
+	uint32_t kept[JOBS], i, n;
+	struct log_budget b;
+
+	log_budget_init(&b, BUDGET);
+	/* Nothing is known of the first second but that it is a burst. */
+	CU_ASSERT_EQUAL(second_of_jobs(&b, 1000, kept), 2 * BUDGET);
+	n = second_of_jobs(&b, 2000, kept);
+	CU_ASSERT(n > BUDGET / 2);
+	CU_ASSERT(n < 2 * BUDGET);
+	for (i = 0; i < JOBS; i++)
+		CU_ASSERT(!kept[i] || kept[i] == LINES_OF_A_JOB);
+	CU_ASSERT_EQUAL(b.left_out, 2 * JOBS * LINES_OF_A_JOB - 2 * BUDGET - n);
+}
+
+static void calm_log_is_whole_again(void)
+{
+	uint32_t kept[JOBS];
+	struct log_budget b;
+
+	log_budget_init(&b, BUDGET);
+	second_of_jobs(&b, 1000, kept);
+	CU_ASSERT(log_budget_turn(&b, 2000));
+	CU_ASSERT(b.keep < LOG_BUDGET_ALL);
+	CU_ASSERT(log_budget_take(&b, NULL));
+	CU_ASSERT(log_budget_turn(&b, 3000));
+	CU_ASSERT_EQUAL(b.keep, LOG_BUDGET_ALL);
+}
+
+static void what_is_about_no_job_is_never_left_out(void)
+{
+	uint32_t kept[JOBS];
+	struct log_budget b;
+	int i;
+
+	log_budget_init(&b, BUDGET);
+	second_of_jobs(&b, 1000, kept);
+	for (i = 0; i < 3 * BUDGET; i++)
+		CU_ASSERT(log_budget_take(&b, NULL));
+}
+
+/* Warnings about jobs are kept, and a line tells that others were not. */
+static void log_tells_that_it_was_thinned(void)
+{
+	struct log_options opt = {.level = LOG_INFO,
+				  .instance = "i",
+				  .batch_max = 1 << 20,
+				  .lines_per_s = 2};
+	char text[4096] = "";
+	uint64_t before;
+	int fds[2], i;
+
+	CU_ASSERT_EQUAL(pipe(fds), 0);
+	opt.fd = fds[1];
+	log_init(&opt);
+	before = log_left_out();
+	log_clock_set(10000);
+	for (i = 0; i < 8; i++)
+		log_info("job_taken", LOG_S("job", "a"));
+	CU_ASSERT_EQUAL(log_left_out() - before, 4);
+	log_clock_set(11000);
+	log_warn("stalled", LOG_S("job", "a"));
+	log_flush();
+	CU_ASSERT(read(fds[0], text, sizeof(text) - 1) > 0);
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, "log_thinned"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, "kept_percent=25"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, "stalled"));
+	log_clock_set(0);
+	restore_log();
+	close(fds[0]);
+	close(fds[1]);
+}
+
 SUITE(logging)
 {
 	TEST(log_never_blocks_and_counts_what_it_drops);
 	TEST(batched_lines_come_out_whole_and_in_order);
 	TEST(fields_are_found_in_both_formats);
 	TEST(histogram_counts_up_to_each_limit);
+	TEST(loaded_log_keeps_to_its_budget_by_whole_jobs);
+	TEST(calm_log_is_whole_again);
+	TEST(what_is_about_no_job_is_never_left_out);
+	TEST(log_tells_that_it_was_thinned);
 }
