--- a/src/drive/place.c
+++ b/src/drive/place.c
@@ -175,7 +175,7 @@
 {
 	uint32_t waiting = j->n_tasks - j->n_done - j->n_active;
 
-	return place(d, j, waiting, now) > 0;
+	return place(d, j, waiting, now) == waiting;
 }
 
 bool place_part(struct drive *d, struct job *j, int64_t now)
