--- a/test/bench/fleet_base.c
+++ b/test/bench/fleet_base.c
@@ -34,7 +34,7 @@
 	size_t next; /* worker to look at first */
 };
 
-static bool place_here(struct line *q, size_t w, uint32_t cpu_milli)
+static bool place_here(const struct line *q, size_t w, uint32_t cpu_milli)
 {
 	const struct load_worker *worker = &q->load->workers[w];
 
@@ -42,25 +42,31 @@
 	       !load_trouble_at(worker, TROUBLE_DARK, q->now);
 }
 
+/* The next worker with room; their number when there is none. */
+static size_t find_room(const struct line *q, uint32_t cpu_milli)
+{
+	size_t k, n = q->load->n_workers;
+
+	for (k = 0; k < n; k++)
+		if (place_here(q, (q->next + k) % n, cpu_milli))
+			return (q->next + k) % n;
+	return n;
+}
+
 /* Finds room for each task; what was taken is given back when one has none. */
 static bool place_whole(struct line *q, const struct load_job *j, size_t *at)
 {
-	size_t i, k, w;
+	size_t i, n = q->load->n_workers;
 
 	for (i = 0; i < j->n_tasks; i++) {
-		for (k = 0; k < q->load->n_workers; k++) {
-			w = (q->next + k) % q->load->n_workers;
-			if (place_here(q, w, j->cpu_milli))
-				break;
-		}
-		if (k == q->load->n_workers) {
+		at[i] = find_room(q, j->cpu_milli);
+		if (at[i] == n) {
 			while (i-- > 0)
 				q->used[at[i]] -= j->cpu_milli;
 			return false;
 		}
-		at[i] = w;
-		q->used[w] += j->cpu_milli;
-		q->next = (w + 1) % q->load->n_workers;
+		q->used[at[i]] += j->cpu_milli;
+		q->next = (at[i] + 1) % n;
 	}
 	return true;
 }
@@ -130,7 +136,7 @@
 			first++;
 		}
 	}
-	q.now = INT64_MAX;
+	q.now = INT64_MAX / 2; /* all that still runs is too late */
 	end_runs(&q);
 	heap_free(&q.busy);
 	free(q.used);
