Write once what the change had written beside its twin

- Profiles of loads are read by one reader, cmd/profile_file; load_profile.c and test/bench/fleet_profile.c keep their tables and checks.
- A write to the store by the bundle commands, with what its status means, is one function, bundle_store_put; roll had the same switch.
- The daemons' command line uses options_open and options_read.
- The log takes its time from the project's clock.
- That a run runs is noted by one function, for answers and for lists.
- The processor's clock of the measuring programs is one header.
- The free slots of the first job in line are counted once, not twice.
- Two tests of a domain that is cut off share what they check.

Behaviour, bounds and assertions are as they were. Messages of a wrong profile are those of load_profile.c.

--- a/src/cmd/cmd_bundle.h
+++ b/src/cmd/cmd_bundle.h
@@ -79,10 +79,13 @@
 /* Reads a key; false when neither a value nor its absence was told. */
 bool bundle_store_get(struct bundle_store *st, const char *key,
 		      struct bundle_value *v);
-enum syc_platform_status bundle_store_cas(struct bundle_store *st,
-					  const char *key, uint64_t index,
-					  struct syc_bytes text,
-					  struct bundle_value *v);
+/*
+ * Writes a key that is still at `index`; zero: absent. Returns an exit code
+ * after saying what is wrong, or -1 to ask for another try, as somebody else
+ * wrote it or nobody knows.
+ */
+int bundle_store_put(struct bundle_store *st, const char *key, uint64_t index,
+		     struct syc_bytes text);
 void bundle_value_free(struct bundle_value *v);
 
 static inline struct syc_bytes buf_view(const struct buf *b)
--- a/src/cmd/cmd_bundle_propose.c
+++ b/src/cmd/cmd_bundle_propose.c
@@ -38,13 +38,6 @@
 	return bundle_say(EXIT_CONFLICT, "%s: %s", what, desc);
 }
 
-static int say_store(const struct bundle_value *v)
-{
-	if (v->status == SYC_PLATFORM_ERROR)
-		return bundle_say(EXIT_FAILED, "store: %s", v->message);
-	return bundle_say(EXIT_UNREACHABLE, "store: %s", v->message);
-}
-
 /* Reads and checks the file; its signatures, if any, are left off. */
 static bool read_draft(const char *path, struct buf *text, uint64_t *version)
 {
@@ -63,23 +56,7 @@
 	return true;
 }
 
-/* -1 asks for another try, since somebody changed the proposal. */
-static int put_proposal(struct bundle_store *st, uint64_t index,
-			const struct buf *text, struct bundle_value *done)
-{
-	switch (bundle_store_cas(st, BUNDLE_PROPOSED_KEY, index, buf_view(text),
-				 done)) {
-	case SYC_PLATFORM_OK:
-		return EXIT_DONE;
-	case SYC_PLATFORM_CONFLICT:
-	case SYC_PLATFORM_UNCERTAIN:
-		return -1;
-	default:
-		return say_store(done);
-	}
-}
-
-/* One try; -1 as of put_proposal. */
+/* One try; -1 as of bundle_store_put. */
 static int propose_once(struct bundle_store *st, const struct bundle_args *args,
 			const struct buf *text, uint64_t current)
 {
@@ -94,7 +71,7 @@
 		return say_other("another proposal waits; --replace drops it",
 				 &v.text);
 	index = v.status == SYC_PLATFORM_ABSENT ? 0 : v.index;
-	return put_proposal(st, index, text, &v);
+	return bundle_store_put(st, BUNDLE_PROPOSED_KEY, index, buf_view(text));
 }
 
 int bundle_propose(const struct bundle_args *args)
@@ -148,7 +125,7 @@
 
 static int sign_once(struct bundle_store *st, const struct signing *sg)
 {
-	auto_bundle_value struct bundle_value v = {0}, done = {0};
+	auto_bundle_value struct bundle_value v = {0};
 
 	if (!bundle_store_get(st, BUNDLE_PROPOSED_KEY, &v))
 		return EXIT_UNREACHABLE;
@@ -158,7 +135,8 @@
 		return say_other("another text is proposed", &v.text);
 	if (!add_signature(sg, &v.text))
 		return EXIT_DONE;
-	return put_proposal(st, v.index, &v.text, &done);
+	return bundle_store_put(st, BUNDLE_PROPOSED_KEY, v.index,
+				buf_view(&v.text));
 }
 
 /* A wrong signature would stop the roll, so it is never stored. */
--- a/src/cmd/cmd_bundle_roll.c
+++ b/src/cmd/cmd_bundle_roll.c
@@ -80,7 +80,7 @@
 /* One try; -1 asks for another, after a lost reply or a lost race. */
 static int roll_once(struct rolling *r)
 {
-	auto_bundle_value struct bundle_value v = {0}, done = {0};
+	auto_bundle_value struct bundle_value v = {0};
 	int code;
 
 	if (!bundle_store_get(&r->store, SYC_BUNDLE_KEY, &v))
@@ -90,19 +90,8 @@
 	code = check_against(r, &v.text);
 	if (code != EXIT_DONE)
 		return code;
-	switch (bundle_store_cas(&r->store, SYC_BUNDLE_KEY,
-				 v.text.len ? v.index : 0, next_text(r),
-				 &done)) {
-	case SYC_PLATFORM_OK:
-		return EXIT_DONE;
-	case SYC_PLATFORM_CONFLICT:
-	case SYC_PLATFORM_UNCERTAIN:
-		return -1;
-	case SYC_PLATFORM_ERROR:
-		return bundle_say(EXIT_FAILED, "store: %s", done.message);
-	default:
-		return bundle_say(EXIT_UNREACHABLE, "store: %s", done.message);
-	}
+	return bundle_store_put(&r->store, SYC_BUNDLE_KEY,
+				v.text.len ? v.index : 0, next_text(r));
 }
 
 static int roll(struct rolling *r)
--- a/src/cmd/cmd_bundle_store.c
+++ b/src/cmd/cmd_bundle_store.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "cmd/cmd.h"
 #include "cmd/cmd_bundle.h"
 #include "util/alloc.h"
 #include "util/field.h"
@@ -94,17 +95,25 @@
 	return bundle_say(false, "store: %s", v->message);
 }
 
-enum syc_platform_status bundle_store_cas(struct bundle_store *st,
-					  const char *key, uint64_t index,
-					  struct syc_bytes text,
-					  struct bundle_value *v)
+int bundle_store_put(struct bundle_store *st, const char *key, uint64_t index,
+		     struct syc_bytes text)
 {
-	struct waiting w = {st, v};
+	auto_bundle_value struct bundle_value done = {0};
+	struct waiting w = {st, &done};
 
-	buf_free(&v->text);
 	st->ops.cas(st->ops.ctx, key, index, text, value_came, &w);
 	ev_run(st->loop, 0);
-	return v->status;
+	switch (done.status) {
+	case SYC_PLATFORM_OK:
+		return EXIT_DONE;
+	case SYC_PLATFORM_CONFLICT:
+	case SYC_PLATFORM_UNCERTAIN:
+		return -1;
+	case SYC_PLATFORM_ERROR:
+		return bundle_say(EXIT_FAILED, "store: %s", done.message);
+	default:
+		return bundle_say(EXIT_UNREACHABLE, "store: %s", done.message);
+	}
 }
 
 static bool skip_section(void *ctx, const struct ini_pos *pos, const char *name)
--- a/src/cmd/daemon_options.c
+++ b/src/cmd/daemon_options.c
@@ -1,7 +1,7 @@
-#include <popt.h>
 #include <stdio.h>
 
 #include "cmd/daemon_options.h"
+#include "cmd/options.h"
 
 bool daemon_options_read(struct daemon_options *o, const char *command,
 			 int argc, const char **argv)
@@ -14,14 +14,14 @@
 		{"reference", 0, POPT_ARG_NONE, &o->reference, 0,
 		 "print the reference of all settings and exit", NULL},
 		POPT_AUTOHELP POPT_TABLEEND};
-	poptContext ctx = poptGetContext(command, argc, argv, table, 0);
-	int rc = poptGetNextOpt(ctx);
-	bool ok = rc >= -1 && !poptPeekArg(ctx);
+	poptContext auto_options ctx = options_open(command, argc, argv, table,
+						    "[OPTION...]");
 
-	if (!ok)
-		fprintf(stderr, "%s: %s: %s\n", command,
-			rc < -1 ? poptBadOption(ctx, 0) : poptPeekArg(ctx),
-			rc < -1 ? poptStrerror(rc) : "unexpected argument");
-	poptFreeContext(ctx);
-	return ok;
+	if (!options_read(ctx, command))
+		return false;
+	if (!poptPeekArg(ctx))
+		return true;
+	fprintf(stderr, "%s: %s: unexpected argument\n", command,
+		poptPeekArg(ctx));
+	return false;
 }
--- a/src/cmd/load_profile.c
+++ b/src/cmd/load_profile.c
@@ -1,10 +1,5 @@
-#include <stdio.h>
-#include <string.h>
-
 #include "cmd/load_profile.h"
-#include "cmd/options.h"
-#include "util/alloc.h"
-#include "util/field.h"
+#include "cmd/profile_file.h"
 
 #define IN_PROFILE(member) offsetof(struct load_profile, member)
 #define IN_KIND(member) offsetof(struct load_kind, member)
@@ -59,16 +54,10 @@
 	{0},
 };
 
-struct reading {
-	struct load_profile *p;
-	const struct field *fields; /* of the open section */
-	void *base;
-	uint64_t seen;
-	char section[INI_TEXT_SECTION_MAX + 1];
-};
-
-static bool check_kind(const struct load_kind *k, const struct ini_pos *pos)
+static bool check_kind(void *item, const struct ini_pos *pos)
 {
+	const struct load_kind *k = item;
+
 	if (k->tasks_min > k->tasks_max || k->run_ms_min > k->run_ms_max ||
 	    k->long_ms_min > k->long_ms_max)
 		return ini_fail(pos, "kind %s: a least value is over the most",
@@ -79,71 +68,27 @@
 	return true;
 }
 
-static bool close_section(struct reading *rd, const struct ini_pos *pos)
-{
-	if (!rd->fields)
-		return true;
-	if (!field_finish(rd->fields, rd->base, rd->seen, pos, rd->section))
-		return false;
-	return rd->fields == load_fields || check_kind(rd->base, pos);
-}
+static const struct profile_section sections[] = {
+	{"load", load_fields, 0, 0, 0, 0, NULL},
+	{"kind", kind_fields, sizeof(struct load_kind), LOAD_KINDS_MAX,
+	 IN_PROFILE(kinds), IN_PROFILE(n_kinds), check_kind},
+	{0},
+};
 
-static bool on_section(void *ctx, const struct ini_pos *pos, const char *name)
+static bool check(const void *base, const struct ini_pos *pos)
 {
-	struct reading *rd = ctx;
-	struct load_profile *p = rd->p;
-	struct load_kind *kind;
+	const struct load_profile *p = base;
 
-	if (!close_section(rd, pos))
-		return false;
-	rd->seen = 0;
-	copy_name(rd->section, sizeof(rd->section), name);
-	if (!strcmp(name, "load")) {
-		rd->fields = load_fields;
-		rd->base = p;
-		return true;
-	}
-	if (strncmp(name, "kind ", 5) || !field_name_valid(name + 5))
-		return ini_fail(pos, "unknown section [%s]", name);
-	if (p->n_kinds == LOAD_KINDS_MAX)
-		return ini_fail(pos, "more than %d kinds", LOAD_KINDS_MAX);
-	kind = &p->kinds[p->n_kinds++];
-	copy_name(kind->name, sizeof(kind->name), name + 5);
-	rd->fields = kind_fields;
-	rd->base = kind;
+	if (!p->rate || !p->n_kinds)
+		return ini_fail(pos, "[load] and one [kind NAME] are needed");
 	return true;
 }
 
-static bool on_key(void *ctx, const struct ini_pos *pos, const char *key,
-		   const char *value)
-{
-	struct reading *rd = ctx;
-
-	if (!rd->fields)
-		return ini_fail(pos, "key %s stands in no section", key);
-	return field_set(rd->fields, rd->base, &rd->seen, pos, key, value);
-}
-
 bool load_profile_read(struct load_profile *p, const char *path)
 {
-	struct buf auto_buf text = {0};
-	struct reading rd = {.p = p};
-	struct ini_events events = {&rd, on_section, on_key};
-	char err[256] = "";
-	struct ini_pos pos = {path, 0, err, sizeof(err)};
-	bool ok;
+	struct profile_form form = {sections, p, sizeof(*p), check};
 
-	memset(p, 0, sizeof(*p));
-	if (!file_read(path, &text))
-		return false;
-	ok = ini_text_read((struct syc_bytes){text.data, text.len}, &pos,
-			   &events) &&
-	     close_section(&rd, &pos);
-	if (ok && (!p->rate || !p->n_kinds))
-		ok = ini_fail(&pos, "[load] and one [kind NAME] are needed");
-	if (!ok)
-		fprintf(stderr, "%s\n", err);
-	return ok;
+	return profile_file_read(&form, path);
 }
 
 static double kind_mean_ms(const struct load_kind *k)
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -196,6 +196,8 @@
 struct run *run_find(const struct drive *d, const struct drive_task *task);
 void run_start(struct drive *d, struct job *j, uint32_t index, struct worker *w,
 	       int64_t now);
+/* An answer or a list says that it runs; the first one counts. */
+void run_runs(struct run *r, int64_t now);
 /* The run of that number on `w`, or NULL. */
 struct run *run_on(const struct drive *d, const struct worker *w,
 		   const struct drive_task *task, uint32_t number);
--- a/src/drive/hold.c
+++ b/src/drive/hold.c
@@ -127,11 +127,7 @@
 static void mark_running(struct run *r, const struct drive_running *row,
 			 int64_t now)
 {
-	if (r->state != RUN_RUNNING) {
-		r->state = RUN_RUNNING;
-		r->running_at = now;
-		r->percent_at = now;
-	}
+	run_runs(r, now);
 	if (row->percent != r->percent)
 		r->percent_at = now;
 	r->percent = row->percent;
--- a/src/drive/queue.c
+++ b/src/drive/queue.c
@@ -87,11 +87,11 @@
 	return n;
 }
 
-int64_t queue_expected_start(const struct drive *d, const struct job *j,
-			     int64_t now)
+/* When it can begin, given what is free for tasks of its size. */
+static int64_t expected_start(const struct drive *d, const struct job *j,
+			      uint32_t free_slots, int64_t now)
 {
 	auto_free int64_t *ends = NULL;
-	uint32_t free_slots = slots_free(d, j, now);
 	uint32_t needed = n_waiting(j);
 	const struct run *r;
 	struct list *pos, *after;
@@ -119,6 +119,12 @@
 	return ends[needed - 1];
 }
 
+int64_t queue_expected_start(const struct drive *d, const struct job *j,
+			     int64_t now)
+{
+	return expected_start(d, j, slots_free(d, j, now), now);
+}
+
 static void note_begun(struct drive *d, const struct job *j, int64_t now)
 {
 	histogram_add(&d->counts.begin_delay, now - j->arrived_at);
@@ -155,10 +161,13 @@
 static bool may_begin_in_part(const struct drive *d, const struct job *j,
 			      int64_t now)
 {
+	uint32_t free_slots;
+
 	if (j->begun)
 		return true;
-	return slots_free(d, j, now) &&
-	       queue_expected_start(d, j, now) < j->latest_start;
+	free_slots = slots_free(d, j, now);
+	return free_slots &&
+	       expected_start(d, j, free_slots, now) < j->latest_start;
 }
 
 static void begin_part(struct drive *d, struct job *j, int64_t now)
--- a/src/drive/run.c
+++ b/src/drive/run.c
@@ -31,6 +31,14 @@
 	return run_get(d, handle);
 }
 
+void run_runs(struct run *r, int64_t now)
+{
+	if (r->state == RUN_RUNNING)
+		return;
+	r->state = RUN_RUNNING;
+	r->running_at = r->percent_at = now;
+}
+
 struct run *run_on(const struct drive *d, const struct worker *w,
 		   const struct drive_task *task, uint32_t number)
 {
--- a/src/drive/run_calls.c
+++ b/src/drive/run_calls.c
@@ -46,10 +46,7 @@
 	worker_note_clock(w, now, answer);
 	switch (answer->end) {
 	case DRIVE_CALL_DONE:
-		if (r->state == RUN_RUNNING)
-			break;
-		r->state = RUN_RUNNING;
-		r->running_at = r->percent_at = now;
+		run_runs(r, now);
 		break;
 	case DRIVE_CALL_UNANSWERED:
 		if (r->state == RUN_STARTING)
--- a/src/util/log.c
+++ b/src/util/log.c
@@ -5,6 +5,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "sycamoreshore/clock.h"
 #include "util/alloc.h"
 #include "util/buf.h"
 #include "util/log.h"
@@ -159,12 +160,7 @@
 
 static int64_t now_ms(void)
 {
-	struct timespec ts;
-
-	if (logger.now_ms)
-		return logger.now_ms;
-	clock_gettime(CLOCK_MONOTONIC_COARSE, &ts);
-	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+	return logger.now_ms ? logger.now_ms : syc_now(&syc_clock_monotonic);
 }
 
 static const char *job_of(const struct log_field *fields, size_t n)
--- a/test/bench/coord_bench.c
+++ b/test/bench/coord_bench.c
@@ -5,8 +5,8 @@
 #include <malloc.h>
 #include <stdio.h>
 #include <string.h>
-#include <time.h>
 
+#include "cpu_time.h"
 #include "sim/coord_sim.h"
 #include "util/log.h"
 
@@ -22,14 +22,6 @@
 
 static struct sim s;
 
-static double cpu_s(void)
-{
-	struct timespec t;
-
-	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
-	return (double)t.tv_sec + (double)t.tv_nsec / 1e9;
-}
-
 static void boot(uint64_t seed, int n)
 {
 	int i;
--- a/test/bench/dispatch_rate.c
+++ b/test/bench/dispatch_rate.c
@@ -9,8 +9,8 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/resource.h>
-#include <time.h>
 
+#include "cpu_time.h"
 #include "sycamoreshore/dispatch.h"
 #include "util/alloc.h"
 
@@ -135,14 +135,6 @@
 	syc_dispatch_result(b->d, b->now, id, &res);
 }
 
-static double cpu_s(void)
-{
-	struct timespec ts;
-
-	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
-	return (double)ts.tv_sec + (double)ts.tv_nsec / 1e9;
-}
-
 static long rss_kb(void)
 {
 	struct rusage ru;
--- a/test/bench/fleet_draw.c
+++ b/test/bench/fleet_draw.c
@@ -91,6 +91,7 @@
 static void draw_workers(struct load *l, struct rng *r)
 {
 	const struct profile *p = l->profile;
+	double task_milli = mean_cpu(p);
 	size_t i, k;
 
 	for (i = 0; i < l->n_workers; i++) {
@@ -100,7 +101,7 @@
 		w->breed = (uint32_t)(b - p->breeds);
 		w->domain = (uint32_t)(i % p->domains);
 		w->cpu_milli = b->cpu_milli;
-		w->slots = (uint32_t)(b->cpu_milli / mean_cpu(p));
+		w->slots = (uint32_t)(b->cpu_milli / task_milli);
 		w->slow = b->slow_percent / 100.0;
 		for (k = 0; k < p->n_troubles; k++) {
 			const struct profile_trouble *t = &p->troubles[k];
--- a/test/bench/fleet_play.c
+++ b/test/bench/fleet_play.c
@@ -5,8 +5,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
+#include "cpu_time.h"
 #include "drive/drive.h"
 #include "fleet_load.h"
 #include "state/heap.h"
@@ -88,14 +88,6 @@
 	double decide_s;
 };
 
-static double cpu_s(void)
-{
-	struct timespec t;
-
-	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
-	return (double)t.tv_sec + (double)t.tv_nsec / 1e9;
-}
-
 static struct event *push(struct play *p, enum event_kind kind, int64_t at)
 {
 	struct event *e = xcalloc(1, sizeof(*e));
--- a/test/bench/fleet_profile.c
+++ b/test/bench/fleet_profile.c
@@ -1,12 +1,8 @@
 /* Reads the profile of a fleet's load. */
-#include <stdio.h>
 #include <string.h>
 
-#include "cmd/options.h"
+#include "cmd/profile_file.h"
 #include "fleet_load.h"
-#include "util/alloc.h"
-#include "util/buf.h"
-#include "util/field.h"
 
 #define IN_PROFILE(member) offsetof(struct profile, member)
 #define IN_KIND(member) offsetof(struct profile_kind, member)
@@ -93,18 +89,11 @@
 	{0},
 };
 
-struct reading {
-	struct profile *p;
-	const struct field *fields; /* of the open section */
-	void *base;
-	uint64_t seen;
-	char section[INI_TEXT_SECTION_MAX + 1];
-};
-
-static bool name_trouble(struct profile_trouble *t, const struct ini_pos *pos)
+static bool name_trouble(void *item, const struct ini_pos *pos)
 {
 	static const char *const names[] = {"", "dark", "slow", "fail",
 					    "burst"};
+	struct profile_trouble *t = item;
 	size_t i;
 
 	for (i = 1; i < sizeof(names) / sizeof(*names); i++)
@@ -115,89 +104,31 @@
 	return true;
 }
 
-static bool close_section(struct reading *rd, const struct ini_pos *pos)
-{
-	if (!rd->fields)
-		return true;
-	if (!field_finish(rd->fields, rd->base, rd->seen, pos, rd->section))
-		return false;
-	return rd->fields != trouble_fields || name_trouble(rd->base, pos);
-}
-
-static bool open_named(struct reading *rd, const char *name,
-		       const struct ini_pos *pos)
-{
-	struct profile *p = rd->p;
-	char *copy = NULL;
-
-	if (!strncmp(name, "kind ", 5) && p->n_kinds < PROFILE_KINDS_MAX) {
-		rd->fields = kind_fields;
-		rd->base = &p->kinds[p->n_kinds];
-		copy = p->kinds[p->n_kinds++].name;
-		name += 5;
-	} else if (!strncmp(name, "worker ", 7) &&
-		   p->n_breeds < PROFILE_BREEDS_MAX) {
-		rd->fields = breed_fields;
-		rd->base = &p->breeds[p->n_breeds];
-		copy = p->breeds[p->n_breeds++].name;
-		name += 7;
-	} else if (!strncmp(name, "trouble ", 8) &&
-		   p->n_troubles < PROFILE_TROUBLES_MAX) {
-		rd->fields = trouble_fields;
-		rd->base = &p->troubles[p->n_troubles];
-		copy = p->troubles[p->n_troubles++].name;
-		name += 8;
-	}
-	if (!copy || !field_name_valid(name))
-		return ini_fail(pos, "unknown section, or too many of it");
-	copy_name(copy, SYC_NAME_MAX, name);
-	return true;
-}
+static const struct profile_section sections[] = {
+	{"load", load_fields, 0, 0, 0, 0, NULL},
+	{"kind", kind_fields, sizeof(struct profile_kind), PROFILE_KINDS_MAX,
+	 IN_PROFILE(kinds), IN_PROFILE(n_kinds), NULL},
+	{"worker", breed_fields, sizeof(struct profile_breed),
+	 PROFILE_BREEDS_MAX, IN_PROFILE(breeds), IN_PROFILE(n_breeds), NULL},
+	{"trouble", trouble_fields, sizeof(struct profile_trouble),
+	 PROFILE_TROUBLES_MAX, IN_PROFILE(troubles), IN_PROFILE(n_troubles),
+	 name_trouble},
+	{0},
+};
 
-static bool on_section(void *ctx, const struct ini_pos *pos, const char *name)
+static bool check(const void *base, const struct ini_pos *pos)
 {
-	struct reading *rd = ctx;
+	const struct profile *p = base;
 
-	if (!close_section(rd, pos))
-		return false;
-	rd->seen = 0;
-	copy_name(rd->section, sizeof(rd->section), name);
-	if (strcmp(name, "load"))
-		return open_named(rd, name, pos);
-	rd->fields = load_fields;
-	rd->base = rd->p;
+	if (!p->seconds || !p->n_kinds || !p->n_breeds)
+		return ini_fail(pos, "[load], a [kind NAME] and a [worker "
+				     "NAME] are needed");
 	return true;
 }
 
-static bool on_key(void *ctx, const struct ini_pos *pos, const char *key,
-		   const char *value)
-{
-	struct reading *rd = ctx;
-
-	if (!rd->fields)
-		return ini_fail(pos, "key %s stands in no section", key);
-	return field_set(rd->fields, rd->base, &rd->seen, pos, key, value);
-}
-
 bool profile_read(struct profile *p, const char *path)
 {
-	struct buf auto_buf text = {0};
-	struct reading rd = {.p = p};
-	struct ini_events events = {&rd, on_section, on_key};
-	char err[256] = "";
-	struct ini_pos pos = {path, 0, err, sizeof(err)};
-	bool ok;
+	struct profile_form form = {sections, p, sizeof(*p), check};
 
-	memset(p, 0, sizeof(*p));
-	if (!file_read(path, &text))
-		return false;
-	ok = ini_text_read((struct syc_bytes){text.data, text.len}, &pos,
-			   &events) &&
-	     close_section(&rd, &pos);
-	if (ok && (!p->seconds || !p->n_kinds || !p->n_breeds))
-		ok = ini_fail(&pos, "[load], a [kind NAME] and a [worker "
-				    "NAME] are needed");
-	if (!ok)
-		fprintf(stderr, "%s\n", err);
-	return ok;
+	return profile_file_read(&form, path);
 }
--- a/test/bench/log_cost.c
+++ b/test/bench/log_cost.c
@@ -1,21 +1,13 @@
 /* Processor time of a log line, written and left out: log_cost */
 #include <fcntl.h>
 #include <stdio.h>
-#include <time.h>
 #include <unistd.h>
 
+#include "cpu_time.h"
 #include "util/log.h"
 
 enum { LINES = 400000, LINES_A_FLUSH = 20 };
 
-static double cpu_us(void)
-{
-	struct timespec t;
-
-	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
-	return (double)t.tv_sec * 1e6 + (double)t.tv_nsec / 1e3;
-}
-
 static void write_lines(void)
 {
 	char id[17];
@@ -43,10 +35,10 @@
 	double from;
 
 	log_init(&opt);
-	from = cpu_us();
+	from = cpu_s();
 	write_lines();
 	printf("%s: %.2f us a line, %llu of %d left out\n", what,
-	       (cpu_us() - from) / LINES,
+	       (cpu_s() - from) * 1e6 / LINES,
 	       (unsigned long long)(log_left_out() - left_out), LINES);
 }
 
--- a/test/unit/fleet_test.c
+++ b/test/unit/fleet_test.c
@@ -97,31 +97,31 @@
 }
 
 /* Both sides of a cut serve their own callers, and so does the whole later. */
-static void cut_off_domain_serves_its_callers(void)
+/* All callers are served while it lasts and after it. */
+static void cut_off_for_a_while(struct fsim *s, int domain)
 {
-	struct fsim *s = start_fleet();
-	int domain = (s->instances[fsim_driver(s)].domain + 1) % DOMAINS;
-
 	fsim_cut_domain(s, domain, true);
 	fsim_run(s, 1200);
 	CU_ASSERT_EQUAL(serve_all(s, 300), DOMAINS);
 	fsim_cut_domain(s, domain, false);
 	fsim_run(s, 1500);
 	CU_ASSERT_EQUAL(serve_all(s, 300), DOMAINS);
+}
+
+static void cut_off_domain_serves_its_callers(void)
+{
+	struct fsim *s = start_fleet();
+
+	cut_off_for_a_while(s, (s->instances[fsim_driver(s)].domain + 1) %
+				       DOMAINS);
 	end_fleet(s);
 }
 
 static void domain_of_the_driver_is_cut_off(void)
 {
 	struct fsim *s = start_fleet();
-	int domain = s->instances[fsim_driver(s)].domain;
 
-	fsim_cut_domain(s, domain, true);
-	fsim_run(s, 1200);
-	CU_ASSERT_EQUAL(serve_all(s, 300), DOMAINS);
-	fsim_cut_domain(s, domain, false);
-	fsim_run(s, 1500);
-	CU_ASSERT_EQUAL(serve_all(s, 300), DOMAINS);
+	cut_off_for_a_while(s, s->instances[fsim_driver(s)].domain);
 	end_fleet(s);
 }
 
