--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -8,7 +8,7 @@
 #define TEST_FLEET_SIM_H
 
 #include "fleet/fleet.h"
-#include "unit/fake_store.h"
+#include "fake_store.h"
 
 enum {
 	FSIM_INSTANCES = 6,
--- a/test/unit/world.h
+++ b/test/unit/world.h
@@ -6,7 +6,7 @@
 #ifndef TEST_WORLD_H
 #define TEST_WORLD_H
 
-#include "fake_store.h"
+#include "sim/fake_store.h"
 #include "sycamoreshore/core.h"
 #include "util/index.h"
 #include "util/rng.h"
