Show how late the loop is, what the machine is and what waits unsent

Add the length of the loop's turns (histogram, and a line loop_late once a second above 40 ms), the share, speed and link of the machine from the settings, the bytes that wait on the peer links, and a counter of workers that stopped answering. Nothing is decided by them yet.

--- a/src/cmd/fleet_daemon.c
+++ b/src/cmd/fleet_daemon.c
@@ -12,6 +12,8 @@
 
 enum {
 	TICK_MS = 10,
+	LATE_TURN_MS = 40, /* a turn of the loop that is worth a log line */
+	LATE_LOG_MS = 1000, /* between two of these lines */
 	MESSAGE_MAX = 512 /* bytes of an error message */
 };
 
@@ -57,6 +59,7 @@
 
 void fleet_daemon_free(struct fleet_daemon *d)
 {
+	loop_turns_stop(&d->turns);
 	admin_server_free(d->admin);
 	job_server_free(d->jobs);
 	worker_client_free(d->workers);
@@ -95,6 +98,20 @@
 		end_loop(d, EXIT_FAILED);
 }
 
+/* Logs that the loop is late, at most once a second. */
+static void log_late_turns(struct fleet_daemon *d, int64_t now)
+{
+	uint32_t ms = loop_turns_longest_ms(&d->turns);
+
+	if (ms < LATE_TURN_MS || now - d->late_logged_at < LATE_LOG_MS)
+		return;
+	d->late_logged_at = now;
+	log_warn("loop_late", LOG_U("turn_ms", ms),
+		 LOG_U("drives", fleet_is_driver(d->fleet)),
+		 LOG_U("open", fleet_open_jobs(d->fleet)),
+		 LOG_U("peers_unsent", peer_links_unsent(d->peers)));
+}
+
 static void on_tick(struct ev_loop *loop, struct ev_timer *w, int revents)
 {
 	struct fleet_daemon *d = w->data;
@@ -102,6 +119,7 @@
 	const char *why;
 
 	fleet_tick(d->fleet, now);
+	log_late_turns(d, now);
 	/* Clients of an instance that is not ready reconnect to a ready one. */
 	job_server_drain(d->jobs, !fleet_is_ready(d->fleet, &why));
 	if (d->stop_began_at)
@@ -164,12 +182,15 @@
 	ev_timer_init(&d->tick, on_tick, 0., TICK_MS / 1000.);
 	d->tick.data = d;
 	ev_timer_start(d->loop, &d->tick);
+	loop_turns_start(&d->turns, d->loop);
 	log_info("started", LOG_S("domain", d->self.domain),
 		 LOG_U("id", d->self.id),
 		 LOG_U("callers_port", job_server_port(d->jobs)),
 		 LOG_U("peers_port", peer_links_port(d->peers)),
 		 LOG_U("admin_port", admin_server_port(d->admin)),
-		 LOG_U("lease_ms", d->settings.lease_ms));
+		 LOG_U("lease_ms", d->settings.lease_ms),
+		 LOG_U("cpu_milli", d->settings.cpu_share_milli),
+		 LOG_U("link_kbps", d->settings.link_kbps));
 	ev_run(d->loop, 0);
 	log_flush();
 }
--- a/src/cmd/fleet_daemon.h
+++ b/src/cmd/fleet_daemon.h
@@ -16,6 +16,7 @@
 #include "platform/job_server.h"
 #include "platform/store.h"
 #include "platform/worker_client.h"
+#include "transport/loop_turns.h"
 #include "transport/peer_link.h"
 #include "util/histogram.h"
 #include "util/metrics.h"
@@ -38,6 +39,8 @@
 	struct mailbox to_fleet;
 	struct mailbox to_jobs;
 	struct ev_timer tick;
+	struct loop_turns turns;
+	int64_t late_logged_at; /* by fleet_daemon_now */
 	struct ev_signal sigterm, sigint, sighup, sigusr1;
 	int64_t stop_began_at; /* by fleet_daemon_now; zero: not stopping */
 	bool quiesced;
--- a/src/cmd/fleet_metrics.c
+++ b/src/cmd/fleet_metrics.c
@@ -61,6 +61,8 @@
 			 "Renewals of leases sent.", c.holds},
 			{"sycamoreshore_stalls_total",
 			 "Tasks stopped as they made no progress.", c.stalls},
+			{"sycamoreshore_workers_silent_total",
+			 "Times that a worker stopped answering.", c.silences},
 			{"sycamoreshore_ejections_total",
 			 "Times that a worker was passed over for a while.",
 			 c.ejections},
@@ -104,6 +106,9 @@
 		   "Bytes sent to other instances.", NULL, sent);
 	set_metric(d, METRIC_COUNTER, "sycamoreshore_peer_received_bytes_total",
 		   "Bytes received from other instances.", NULL, received);
+	set_metric(d, METRIC_GAUGE, "sycamoreshore_peer_unsent_bytes",
+		   "Bytes that wait on the links to other instances.", NULL,
+		   peer_links_unsent(d->peers));
 	set_metric(d, METRIC_COUNTER, "sycamoreshore_platform_calls_total",
 		   "Calls to the platform's store, watches included.", NULL,
 		   platform_store_calls(d->store));
@@ -142,4 +147,7 @@
 	histogram_render(&c.begin_delay, "sycamoreshore_begin_delay_seconds",
 			 "From a job's arrival until this driver began it.",
 			 NULL, out);
+	histogram_render(&d->turns.durations, "sycamoreshore_loop_turn_seconds",
+			 "Time without reading events, by turn of the loop.",
+			 NULL, out);
 }
--- a/src/cmd/fleet_settings.c
+++ b/src/cmd/fleet_settings.c
@@ -22,6 +22,16 @@
 	{0},
 };
 
+static const struct field machine_fields[] = {
+	{"cpu_share", FIELD_MILLI, OFFSET_OF(cpu_share_milli), 0, 1000, NULL,
+	 "0", "Cores that this instance may use; 0: unknown."},
+	{"cpu_speed", FIELD_MILLI, OFFSET_OF(cpu_speed_milli), 0, 1000, NULL,
+	 "1", "Speed of a core, as a multiple of the usual one."},
+	{"link_mbps", FIELD_MILLI, OFFSET_OF(link_kbps), 0, 1000000, "Mbit/s",
+	 "0", "Rate of the machine's link; 0: unknown."},
+	{0},
+};
+
 static const struct field listen_fields[] = {
 	{"callers", FIELD_ADDR, OFFSET_OF(callers), 0, 0, NULL, NULL,
 	 "Address for callers."},
@@ -95,6 +105,9 @@
 
 static const struct settings_section sections[] = {
 	{"instance", instance_fields, "Identity of this instance."},
+	{"machine", machine_fields,
+	 "What this instance may use of its machine. The instance that can "
+	 "drive most is preferred as the driver."},
 	{"listen", listen_fields,
 	 "Addresses to listen on, by IP address; host names are not allowed."},
 	{"cluster", cluster_fields, "Name and key of the cluster."},
--- a/src/cmd/fleet_settings.h
+++ b/src/cmd/fleet_settings.h
@@ -14,6 +14,10 @@
 	char name[SYC_NAME_MAX];
 	char domain[SYC_NAME_MAX];
 	char rack[SYC_NAME_MAX];
+	/* [machine] */
+	uint32_t cpu_share_milli; /* thousandths of a core; zero: unknown */
+	uint32_t cpu_speed_milli; /* thousandths of the usual speed */
+	uint32_t link_kbps; /* zero: unknown */
 	/* [listen] */
 	struct syc_addr callers;
 	struct syc_addr peers;
--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -196,6 +196,7 @@
 	uint64_t starts, ends_done, ends_failed, ends_other;
 	uint64_t starts_refused, starts_unanswered, stops, stalls, holds;
 	uint64_t ejections, adopted;
+	uint64_t silences; /* workers that stopped answering */
 	uint64_t queued, running, workers, workers_usable; /* current */
 	/* From a job's arrival at its home until it begins, in ms. */
 	struct histogram begin_delay;
--- a/src/drive/hold.c
+++ b/src/drive/hold.c
@@ -218,6 +218,7 @@
 	if (w->unresponsive_since)
 		return;
 	w->unresponsive_since = now;
+	d->counts.silences++;
 	/* Another driver may call the worker until it answers again. */
 	w->confirmed_fence = 0;
 	log_info("worker_silent", LOG_S("worker", w->info.name),
--- a/src/transport/peer_link.c
+++ b/src/transport/peer_link.c
@@ -319,3 +319,13 @@
 	*sent = links->conns.sent;
 	*received = links->conns.received;
 }
+
+size_t peer_links_unsent(const struct peer_links *links)
+{
+	const struct peer_conn *c;
+	size_t n = 0;
+
+	for (c = links->conns.first; c; c = c->next)
+		n += c->out.len - c->out_sent;
+	return n;
+}
--- a/src/transport/peer_link.h
+++ b/src/transport/peer_link.h
@@ -60,4 +60,7 @@
 void peer_links_traffic(const struct peer_links *links, uint64_t *sent,
 			uint64_t *received);
 
+/* Returns the bytes that wait on all links because peers read too slowly. */
+size_t peer_links_unsent(const struct peer_links *links);
+
 #endif
--- a/src/util/field.c
+++ b/src/util/field.c
@@ -10,6 +10,8 @@
 #include "util/field.h"
 #include "util/log.h"
 
+enum { MILLI = 1000 /* thousandths in one */ };
+
 bool field_name_valid(const char *name)
 {
 	size_t n = strlen(name);
@@ -105,6 +107,23 @@
 	return true;
 }
 
+static bool set_milli(const struct field *f, char *dst, const char *value)
+{
+	uint32_t milli;
+	double val;
+	char *end;
+
+	if (!isdigit((unsigned char)value[0]) ||
+	    strspn(value, "0123456789.") != strlen(value))
+		return false;
+	val = strtod(value, &end);
+	if (*end || val < (double)f->min || val > (double)f->max)
+		return false;
+	milli = (uint32_t)(val * MILLI + 0.5);
+	memcpy(dst, &milli, sizeof(milli));
+	return true;
+}
+
 static bool set_bool(char *dst, const char *value)
 {
 	bool yes = !strcmp(value, "yes");
@@ -135,6 +154,8 @@
 	case FIELD_U32:
 	case FIELD_U64:
 		return set_number(f, dst, value);
+	case FIELD_MILLI:
+		return set_milli(f, dst, value);
 	case FIELD_BOOL:
 		return set_bool(dst, value);
 	case FIELD_HEX:
@@ -202,6 +223,11 @@
 		snprintf(out, n, "a number from %" PRIu64 " to %" PRIu64,
 			 f->min, f->max);
 		break;
+	case FIELD_MILLI:
+		snprintf(out, n,
+			 "a decimal number from %" PRIu64 " to %" PRIu64,
+			 f->min, f->max);
+		break;
 	case FIELD_BOOL:
 		snprintf(out, n, "yes or no");
 		break;
--- a/src/util/field.h
+++ b/src/util/field.h
@@ -15,6 +15,8 @@
 	FIELD_TEXT, /* char[max], at least `min` bytes and a terminator */
 	FIELD_U32, /* uint32_t from `min` to `max` */
 	FIELD_U64, /* uint64_t from `min` to `max` */
+	/* uint32_t, thousandths of a decimal number from `min` to `max` */
+	FIELD_MILLI,
 	FIELD_BOOL, /* yes or no */
 	FIELD_HEX, /* uint8_t[max] as hexadecimal */
 	FIELD_IP, /* char[SYC_IP_MAX], may be empty */
--- a/test/deploy.sh
+++ b/test/deploy.sh
@@ -18,6 +18,8 @@
 	-e 's/{{listenAddresses.ready}}/10.0.0.1:8167/' \
 	-e 's/{{ip}}:{{internalPortRange.0}}/10.0.0.1:7720/' \
 	-e 's/{{platform.address}}/10.0.0.9:8169/' \
+	-e 's/{{limits.cpuShare}}/0.25/; s/{{limits.cpuCores}}/1/' \
+	-e 's/{{limits.linkMbps}}/1000.0/' \
 	-e 's/{{bounds.holdMaxMs}}/1000/' deploy/fleet.ini >"$dir/fleet.ini"
 if grep '{{' "$dir/fleet.ini"
 then
--- a/test/unit/settings_test.c
+++ b/test/unit/settings_test.c
@@ -186,6 +186,15 @@
 		parse_fleet("[limits]\nstop_ms = 2000\n", err, sizeof(err)));
 	CU_ASSERT_FALSE(parse_fleet("[nonsense]\n", err, sizeof(err)));
 	CU_ASSERT_FALSE(parse_fleet("[log]\nlevel = loud\n", err, sizeof(err)));
+	CU_ASSERT(parse_fleet("[machine]\ncpu_share = 0.12\ncpu_speed = 1\n"
+			      "link_mbps = 25.0\n",
+			      err, sizeof(err)));
+	CU_ASSERT_FALSE(
+		parse_fleet("[machine]\ncpu_share = -1\n", err, sizeof(err)));
+	CU_ASSERT_FALSE(parse_fleet("[machine]\ncpu_share = 0.1.2\n", err,
+				    sizeof(err)));
+	CU_ASSERT_FALSE(
+		parse_fleet("[machine]\nlink_mbps = 1e3\n", err, sizeof(err)));
 }
 
 SUITE(settings)
