--- a/test/unit/drive_test.c
+++ b/test/unit/drive_test.c
@@ -577,6 +577,36 @@
 	drive_fake_free(&f);
 }
 
+/* The driver itself was late: no list told it that the tasks stand still. */
+static void late_driver_takes_no_task_for_stalled(void)
+{
+	struct drive_active_run row;
+	struct drive_fake f;
+
+	drive_fake_init(&f, 2);
+	submit(&f, 1, "a", 1, 0);
+	drive_fake_answer_start(&f, 0, DRIVE_CALL_DONE);
+	row = active_run_of(&f.starts[0]);
+	row.percent = 20;
+	drive_fake_advance(&f, 20, false);
+	drive_fake_answer_hold(&f, f.starts[0].worker, &row, 1, NULL, 0);
+	f.now += 400;
+	drive_tick(f.drive, f.now);
+	CU_ASSERT_EQUAL(f.n_stops, 0);
+	row.percent = 60;
+	drive_fake_answer_hold(&f, f.starts[0].worker, &row, 1, NULL, 0);
+	drive_tick(f.drive, f.now);
+	CU_ASSERT_EQUAL(f.n_stops, 0);
+	/* Lists that show no progress do tell it. */
+	drive_fake_advance(&f, 200, false);
+	drive_fake_answer_hold(&f, f.starts[0].worker, &row, 1, NULL, 0);
+	drive_fake_advance(&f, 200, false);
+	drive_fake_answer_hold(&f, f.starts[0].worker, &row, 1, NULL, 0);
+	drive_tick(f.drive, f.now);
+	CU_ASSERT_EQUAL(f.n_stops, 1);
+	drive_fake_free(&f);
+}
+
 SUITE(drive)
 {
 	TEST(first_queued_job_begins_partially);
@@ -610,5 +640,6 @@
 	TEST(fence_is_raised_for_one_worker_alone);
 	TEST(leaving_worker_gets_no_new_task);
 	TEST(fence_is_kept_when_a_worker_is_listed_again);
+	TEST(late_driver_takes_no_task_for_stalled);
 	TEST(deadline_ends_a_job);
 }
--- a/test/unit/fleet_test.c
+++ b/test/unit/fleet_test.c
@@ -294,6 +294,22 @@
 	check_and_free(s);
 }
 
+/* The driver was late for less time than its peers tolerate. */
+static void job_that_reaches_a_late_driver_is_not_lost(void)
+{
+	struct fsim *s = start_fleet();
+	int driver = fsim_find_driver(s);
+	int domain = (s->instances[driver].domain + 1) % DOMAINS;
+
+	fsim_pause(s, driver, 250);
+	fsim_run(s, 200);
+	fsim_submit(s, domain, 2, 80);
+	fsim_run(s, 400);
+	CU_ASSERT_EQUAL(fsim_find_driver(s), driver);
+	CU_ASSERT_EQUAL(fsim_count_outcomes(s, FLEET_COMPLETED), 1);
+	check_and_free(s);
+}
+
 static void restarted_fleet_elects_a_driver(void)
 {
 	struct fsim *s = start_fleet();
@@ -326,5 +342,6 @@
 	TEST(resumed_driver_gives_way_to_its_successor);
 	TEST(job_cancelled_during_a_cut_is_stopped);
 	TEST(job_taken_without_a_link_is_submitted_with_it);
+	TEST(job_that_reaches_a_late_driver_is_not_lost);
 	TEST(restarted_fleet_elects_a_driver);
 }
--- a/test/unit/transport_client_test.c
+++ b/test/unit/transport_client_test.c
@@ -1,4 +1,6 @@
 /* Tests how the HTTP client reports sent and unsent requests and answers. */
+#include <fcntl.h>
+#include <pthread.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -204,6 +206,56 @@
 	teardown(&f);
 }
 
+/* Answers one request on each of `n` connections, from its own thread. */
+struct quick_server {
+	pthread_t thread;
+	int fd;
+	int n;
+};
+
+static void *run_quick_server(void *arg)
+{
+	const struct quick_server *s = arg;
+	char request[1024];
+	int i, fd;
+
+	for (i = 0; i < s->n; i++) {
+		fd = accept(s->fd, NULL, NULL);
+		if (recv(fd, request, sizeof(request), 0) > 0)
+			raw_send(fd, ok_answer);
+		close(fd);
+	}
+	return NULL;
+}
+
+static void be_busy(struct ev_loop *loop, ev_prepare *w, int revents)
+{
+	usleep(60 * 1000);
+}
+
+static void late_loop_times_out_no_answered_call(void)
+{
+	struct quick_server s = {.n = 3};
+	struct fixture f;
+	ev_prepare busy;
+	int i;
+
+	setup(&f);
+	ev_io_stop(f.loop, &f.server.io);
+	s.fd = f.server.fd;
+	fcntl(s.fd, F_SETFL, 0);
+	pthread_create(&s.thread, NULL, run_quick_server, &s);
+	ev_prepare_init(&busy, be_busy);
+	ev_prepare_start(f.loop, &busy);
+	for (i = 1; i <= s.n; i++) {
+		post(&f, 120);
+		CU_ASSERT(run_until(f.loop, &f.n_done, i));
+		CU_ASSERT_EQUAL(f.end, HTTP_ANSWERED);
+	}
+	pthread_join(s.thread, NULL);
+	teardown(&f);
+}
+
 static void cancel_distinguishes_sent_from_queued(void)
 {
 	struct fixture f;
@@ -432,6 +484,7 @@
 	TEST(request_to_closed_port_is_not_sent);
 	TEST(timeout_distinguishes_sent_from_queued);
 	TEST(request_is_not_sent_if_connecting_times_out);
+	TEST(late_loop_times_out_no_answered_call);
 	TEST(cancel_distinguishes_sent_from_queued);
 	TEST(partial_answers_are_incomplete);
 	TEST(not_run_header_is_reported);
