Let a call time out only after turns in which its answer could be read

Callers saw jobs fail or end late although all workers answered at once. The driver's turns had grown to 40 ms and more; a call on a new connection needs up to five turns, so all of them passed their 120 ms, were closed and sent again on still more new connections, which made the turns longer: an overload that fed itself.

A time limit that counts the clock while the process reads nothing measures the process. So a request also gets five turns of the loop before it counts as unanswered or not sent.

--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -10,9 +10,19 @@
 
 enum {
 	POOL_MAX = 1024, /* transfers kept for later requests */
-	IDLE_CONNS_MAX = 4096 /* to all hosts together */
+	IDLE_CONNS_MAX = 4096, /* to all hosts together */
+	/*
+	 * Turns of the loop in which a request on a new connection is sent and
+	 * its answer read: connecting, sending, reading, and one for curl's
+	 * timer before each of the first two. A request that got fewer turns
+	 * may have its answer in a socket that this process has not read.
+	 */
+	TURNS_MIN = 5
 };
 
+/* A timer of this length ends in the next turn of the loop. */
+static const double next_turn_s = 0.0001;
+
 struct http_client {
 	struct ev_loop *loop;
 	CURLM *multi;
@@ -116,6 +126,11 @@
 {
 	struct http_transfer *t = w->data;
 
+	if (ev_iteration(loop) - t->first_turn < TURNS_MIN) {
+		ev_timer_set(w, next_turn_s, 0);
+		ev_timer_start(loop, w);
+		return;
+	}
 	t->end = t->sent ? HTTP_TIMEOUT : HTTP_NOT_SENT;
 	copy_text(t->message, sizeof(t->message),
 		  t->sent ? "no whole answer in time"
@@ -213,6 +228,7 @@
 	ev_timer_init(&t->timer, on_timeout, (double)call->timeout_ms / 1000,
 		      0);
 	t->timer.data = t;
+	t->first_turn = ev_iteration(c->loop);
 	if (!http_transfer_set(t, call)) {
 		t->end = HTTP_NOT_SENT;
 		finish_transfer(t);
--- a/src/transport/http_transfer.h
+++ b/src/transport/http_transfer.h
@@ -29,6 +29,7 @@
 	CURLcode curl_code;
 	size_t body_max;
 	ev_timer timer;
+	unsigned first_turn; /* of the loop, when the request was made */
 	void (*done)(void *arg, const struct http_answer *a);
 	void *arg;
 	struct buf out; /* body and header lines of the request */
