Take a task for stalled only if a list read after the limit shows it

Callers saw quick jobs end late: a driver that had been late for 238 ms stopped eight tasks on healthy workers and ejected seven workers for a second, in the same turn in which it resumed.

The time without progress was counted up to now, but progress is only seen in lists, and this driver had not read them. Now a list that was read after the limit must show that there was no progress. With lists in time (one each 200 ms) the decision comes when it came before.

--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -75,6 +75,7 @@
 	uint64_t fence_step; /* added to the epoch's first fence */
 	uint64_t confirmed_fence; /* highest of an answered hold; zero: none */
 	int64_t confirmed_at; /* when the last answered hold was sent */
+	int64_t listed_runs_at; /* when its last lists were read */
 	bool hold_in_flight; /* the regular hold, which may await a run's end */
 	bool probe_in_flight;
 	int64_t next_hold_at; /* when the next regular hold may be sent */
--- a/src/drive/hold.c
+++ b/src/drive/hold.c
@@ -207,6 +207,7 @@
 		w->confirmed_fence = h->fence;
 	if (h->sent_at > w->confirmed_at)
 		w->confirmed_at = h->sent_at;
+	w->listed_runs_at = now;
 	record_ends(d, w, lists, now);
 	record_running(d, w, lists, now);
 	finish_missing_runs(d, w, h, lists, now);
--- a/src/drive/run.c
+++ b/src/drive/run.c
@@ -303,8 +303,12 @@
 		job_task_finished(d, j, index, result, now);
 }
 
+/*
+ * Only lists show progress, and a late driver has not read them. So a list of
+ * after the limit must show that there was none.
+ */
 static bool is_run_stalled(const struct drive *d, const struct run *r,
-			   int64_t now)
+			   const struct worker *w, int64_t now)
 {
 	const struct job *j = job_get(d, r->job);
 	double limit_ms;
@@ -316,6 +320,8 @@
 	if (limit_ms < STALL_MIN_MS)
 		limit_ms = STALL_MIN_MS;
 	/* A hold may wait before it lists progress, so add that time. */
+	if ((double)(w->listed_runs_at - r->percent_at) <= limit_ms)
+		return false;
 	return (double)(now - r->percent_at) > limit_ms + d->opt.hold_wait_ms;
 }
 
@@ -349,6 +355,6 @@
 		r->stopping = true;
 	if (r->stopping)
 		run_stop(d, r, now);
-	else if (!w->unresponsive_since && is_run_stalled(d, r, now))
+	else if (!w->unresponsive_since && is_run_stalled(d, r, w, now))
 		stop_stalled_run(d, r, now);
 }
