Keep the jobs that reach a driver just after it was late

136 callers in a row waited until their deadline: their jobs had reached the driver within 40 ms after a turn of 238 ms, which it takes for a pause. It dropped them without a word, and a home submits a job again only after 350 ms without the driver's heartbeat.

The driver now accepts such a job. That is as safe as the jobs that it had before the pause: a job begins only after a heartbeat of its home that came after the pause, and a home that has turned to another driver sends the cancellation and the newer epoch no later than that heartbeat.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -171,10 +171,12 @@
 
 	/*
 	 * An instance that does not drive drops the job, and its home submits
-	 * it again. So does one that was paused, as the home may have given
-	 * the job up meanwhile.
+	 * it again. A driver that was paused accepts the job, although its home
+	 * may have given it up meanwhile: it begins after a new heartbeat of
+	 * the home, which is sent after the cancellation and names the driver
+	 * that has the job now.
 	 */
-	if (ok && drive_is_active(f->drive) && !fleet_is_resuming(f, now))
+	if (ok && drive_is_active(f->drive))
 		drive_submit(f->drive, now, from, m.tag, &m.job);
 	return wire_close(&w) && ok;
 }
