Elect the driver by what its machine can drive

The election looked at uptime alone. Heartbeats now carry how many starts a second an instance can drive, estimated from its share, speed and link in the settings, and the strongest that is up takes over; uptime decides among equals as before, so on equal machines nothing changes. A driver that sees an instance of twice its capacity, up for 3 s, yields to it as in a planned stop; if none takes over within 0.5 s it goes on, and tries again later, with doubled intervals.

Both tests failed before (the comparison and the yield taken out): a weak machine drove at all eight checks, and none yielded.

--- a/src/cmd/fleet_components.c
+++ b/src/cmd/fleet_components.c
@@ -84,6 +84,7 @@
 		.clock = syc_clock_boot,
 		.wall_clock = syc_clock_wall,
 		.store = platform_store_ops(d->store),
+		.capacity = capacity_estimate(&d->settings.machine),
 		.lease_ms = d->settings.lease_ms,
 		.hold_wait_ms = d->settings.hold_wait_ms,
 		.ctx = d,
--- a/src/cmd/fleet_daemon.c
+++ b/src/cmd/fleet_daemon.c
@@ -189,8 +189,8 @@
 		 LOG_U("peers_port", peer_links_port(d->peers)),
 		 LOG_U("admin_port", admin_server_port(d->admin)),
 		 LOG_U("lease_ms", d->settings.lease_ms),
-		 LOG_U("cpu_milli", d->settings.cpu_share_milli),
-		 LOG_U("link_kbps", d->settings.link_kbps));
+		 LOG_U("cpu_milli", d->settings.machine.cpu_share_milli),
+		 LOG_U("link_kbps", d->settings.machine.link_kbps));
 	ev_run(d->loop, 0);
 	log_flush();
 }
--- a/src/cmd/fleet_settings.c
+++ b/src/cmd/fleet_settings.c
@@ -23,12 +23,12 @@
 };
 
 static const struct field machine_fields[] = {
-	{"cpu_share", FIELD_MILLI, OFFSET_OF(cpu_share_milli), 0, 1000, NULL,
-	 "0", "Cores that this instance may use; 0: unknown."},
-	{"cpu_speed", FIELD_MILLI, OFFSET_OF(cpu_speed_milli), 0, 1000, NULL,
-	 "1", "Speed of a core, as a multiple of the usual one."},
-	{"link_mbps", FIELD_MILLI, OFFSET_OF(link_kbps), 0, 1000000, "Mbit/s",
-	 "0", "Rate of the machine's link; 0: unknown."},
+	{"cpu_share", FIELD_MILLI, OFFSET_OF(machine.cpu_share_milli), 0, 1000,
+	 NULL, "0", "Cores that this instance may use; 0: unknown."},
+	{"cpu_speed", FIELD_MILLI, OFFSET_OF(machine.cpu_speed_milli), 0, 1000,
+	 NULL, "1", "Speed of a core, as a multiple of the usual one."},
+	{"link_mbps", FIELD_MILLI, OFFSET_OF(machine.link_kbps), 0, 1000000,
+	 "Mbit/s", "0", "Rate of the machine's link; 0: unknown."},
 	{0},
 };
 
--- a/src/cmd/fleet_settings.h
+++ b/src/cmd/fleet_settings.h
@@ -5,6 +5,7 @@
 #ifndef CMD_FLEET_SETTINGS_H
 #define CMD_FLEET_SETTINGS_H
 
+#include "fleet/capacity.h"
 #include "sycamoreshore/types.h"
 #include "util/buf.h"
 #include "util/log.h"
@@ -15,9 +16,7 @@
 	char domain[SYC_NAME_MAX];
 	char rack[SYC_NAME_MAX];
 	/* [machine] */
-	uint32_t cpu_share_milli; /* thousandths of a core; zero: unknown */
-	uint32_t cpu_speed_milli; /* thousandths of the usual speed */
-	uint32_t link_kbps; /* zero: unknown */
+	struct machine_limits machine;
 	/* [listen] */
 	struct syc_addr callers;
 	struct syc_addr peers;
--- a/src/fleet/election.c
+++ b/src/fleet/election.c
@@ -1,9 +1,11 @@
 /*
  * Elects the driver. A driver stays while it is reachable. When a majority of
- * the instances cannot reach it, the instance that started last takes over,
- * as a rolling restart reaches it last. If two instances try at once, the map
- * in the store decides between them. While the store is unreachable the
- * workers decide, as they obey only the higher fence.
+ * the instances cannot reach it, the instance whose machine can drive most
+ * takes over; among equals the one that started last, as a rolling restart
+ * reaches it last. If two instances try at once, the map in the store decides
+ * between them. While the store is unreachable the workers decide, as they obey
+ * only the higher fence. A driver on a much weaker machine than another
+ * instance's yields to it.
  */
 #include "fleet/fleet_state.h"
 
@@ -23,14 +25,27 @@
 	 */
 	MINORITY_TAKEOVER_MS = 4500,
 	/* Time for the instance that raised a fence to announce itself. */
-	FENCED_TIMEOUT_MS = 2000
+	FENCED_TIMEOUT_MS = 2000,
+	/* A driver yields to an instance that can drive this multiple. */
+	YIELD_FACTOR = 2,
+	YIELD_UPTIME_MS = 3000, /* of the stronger instance, and as driver */
+	YIELD_TIMEOUT_MS = 500, /* longer than a planned takeover */
+	YIELD_RETRY_MS = 5000, /* doubled while no instance takes over */
+	YIELD_DOUBLINGS_MAX = 4
+};
+
+/* What decides which instance is the best driver. */
+struct candidate {
+	uint64_t id;
+	uint32_t uptime_ms;
+	uint32_t capacity;
 };
 
 static bool is_peer_reachable(const struct fleet *f, uint64_t id, int64_t now)
 {
 	const struct fleet_peer *p = heartbeat_find_peer(f, id);
 
-	return p && heartbeat_is_reachable(p, now) && !p->leaving;
+	return p && heartbeat_is_reachable(p, now) && !p->leaving && !p->yields;
 }
 
 static bool is_in_map(const struct fleet *f, uint64_t id)
@@ -38,11 +53,11 @@
 	return !f->map_known || fleet_map_find(&f->map, id);
 }
 
-static bool is_known_leaving(const struct fleet *f, uint64_t id)
+static bool is_known_to_end(const struct fleet *f, uint64_t id)
 {
 	const struct fleet_peer *p = heartbeat_find_peer(f, id);
 
-	return p && p->leaving;
+	return p && (p->leaving || p->yields);
 }
 
 /* Whether the driver of the whole fleet, as the map names it, is reachable. */
@@ -51,12 +66,12 @@
 	if (!f->driver)
 		return false;
 	if (f->driver == f->opt.self.id)
-		return !f->leaving;
+		return !f->leaving && !f->yielding;
 	if (is_peer_reachable(f, f->driver, now))
 		return true;
 	/* The driver's first heartbeat may still be in flight. */
 	return now - f->driver_learned_at < FIRST_HEARTBEAT_MS &&
-	       is_in_map(f, f->driver) && !is_known_leaving(f, f->driver);
+	       is_in_map(f, f->driver) && !is_known_to_end(f, f->driver);
 }
 
 bool election_is_driver_reachable(const struct fleet *f, int64_t now)
@@ -84,35 +99,43 @@
 	return (uint32_t)(now - f->started_at);
 }
 
-/* Whether instance `a` is a better candidate than `b`, by their uptimes. */
-static bool is_better_candidate(uint32_t uptime_a_ms, uint64_t a,
-				uint32_t uptime_b_ms, uint64_t b)
+static bool is_better_candidate(const struct candidate *a,
+				const struct candidate *b)
 {
-	bool is_young_a = uptime_a_ms < UPTIME_PREFERRED_MS;
-	bool is_young_b = uptime_b_ms < UPTIME_PREFERRED_MS;
+	bool is_young_a = a->uptime_ms < UPTIME_PREFERRED_MS;
+	bool is_young_b = b->uptime_ms < UPTIME_PREFERRED_MS;
 
 	if (is_young_a != is_young_b)
 		return is_young_b;
+	if (a->capacity != b->capacity)
+		return a->capacity > b->capacity;
 	/* Instances that started together differ by less than a second. */
-	if (uptime_a_ms / 1000 != uptime_b_ms / 1000)
-		return uptime_a_ms < uptime_b_ms;
-	return a < b;
+	if (a->uptime_ms / 1000 != b->uptime_ms / 1000)
+		return a->uptime_ms < b->uptime_ms;
+	return a->id < b->id;
+}
+
+static struct candidate peer_candidate(const struct fleet_peer *p)
+{
+	return (struct candidate){p->instance.id, p->uptime_ms, p->capacity};
 }
 
 bool election_is_best_candidate(const struct fleet *f, int64_t now)
 {
+	struct candidate self = {f->opt.self.id, get_uptime_ms(f, now),
+				 f->opt.capacity};
 	size_t i;
 
-	if (f->leaving)
+	if (f->leaving || f->yielding)
 		return false;
 	for (i = 0; i < f->n_peers; i++) {
 		const struct fleet_peer *p = &f->peers[i];
+		struct candidate peer = peer_candidate(p);
 
 		if (!heartbeat_is_reachable(p, now) || p->leaving ||
 		    p->instance.id == f->driver)
 			continue;
-		if (is_better_candidate(p->uptime_ms, p->instance.id,
-					get_uptime_ms(f, now), f->opt.self.id))
+		if (is_better_candidate(&peer, &self))
 			return false;
 	}
 	return true;
@@ -179,6 +202,7 @@
 	f->epoch = epoch;
 	f->driver = f->opt.self.id;
 	f->drive_began_at = now;
+	f->yielding = false;
 	f->driver_lost_at = 0;
 	f->fenced_at = 0;
 	f->next_workers_read_at = now; /* the known list may be old */
@@ -198,7 +222,8 @@
 		 LOG_I("silent_ms", now - f->driver_lost_at),
 		 LOG_U("deaf", count_without_driver(f, now)),
 		 LOG_U("members", f->map.n_members),
-		 LOG_U("store_away", f->store_unreachable));
+		 LOG_U("store_away", f->store_unreachable),
+		 LOG_U("capacity", f->opt.capacity));
 	map_sync_take_over(f, now, epoch);
 }
 
@@ -225,10 +250,65 @@
 	begin_driving(f, now, election_next_epoch(f));
 }
 
+static bool has_stronger_peer(const struct fleet *f, int64_t now)
+{
+	const struct fleet_peer *p;
+	size_t i;
+
+	for (i = 0; i < f->n_peers; i++) {
+		p = &f->peers[i];
+		if (heartbeat_is_reachable(p, now) && !p->leaving &&
+		    p->has_driver && p->uptime_ms >= YIELD_UPTIME_MS &&
+		    p->capacity >= (uint64_t)YIELD_FACTOR * f->opt.capacity)
+			return true;
+	}
+	return false;
+}
+
+static int64_t yield_retry_ms(const struct fleet *f)
+{
+	uint32_t doublings = f->n_yields < YIELD_DOUBLINGS_MAX
+				     ? f->n_yields
+				     : YIELD_DOUBLINGS_MAX;
+
+	return (int64_t)YIELD_RETRY_MS << doublings;
+}
+
+/* Lets a stronger instance take over, as a planned stop does. */
+static void check_yield(struct fleet *f, int64_t now)
+{
+	if (f->yielding) {
+		if (now - f->yield_began_at < YIELD_TIMEOUT_MS)
+			return;
+		f->yielding = false;
+		f->n_yields++;
+		f->next_yield_at = now + yield_retry_ms(f);
+		log_info("yield_ended", LOG_U("epoch", f->epoch),
+			 LOG_U("in_row", f->n_yields));
+		return;
+	}
+	if (!f->opt.capacity || f->store_unreachable ||
+	    now - f->drive_began_at < YIELD_UPTIME_MS ||
+	    now < f->next_yield_at || !has_stronger_peer(f, now))
+		return;
+	f->yielding = true;
+	f->yield_began_at = now;
+	log_info("yield_begun", LOG_U("epoch", f->epoch),
+		 LOG_U("capacity", f->opt.capacity));
+	heartbeat_send_all(f, now);
+}
+
+static void check_own_drive(struct fleet *f, int64_t now)
+{
+	if (f->driver != f->opt.self.id || f->domain_driver || f->leaving)
+		return;
+	check_fence(f, now);
+	check_yield(f, now);
+}
+
 void election_tick(struct fleet *f, int64_t now)
 {
-	if (f->driver == f->opt.self.id && !f->domain_driver && !f->leaving)
-		check_fence(f, now);
+	check_own_drive(f, now);
 	if (is_fleet_driver_reachable(f, now)) {
 		f->driver_lost_at = 0;
 		isolated_end(f, now, "driver_heard");
@@ -275,6 +355,9 @@
 		 LOG_U("epoch", epoch), LOG_U("old_driver", f->driver));
 	f->epoch = epoch;
 	f->driver = driver;
+	if (f->yielding)
+		f->n_yields = 0;
+	f->yielding = false;
 	f->driver_learned_at = now;
 	f->driver_lost_at = 0;
 	f->takeover_in_flight = false;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -38,6 +38,7 @@
 	struct syc_clock clock; /* the source of `now` */
 	struct syc_clock wall_clock; /* the source of epochs */
 	struct syc_platform_ops store;
+	uint32_t capacity; /* starts a second; zero: unknown */
 	uint32_t lease_ms;
 	uint32_t hold_wait_ms;
 	void *ctx;
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -24,6 +24,8 @@
 	bool leaving;
 	bool has_driver; /* it can reach its driver */
 	bool drives_domain; /* it drives its failure domain, which is cut off */
+	uint32_t capacity; /* starts a second; zero: unknown */
+	bool yields; /* it drives until a stronger instance does */
 	int64_t config_sent_at;
 };
 
@@ -57,6 +59,11 @@
 	int64_t driver_lost_at; /* zero: the fleet's driver is reachable */
 	int64_t driver_learned_at;
 	int64_t drive_began_at; /* when this instance began to drive */
+	/* This instance drives and lets a stronger one take over. */
+	bool yielding;
+	int64_t yield_began_at;
+	int64_t next_yield_at; /* not before */
+	uint32_t n_yields; /* that no instance took up, in a row */
 	/* The driver of our failure domain while it is cut off; zero: none. */
 	uint64_t domain_driver;
 	/* When the takeover goes on without the store if it does not answer. */
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -19,7 +19,7 @@
 	 * list of workers.
 	 */
 	DOMAIN_UNREACHABLE_MS = 5000,
-	HEARTBEAT_FIELDS = 7
+	HEARTBEAT_FIELDS = 9
 };
 
 const struct fleet_peer *heartbeat_find_peer(const struct fleet *f, uint64_t id)
@@ -61,6 +61,8 @@
 	wire_put_bool(&w, f->leaving);
 	wire_put_bool(&w, !f->driver_lost_at);
 	wire_put_bool(&w, f->domain_driver == f->opt.self.id);
+	wire_put_u64(&w, f->opt.capacity);
+	wire_put_bool(&w, f->yielding);
 	f->opt.send(f->opt.ctx, to, wire_bytes(&w));
 }
 
@@ -142,6 +144,8 @@
 	p->leaving = wire_bool(&w);
 	p->has_driver = wire_bool(&w);
 	p->drives_domain = wire_bool(&w);
+	p->capacity = wire_has_more(&w) ? (uint32_t)wire_u64(&w) : 0;
+	p->yields = wire_has_more(&w) && wire_bool(&w);
 	if (!wire_close(&w))
 		return false;
 	if (fleet_is_resuming(f, now)) {
--- a/src/protocol/wire.c
+++ b/src/protocol/wire.c
@@ -109,6 +109,12 @@
 	return NULL;
 }
 
+bool wire_has_more(const struct wire_in *w)
+{
+	return !w->failed && w->depth >= 0 &&
+	       w->index[w->depth] < w->stack[w->depth]->via.array.size;
+}
+
 uint64_t wire_u64(struct wire_in *w)
 {
 	const msgpack_object *o = next_element(w,
--- a/src/protocol/wire.h
+++ b/src/protocol/wire.h
@@ -57,6 +57,8 @@
 struct syc_bytes wire_view(struct wire_in *w);
 /* Copies a byte string; fails when its length is not `n`. */
 void wire_fixed(struct wire_in *w, void *dst, size_t n);
+/* Whether the open array has a further element, as of a newer version. */
+bool wire_has_more(const struct wire_in *w);
 /*
  * Enters an array and returns its number of elements; fails when there are
  * more than `max`. The caller leaves the array with wire_leave.
--- a/test/sim/fleet_sim.c
+++ b/test/sim/fleet_sim.c
@@ -608,6 +608,7 @@
 		.clock = {sim_clock, i},
 		.wall_clock = {sim_wall_clock, i},
 		.store = fake_store_ops(i->store),
+		.capacity = i->capacity,
 		.lease_ms = LEASE_MS,
 		.hold_wait_ms = HOLD_WAIT_MS,
 		.ctx = i,
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -29,6 +29,7 @@
 	int domain;
 	int64_t paused_until;
 	bool cut; /* cut off from all other instances */
+	uint32_t capacity; /* of its next start; zero: unknown */
 };
 
 struct fsim_run {
--- a/test/unit/fleet_test.c
+++ b/test/unit/fleet_test.c
@@ -310,6 +310,76 @@
 	check_and_free(s);
 }
 
+static void restart_all(struct fsim *s)
+{
+	int k;
+
+	for (k = 0; k < FSIM_INSTANCES; k++)
+		fsim_kill(s, k);
+	for (k = 0; k < FSIM_INSTANCES; k++)
+		fsim_start(s, k);
+	fsim_run(s, 3000);
+}
+
+static void weak_machine_drives_only_if_no_stronger_one_is_up(void)
+{
+	enum { WEAK = FSIM_INSTANCES - 2 };
+	struct fsim *s = start_fleet();
+	int k, n;
+
+	for (k = 0; k < FSIM_INSTANCES; k++)
+		s->instances[k].capacity = k < WEAK ? 1200 : 5000;
+	restart_all(s);
+	fsim_run(s, 2000); /* the first in the map may yield */
+	for (n = 0; n < 4; n++) {
+		CU_ASSERT(fsim_find_driver(s) >= WEAK);
+		/* The weak instances have the least uptime. */
+		for (k = 0; k < WEAK; k++) {
+			fsim_kill(s, k);
+			fsim_start(s, k);
+		}
+		fsim_run(s, 2500);
+		k = fsim_find_driver(s);
+		fsim_kill(s, k);
+		fsim_run(s, 1000);
+		CU_ASSERT(fsim_find_driver(s) >= WEAK);
+		fsim_start(s, k);
+		fsim_run(s, 2000);
+	}
+	for (k = WEAK; k < FSIM_INSTANCES; k++)
+		fsim_kill(s, k);
+	fsim_run(s, 1000);
+	k = fsim_find_driver(s);
+	CU_ASSERT(k >= 0 && k < WEAK);
+	CU_ASSERT_EQUAL(complete_jobs_in_all_domains(s, 200), DOMAINS);
+	check_and_free(s);
+}
+
+static void weak_driver_yields_to_a_strong_instance_that_returns(void)
+{
+	struct fsim *s = start_fleet();
+	int k;
+
+	for (k = 0; k < FSIM_INSTANCES; k++)
+		s->instances[k].capacity = 1200;
+	s->instances[0].capacity = 5000;
+	restart_all(s);
+	CU_ASSERT_EQUAL(fsim_find_driver(s), 0);
+	fsim_kill(s, 0);
+	fsim_run(s, 1000);
+	CU_ASSERT(fsim_find_driver(s) > 0);
+	fsim_start(s, 0);
+	fsim_run(s, 2000);
+	CU_ASSERT(fsim_find_driver(s) > 0);
+	for (k = 0; k < DOMAINS; k++)
+		fsim_submit(s, k, 2, 900);
+	fsim_run(s, 1500);
+	CU_ASSERT_EQUAL(fsim_find_driver(s), 0);
+	fsim_run(s, 600);
+	CU_ASSERT_EQUAL(fsim_count_outcomes(s, FLEET_COMPLETED), DOMAINS);
+	check_and_free(s);
+}
+
 static void restarted_fleet_elects_a_driver(void)
 {
 	struct fsim *s = start_fleet();
@@ -343,5 +413,7 @@
 	TEST(job_cancelled_during_a_cut_is_stopped);
 	TEST(job_taken_without_a_link_is_submitted_with_it);
 	TEST(job_that_reaches_a_late_driver_is_not_lost);
+	TEST(weak_machine_drives_only_if_no_stronger_one_is_up);
+	TEST(weak_driver_yields_to_a_strong_instance_that_returns);
 	TEST(restarted_fleet_elects_a_driver);
 }
