Count equal jobs that wait ahead when a job's begin is predicted

Jobs that arrive in the same millisecond with the same size and objective counted none of each other as ahead, so all of them waited, and most were refused only when their latest start had passed. Callers were held for the whole slack of a job that could be seen not to fit.

The prediction now counts the jobs that stand before it in the queue, which is in order already.

The test failed before: no refusal among six jobs for the capacity of two.

--- a/src/drive/queue.c
+++ b/src/drive/queue.c
@@ -91,7 +91,10 @@
 	return n;
 }
 
-/* Estimates when `j` can begin if `free_slots` tasks of its size fit now. */
+/*
+ * Estimates when `j`, which is queued, can begin if `free_slots` tasks of its
+ * size fit now.
+ */
 static int64_t estimate_start(const struct drive *d, const struct job *j,
 			      uint32_t free_slots, int64_t now)
 {
@@ -108,8 +111,9 @@
 		const struct job *other = LIST_ITEM(pos, struct job,
 						    queue_link);
 
-		if (other != j && precedes(other, j))
-			needed += count_waiting_tasks(other);
+		if (other == j)
+			break;
+		needed += count_waiting_tasks(other);
 	}
 	if (needed <= free_slots)
 		return now;
--- a/test/unit/drive_test.c
+++ b/test/unit/drive_test.c
@@ -2,6 +2,7 @@
  * Tests of the driver: which jobs begin and which are refused, and when a task
  * may be started again.
  */
+#include <stdio.h>
 #include <string.h>
 
 #include "drive_fake.h"
@@ -115,6 +116,25 @@
 	drive_fake_free(&f);
 }
 
+/* They arrived in one millisecond, so none precedes another by its times. */
+static void jobs_that_arrive_together_are_refused_at_once(void)
+{
+	struct drive_fake f;
+	char id[8];
+	int i;
+
+	drive_fake_init(&f, 2); /* capacity for four tasks */
+	for (i = 0; i < 6; i++) {
+		snprintf(id, sizeof(id), "j%d", i);
+		submit(&f, (uint64_t)i + 1, id, 2, 0);
+	}
+	/* Two run, two wait for their ends; there is no capacity for more. */
+	CU_ASSERT_EQUAL(f.n_starts, 4);
+	CU_ASSERT_EQUAL(f.n_jobs_done, 2);
+	CU_ASSERT_EQUAL(f.jobs_done[0].outcome, DRIVE_REFUSED);
+	drive_fake_free(&f);
+}
+
 static void job_larger_than_any_worker_is_refused_without_retry(void)
 {
 	struct drive_fake f;
@@ -614,6 +634,7 @@
 	TEST(lower_priority_does_not_overtake_a_waiting_job);
 	TEST(job_with_most_tasks_of_a_priority_begins_first);
 	TEST(job_without_capacity_in_time_is_refused_at_once);
+	TEST(jobs_that_arrive_together_are_refused_at_once);
 	TEST(job_larger_than_any_worker_is_refused_without_retry);
 	TEST(tasks_start_in_the_domain_of_their_home);
 	TEST(new_driver_starts_tasks_after_the_first_list);
