--- a/include/sycamoreshore/peer_type.h
+++ b/include/sycamoreshore/peer_type.h
@@ -37,6 +37,7 @@
 	SYC_PEER_JOB_CANCEL,
 	SYC_PEER_CONFIG,
 	SYC_PEER_WORKERS,
+	SYC_PEER_CELL, /* a message to the fleet of one cell */
 	/* a value in the store; it is never sent to a peer */
 	SYC_STORED_FLEET_MAP = 96
 };
--- a/src/cmd/fleet_components.c
+++ b/src/cmd/fleet_components.c
@@ -38,7 +38,9 @@
 	struct fleet_answer a = *answer;
 	struct syc_bytes head = {&a, sizeof(a)};
 
-	a.reason = NULL; /* was logged, and may be freed before delivery */
+	/* They may be freed before delivery; the reason was logged. */
+	a.reason = NULL;
+	a.job = NULL;
 	mailbox_post(&d->to_jobs, MAIL_ANSWER, tag, head, no_bytes);
 }
 
@@ -84,6 +86,8 @@
 		.clock = syc_clock_boot,
 		.wall_clock = syc_clock_wall,
 		.store = platform_store_ops(d->store),
+		.divided_workers_min = d->settings.divided_workers_min,
+		.cell_workers_min = d->settings.cell_workers_min,
 		.capacity = capacity_estimate(&d->settings.machine),
 		.lease_ms = d->settings.lease_ms,
 		.hold_wait_ms = d->settings.hold_wait_ms,
@@ -98,7 +102,7 @@
 		.hold = fleet_hold_cb,
 	};
 
-	d->fleet = fleet_new(&opt, fleet_daemon_now());
+	d->fleet = cells_new(&opt, fleet_daemon_now());
 }
 
 /* Callbacks of the workers' client, the store and the servers. */
@@ -108,8 +112,7 @@
 {
 	struct fleet_daemon *d = ctx;
 
-	drive_start_answered(fleet_get_drive(d->fleet), fleet_daemon_now(),
-			     call, a);
+	cells_start_answered(d->fleet, fleet_daemon_now(), call, a);
 }
 
 static void stopped_cb(void *ctx, uint64_t call,
@@ -117,8 +120,7 @@
 {
 	struct fleet_daemon *d = ctx;
 
-	drive_stop_answered(fleet_get_drive(d->fleet), fleet_daemon_now(), call,
-			    a);
+	cells_stop_answered(d->fleet, fleet_daemon_now(), call, a);
 }
 
 static void held_cb(void *ctx, uint64_t call,
@@ -126,7 +128,7 @@
 {
 	struct fleet_daemon *d = ctx;
 
-	fleet_hold_answered(d->fleet, fleet_daemon_now(), call, held);
+	cells_hold_answered(d->fleet, fleet_daemon_now(), call, held);
 }
 
 static void open_workers(struct fleet_daemon *d)
@@ -146,7 +148,7 @@
 {
 	struct fleet_daemon *d = ctx;
 
-	fleet_set_workers(d->fleet, fleet_daemon_now(), list, n);
+	cells_set_workers(d->fleet, fleet_daemon_now(), list, n);
 }
 
 static void open_store(struct fleet_daemon *d)
@@ -167,7 +169,7 @@
 {
 	struct fleet_daemon *d = ctx;
 
-	fleet_set_config(d->fleet, fleet_daemon_now(), version, text);
+	cells_set_config(d->fleet, fleet_daemon_now(), version, text);
 }
 
 static void open_config(struct fleet_daemon *d)
@@ -195,21 +197,21 @@
 {
 	struct fleet_daemon *d = ctx;
 
-	fleet_submit(d->fleet, fleet_daemon_now(), tag, job);
+	cells_submit(d->fleet, fleet_daemon_now(), tag, job);
 }
 
 static void client_gone_cb(void *ctx, uint64_t tag)
 {
 	struct fleet_daemon *d = ctx;
 
-	fleet_cancel(d->fleet, fleet_daemon_now(), tag);
+	cells_cancel(d->fleet, fleet_daemon_now(), tag);
 }
 
 static bool cancel_cb(void *ctx, const char *id)
 {
 	struct fleet_daemon *d = ctx;
 
-	return fleet_cancel_id(d->fleet, fleet_daemon_now(), id);
+	return cells_cancel_id(d->fleet, fleet_daemon_now(), id);
 }
 
 static bool open_jobs(struct fleet_daemon *d, char *err, size_t errlen)
@@ -238,12 +240,12 @@
 {
 	struct fleet_daemon *d = ctx;
 
-	return fleet_is_ready(d->fleet, why);
+	return cells_is_ready(d->fleet, why);
 }
 
 char *fleet_daemon_state(struct fleet_daemon *d)
 {
-	return fleet_dump(d->fleet, fleet_daemon_now());
+	return cells_dump(d->fleet, fleet_daemon_now());
 }
 
 static char *state_cb(void *ctx)
@@ -322,13 +324,13 @@
 	switch (m->type) {
 	case MAIL_PEER_UP:
 		memcpy(&peer, m->payload, sizeof(peer));
-		fleet_peer_up(d->fleet, now, &peer);
+		cells_peer_up(d->fleet, now, &peer);
 		return;
 	case MAIL_PEER_DOWN:
-		fleet_peer_down(d->fleet, now, m->id);
+		cells_peer_down(d->fleet, now, m->id);
 		return;
 	case MAIL_PEER_MESSAGE:
-		if (!fleet_receive(d->fleet, now, m->id, msg))
+		if (!cells_receive(d->fleet, now, m->id, msg))
 			log_warn("bad_message", LOG_U("peer", m->id));
 		return;
 	default:
--- a/src/cmd/fleet_daemon.c
+++ b/src/cmd/fleet_daemon.c
@@ -66,7 +66,7 @@
 	platform_store_free(d->store);
 	config_watcher_free(d->config);
 	peer_links_free(d->peers);
-	fleet_free(d->fleet);
+	cells_free(d->fleet);
 	if (d->to_fleet.end) {
 		mailbox_free(&d->to_fleet);
 		mailbox_free(&d->to_jobs);
@@ -78,7 +78,7 @@
 static void end_loop(struct fleet_daemon *d, int exit_code)
 {
 	log_info("stopped", LOG_I("exit_code", exit_code),
-		 LOG_U("open", fleet_open_jobs(d->fleet)));
+		 LOG_U("open", cells_open_jobs(d->fleet)));
 	d->exit_code = exit_code;
 	ev_break(d->loop, EVBREAK_ALL);
 }
@@ -91,7 +91,7 @@
 		d->quiesced = true;
 		job_server_quiesce(d->jobs);
 	}
-	if (d->quiesced && fleet_has_left(d->fleet) &&
+	if (d->quiesced && cells_has_left(d->fleet) &&
 	    !job_server_open(d->jobs))
 		end_loop(d, EXIT_DONE);
 	else if (elapsed_ms >= d->settings.stop_ms)
@@ -107,8 +107,8 @@
 		return;
 	d->late_logged_at = now;
 	log_warn("loop_late", LOG_U("turn_ms", ms),
-		 LOG_U("drives", fleet_is_driver(d->fleet)),
-		 LOG_U("open", fleet_open_jobs(d->fleet)),
+		 LOG_U("drives", fleet_is_driver(cells_own(d->fleet))),
+		 LOG_U("open", cells_open_jobs(d->fleet)),
 		 LOG_U("peers_unsent", peer_links_unsent(d->peers)));
 }
 
@@ -118,10 +118,10 @@
 	int64_t now = fleet_daemon_now();
 	const char *why;
 
-	fleet_tick(d->fleet, now);
+	cells_tick(d->fleet, now);
 	log_late_turns(d, now);
 	/* Clients of an instance that is not ready reconnect to a ready one. */
-	job_server_drain(d->jobs, !fleet_is_ready(d->fleet, &why));
+	job_server_drain(d->jobs, !cells_is_ready(d->fleet, &why));
 	if (d->stop_began_at)
 		advance_stop(d, now);
 	log_flush();
@@ -138,7 +138,7 @@
 	}
 	d->stop_began_at = fleet_daemon_now();
 	job_server_drain(d->jobs, true);
-	fleet_leave(d->fleet, d->stop_began_at);
+	cells_leave(d->fleet, d->stop_began_at);
 }
 
 static void on_dump(struct ev_loop *loop, struct ev_signal *w, int revents)
--- a/src/cmd/fleet_daemon.h
+++ b/src/cmd/fleet_daemon.h
@@ -12,7 +12,7 @@
 #include "cmd/config_watcher.h"
 #include "cmd/fleet_settings.h"
 #include "cmd/mailbox.h"
-#include "fleet/fleet.h"
+#include "fleet/cells.h"
 #include "platform/job_server.h"
 #include "platform/store.h"
 #include "platform/worker_client.h"
@@ -29,7 +29,7 @@
 	struct histogram served_ms, refused_ms; /* from arrival to answer */
 	uint8_t cluster_key[PEER_KEY_LEN];
 	struct syc_instance self;
-	struct fleet *fleet;
+	struct cells *fleet;
 	struct job_server *jobs;
 	struct worker_client *workers;
 	struct platform_store *store;
--- a/src/cmd/fleet_metrics.c
+++ b/src/cmd/fleet_metrics.c
@@ -42,7 +42,7 @@
 		uint64_t val;
 	};
 
-	drive_get_counts(fleet_get_drive(d->fleet), &c);
+	drive_get_counts(fleet_get_drive(cells_own(d->fleet)), &c);
 	{
 		const struct row counters[] = {
 			{"sycamoreshore_jobs_driven_total",
@@ -119,16 +119,19 @@
 		   NULL, log_left_out());
 	set_metric(d, METRIC_GAUGE, "sycamoreshore_jobs_open",
 		   "Jobs of callers not yet answered.", NULL,
-		   fleet_open_jobs(d->fleet));
+		   cells_open_jobs(d->fleet));
 	set_metric(d, METRIC_GAUGE, "sycamoreshore_config_version",
 		   "Version of the configuration in force; zero for none.",
 		   NULL, config_watcher_routes(d->config)->version);
 	set_metric(d, METRIC_GAUGE, "sycamoreshore_epoch",
 		   "Epoch of the driver that is followed; zero for none.", NULL,
-		   fleet_epoch(d->fleet));
+		   fleet_epoch(cells_own(d->fleet)));
 	set_metric(d, METRIC_GAUGE, "sycamoreshore_drives",
 		   "Whether this instance drives the workers.", NULL,
-		   fleet_is_driver(d->fleet));
+		   fleet_is_driver(cells_own(d->fleet)));
+	set_metric(d, METRIC_GAUGE, "sycamoreshore_cells",
+		   "Cells that the fleet is divided into; zero: it is not.",
+		   NULL, cells_count(d->fleet));
 	set_answer_metrics(d);
 	set_drive_metrics(d);
 }
@@ -138,7 +141,7 @@
 	static const char answer[] = "sycamoreshore_answer_seconds";
 	struct drive_counts c;
 
-	drive_get_counts(fleet_get_drive(d->fleet), &c);
+	drive_get_counts(fleet_get_drive(cells_own(d->fleet)), &c);
 	histogram_render(&d->served_ms, answer,
 			 "From a job's arrival until its answer.",
 			 "outcome=\"ended\"", out);
--- a/src/cmd/fleet_settings.c
+++ b/src/cmd/fleet_settings.c
@@ -72,6 +72,17 @@
 	{0},
 };
 
+static const struct field cells_fields[] = {
+	{"fleet_workers_min", FIELD_U32, OFFSET_OF(divided_workers_min), 1,
+	 1000000, "workers", "200",
+	 "Workers of the whole fleet from which on it is divided."},
+	{"workers_min", FIELD_U32, OFFSET_OF(cell_workers_min), 0, 1000000,
+	 "workers", "48",
+	 "Least workers of each failure domain in a divided fleet; 0: the "
+	 "fleet is never divided."},
+	{0},
+};
+
 static const struct field limits_fields[] = {
 	{"body_max", FIELD_U32, OFFSET_OF(body_max), 1024, 7340032, "bytes",
 	 "262144", "Largest body of a submission."},
@@ -113,6 +124,9 @@
 	{"cluster", cluster_fields, "Name and key of the cluster."},
 	{"platform", platform_fields, "The platform's services."},
 	{"workers", workers_fields, "Leases of the workers."},
+	{"cells", cells_fields,
+	 "Division into cells: each failure domain gets a driver of its own. "
+	 "It stays until the maps in the store are removed."},
 	{"limits", limits_fields,
 	 "Limits on connections, and the times of a planned stop."},
 	{"log", log_fields, "The log, on standard output."},
--- a/src/cmd/fleet_settings.h
+++ b/src/cmd/fleet_settings.h
@@ -30,6 +30,9 @@
 	/* [workers] */
 	uint32_t lease_ms;
 	uint32_t hold_wait_ms;
+	/* [cells] */
+	uint32_t divided_workers_min;
+	uint32_t cell_workers_min; /* zero: never divided */
 	/* [limits] */
 	uint32_t body_max; /* bytes */
 	uint32_t connections_max;
--- a/src/drive/drive.c
+++ b/src/drive/drive.c
@@ -181,3 +181,20 @@
 					  !w->is_replaced && !w->info.leaving;
 	}
 }
+
+void drive_get_room(const struct drive *d, int64_t now, struct drive_room *room)
+{
+	const struct worker *w;
+	uint64_t handle;
+	uint32_t pos = 0;
+
+	*room = (struct drive_room){0};
+	while ((w = table_next(&d->workers, &pos, &handle))) {
+		if (!worker_is_usable(d, w, now))
+			continue;
+		room->cpu_milli += w->info.cpu_milli;
+		if (w->info.cpu_milli > w->used_cpu_milli)
+			room->free_cpu_milli += w->info.cpu_milli -
+						w->used_cpu_milli;
+	}
+}
--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -202,6 +202,12 @@
 	struct histogram begin_delay;
 };
 
+/* Processor capacity of the workers that may get tasks now. */
+struct drive_room {
+	uint64_t cpu_milli; /* thousandths of a core */
+	uint64_t free_cpu_milli;
+};
+
 struct drive;
 
 struct drive *drive_new(const struct drive_options *opt);
@@ -271,6 +277,8 @@
 
 /* The number of jobs without a final answer. */
 size_t drive_open_jobs(const struct drive *d);
+void drive_get_room(const struct drive *d, int64_t now,
+		    struct drive_room *room);
 void drive_get_counts(const struct drive *d, struct drive_counts *counts);
 
 /* Returns the state as JSON text; to be freed with free(). */
--- /dev/null
+++ b/src/fleet/cells.h
@@ -0,0 +1,72 @@
+/*
+ * One instance as the daemon sees it: a fleet, or, if there are many workers,
+ * a fleet that is divided into cells. A cell is a failure domain whose workers
+ * have a driver of their own, so the load is carried by several machines, and
+ * a domain that is cut off keeps its driver. The fleet as a whole then only
+ * keeps the map of instances, spreads the configuration and drives nothing.
+ *
+ * A job runs in one cell. A cell that refuses it has started no task of it, so
+ * it may be submitted to another cell. A job whose outcome in a cell is not
+ * known stays in that cell.
+ *
+ * The functions and callbacks are those of fleet.h.
+ */
+#ifndef FLEET_CELLS_H
+#define FLEET_CELLS_H
+
+#include "fleet/fleet.h"
+
+struct cells;
+
+struct cells *cells_new(const struct fleet_options *opt, int64_t now);
+void cells_free(struct cells *c);
+
+/* Runs the timers; to be called about every 10 ms. */
+void cells_tick(struct cells *c, int64_t now);
+
+void cells_peer_up(struct cells *c, int64_t now,
+		   const struct syc_instance *peer);
+void cells_peer_down(struct cells *c, int64_t now, uint64_t peer);
+/* Returns false if the message cannot be read. */
+bool cells_receive(struct cells *c, int64_t now, uint64_t from,
+		   struct syc_bytes msg);
+
+void cells_submit(struct cells *c, int64_t now, uint64_t tag,
+		  const struct drive_job *job);
+void cells_cancel(struct cells *c, int64_t now, uint64_t tag);
+/* Cancels the job of that id in any cell; false: no link to a driver. */
+bool cells_cancel_id(struct cells *c, int64_t now, const char *id);
+
+void cells_set_workers(struct cells *c, int64_t now,
+		       const struct drive_worker *list, size_t n);
+void cells_set_config(struct cells *c, int64_t now, uint64_t version,
+		      struct syc_bytes text);
+
+/* Pass in the answers to calls to workers. */
+void cells_start_answered(struct cells *c, int64_t now, uint64_t call,
+			  const struct drive_call_answer *answer);
+void cells_stop_answered(struct cells *c, int64_t now, uint64_t call,
+			 const struct drive_call_answer *answer);
+void cells_hold_answered(struct cells *c, int64_t now, uint64_t call,
+			 const struct drive_hold_answer *lists);
+
+bool cells_is_ready(const struct cells *c, const char **why);
+void cells_leave(struct cells *c, int64_t now);
+bool cells_has_left(const struct cells *c);
+/* The number of callers' jobs that have no answer. */
+size_t cells_open_jobs(const struct cells *c);
+/* The number of cells; zero: the fleet is not divided. */
+size_t cells_count(const struct cells *c);
+
+/* The fleet as a whole. */
+struct fleet *cells_whole(struct cells *c);
+/*
+ * The fleet whose workers this instance may drive: that of its cell, or the
+ * whole one if it is not divided or this instance's domain is no cell.
+ */
+struct fleet *cells_own(struct cells *c);
+
+/* Returns the state as JSON text; to be freed with free(). */
+char *cells_dump(const struct cells *c, int64_t now);
+
+#endif
--- /dev/null
+++ b/src/fleet/division.c
@@ -0,0 +1,67 @@
+/*
+ * Decides whether a fleet is divided into cells: one for each failure domain
+ * that has workers. One driver carries the load of some 200 workers; above
+ * that each domain gets a driver of its own, if it has enough workers to absorb
+ * wide jobs, and enough instances to elect a driver after losing one.
+ *
+ * The division is written into the map and never taken back, so that a worker
+ * never has drivers of both kinds.
+ */
+#include <string.h>
+
+#include "fleet/fleet_state.h"
+#include "util/alloc.h"
+
+enum { CELL_MEMBERS_MIN = 3 /* two are a majority if one is lost */ };
+
+/* The number of the cell of that name, which is added if it is missing. */
+static size_t find_or_add(struct fleet_map *m, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < m->n_cells; i++)
+		if (!strcmp(m->cells[i], name))
+			return i;
+	if (m->n_cells < FLEET_CELLS_MAX)
+		copy_text(m->cells[m->n_cells++], SYC_NAME_MAX, name);
+	return i;
+}
+
+static size_t count_members(const struct fleet_map *m, const char *domain)
+{
+	size_t i, n = 0;
+
+	for (i = 0; i < m->n_members; i++)
+		n += !strcmp(m->members[i].domain, domain);
+	return n;
+}
+
+/* Fills in a cell for each domain; false: one is too small. */
+static bool divide(const struct fleet *f, const struct drive_worker *list,
+		   size_t n, struct fleet_map *division)
+{
+	size_t n_workers[FLEET_CELLS_MAX + 1] = {0};
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		n_workers[find_or_add(division, list[i].domain)]++;
+	if (n_workers[FLEET_CELLS_MAX])
+		return false;
+	for (i = 0; i < division->n_cells; i++)
+		if (n_workers[i] < f->opt.cell_workers_min ||
+		    count_members(&f->map, division->cells[i]) <
+			    CELL_MEMBERS_MIN)
+			return false;
+	return division->n_cells > 1;
+}
+
+void division_check(struct fleet *f, const struct drive_worker *list, size_t n)
+{
+	struct fleet_map division = {0};
+
+	if (*f->opt.cell || fleet_is_divided(f) || !f->opt.cell_workers_min ||
+	    f->driver != f->opt.self.id || n < f->opt.divided_workers_min)
+		return;
+	if (divide(f, list, n, &division))
+		fleet_map_copy_cells(&f->wanted_cells, &division);
+}
--- a/src/fleet/election.c
+++ b/src/fleet/election.c
@@ -115,6 +115,13 @@
 	return a->id < b->id;
 }
 
+static bool is_reachable_member(const struct fleet *f,
+				const struct fleet_peer *p, int64_t now)
+{
+	return heartbeat_is_reachable(p, now) &&
+	       fleet_is_member_domain(f, p->instance.domain);
+}
+
 static struct candidate peer_candidate(const struct fleet_peer *p)
 {
 	return (struct candidate){p->instance.id, p->uptime_ms, p->capacity};
@@ -132,7 +139,7 @@
 		const struct fleet_peer *p = &f->peers[i];
 		struct candidate peer = peer_candidate(p);
 
-		if (!heartbeat_is_reachable(p, now) || p->leaving ||
+		if (!is_reachable_member(f, p, now) || p->leaving ||
 		    p->instance.id == f->driver)
 			continue;
 		if (is_better_candidate(&peer, &self))
@@ -147,7 +154,7 @@
 	size_t i, n = 1;
 
 	for (i = 0; i < f->n_peers; i++)
-		if (heartbeat_is_reachable(&f->peers[i], now) &&
+		if (is_reachable_member(f, &f->peers[i], now) &&
 		    !f->peers[i].has_driver)
 			n++;
 	return n;
@@ -158,7 +165,7 @@
 	size_t i, n = 1;
 
 	for (i = 0; i < f->n_peers; i++)
-		n += heartbeat_is_reachable(&f->peers[i], now);
+		n += is_reachable_member(f, &f->peers[i], now);
 	return n * 2 > f->map.n_members;
 }
 
@@ -192,6 +199,8 @@
 
 	if (f->map.epoch >= next)
 		next = f->map.epoch + 1;
+	if (f->opt.epoch_floor >= next)
+		next = f->opt.epoch_floor + 1;
 	return wall > next ? wall : next;
 }
 
@@ -206,7 +215,8 @@
 	f->driver_lost_at = 0;
 	f->fenced_at = 0;
 	f->next_workers_read_at = now; /* the known list may be old */
-	drive_begin(f->drive, now, epoch);
+	if (!fleet_is_divided(f))
+		drive_begin(f->drive, now, epoch);
 	heartbeat_send_all(f, now);
 	home_submit_all(f, now);
 }
@@ -257,7 +267,7 @@
 
 	for (i = 0; i < f->n_peers; i++) {
 		p = &f->peers[i];
-		if (heartbeat_is_reachable(p, now) && !p->leaving &&
+		if (is_reachable_member(f, p, now) && !p->leaving &&
 		    p->has_driver && p->uptime_ms >= YIELD_UPTIME_MS &&
 		    p->capacity >= (uint64_t)YIELD_FACTOR * f->opt.capacity)
 			return true;
@@ -320,6 +330,8 @@
 			 LOG_U("epoch", f->epoch));
 		heartbeat_send_all(f, now);
 	}
+	if (!fleet_is_member(f))
+		return;
 	if (f->takeover_in_flight) {
 		if (now > f->takeover_deadline_at)
 			take_over_without_store(f, now);
@@ -332,7 +344,7 @@
 		return;
 	if (may_take_over(f, now))
 		take_over(f, now);
-	else
+	else if (!*f->opt.cell && !fleet_is_divided(f))
 		isolated_tick(f, now);
 }
 
@@ -365,4 +377,7 @@
 	f->domain_driver = 0;
 	drive_end(f->drive, now);
 	home_submit_all(f, now);
+	/* The new driver starts nothing for a home without a heartbeat. */
+	if (!fleet_is_member(f))
+		heartbeat_send_all(f, now);
 }
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -78,6 +78,30 @@
 	return home == f->opt.self.id || (p && heartbeat_is_recent(p, now));
 }
 
+bool fleet_is_member_domain(const struct fleet *f, const char *domain)
+{
+	return !*f->opt.cell || !strcmp(f->opt.cell, domain);
+}
+
+bool fleet_is_member(const struct fleet *f)
+{
+	return fleet_is_member_domain(f, f->opt.self.domain);
+}
+
+bool fleet_is_divided(const struct fleet *f)
+{
+	return f->map.n_cells > 0;
+}
+
+void fleet_retire(struct fleet *f, int64_t now)
+{
+	log_info("fleet_divided", LOG_U("cells", f->map.n_cells),
+		 LOG_U("epoch", f->epoch), LOG_U("open", fleet_open_jobs(f)));
+	isolated_end(f, now, "fleet_divided");
+	drive_end(f->drive, now);
+	home_end_all(f, now, "fleet_divided");
+}
+
 bool fleet_is_resuming(const struct fleet *f, int64_t now)
 {
 	return now - f->resumed_at < RESUME_MS;
@@ -327,7 +351,8 @@
 	if (!fleet_is_driver(f))
 		return true;
 	for (i = 0; i < f->n_peers; i++)
-		if (f->peers[i].link_up && !f->peers[i].leaving)
+		if (f->peers[i].link_up && !f->peers[i].leaving &&
+		    fleet_is_member_domain(f, f->peers[i].instance.domain))
 			return false;
 	return true;
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -31,13 +31,26 @@
 	uint32_t retry_after_ms; /* zero: a retry is useless */
 	const char *reason; /* for the log */
 	int64_t took_ms; /* since the caller submitted the job */
+	/* The job, with its present age; valid during the callback. */
+	const struct drive_job *job;
 };
 
 struct fleet_options {
 	struct syc_instance self;
+	/*
+	 * The failure domain whose workers this fleet drives, see cells.h;
+	 * empty: all workers. Only the instances of that domain are members,
+	 * which may drive. The others submit jobs to its driver.
+	 */
+	char cell[SYC_NAME_MAX];
+	uint64_t epoch_floor; /* its epochs are higher */
 	struct syc_clock clock; /* the source of `now` */
 	struct syc_clock wall_clock; /* the source of epochs */
 	struct syc_platform_ops store;
+	/* The fleet is divided into cells from this number of workers on... */
+	uint32_t divided_workers_min;
+	/* ...if each failure domain has this number; zero: never. */
+	uint32_t cell_workers_min;
 	uint32_t capacity; /* starts a second; zero: unknown */
 	uint32_t lease_ms;
 	uint32_t hold_wait_ms;
--- a/src/fleet/fleet_map.c
+++ b/src/fleet/fleet_map.c
@@ -8,7 +8,7 @@
 {
 	size_t i;
 
-	wire_begin(w, SYC_STORED_FLEET_MAP, 3);
+	wire_begin(w, SYC_STORED_FLEET_MAP, 4);
 	wire_put_u64(w, m->epoch);
 	wire_put_u64(w, m->driver);
 	wire_put_array(w, m->n_members);
@@ -23,6 +23,21 @@
 		wire_put_str(w, inst->peer_addr.ip);
 		wire_put_u64(w, inst->peer_addr.port);
 	}
+	wire_put_array(w, m->n_cells);
+	for (i = 0; i < m->n_cells; i++)
+		wire_put_str(w, m->cells[i]);
+}
+
+static void unpack_cells(struct wire_in *w, struct fleet_map *m)
+{
+	size_t i;
+
+	if (!wire_has_more(w))
+		return;
+	m->n_cells = wire_enter(w, FLEET_CELLS_MAX);
+	for (i = 0; i < m->n_cells; i++)
+		wire_str(w, m->cells[i], SYC_NAME_MAX);
+	wire_leave(w);
 }
 
 static void unpack_member(struct wire_in *w, struct syc_instance *inst)
@@ -53,6 +68,7 @@
 	for (i = 0; i < m->n_members; i++)
 		unpack_member(&w, &m->members[i]);
 	wire_leave(&w);
+	unpack_cells(&w, m);
 	if (wire_close(&w))
 		return true;
 	memset(m, 0, sizeof(*m));
@@ -94,3 +110,9 @@
 		if (m->members[i].id == id)
 			remove_at(m, i);
 }
+
+void fleet_map_copy_cells(struct fleet_map *m, const struct fleet_map *from)
+{
+	memcpy(m->cells, from->cells, sizeof(m->cells));
+	m->n_cells = from->n_cells;
+}
--- a/src/fleet/fleet_map.h
+++ b/src/fleet/fleet_map.h
@@ -9,7 +9,7 @@
 #include "protocol/wire.h"
 #include "sycamoreshore/types.h"
 
-enum { FLEET_MEMBERS_MAX = 64 };
+enum { FLEET_MEMBERS_MAX = 64, FLEET_CELLS_MAX = 16 };
 
 struct fleet_map {
 	uint64_t index; /* in the store; zero: absent */
@@ -17,6 +17,9 @@
 	uint64_t driver; /* zero: none */
 	size_t n_members;
 	struct syc_instance members[FLEET_MEMBERS_MAX];
+	/* The failure domains that are cells; none: the fleet is undivided. */
+	size_t n_cells;
+	char cells[FLEET_CELLS_MAX][SYC_NAME_MAX];
 };
 
 void fleet_map_pack(struct wire_out *w, const struct fleet_map *m);
@@ -28,5 +31,6 @@
 /* Adds an instance and removes earlier incarnations of the same name. */
 void fleet_map_add(struct fleet_map *m, const struct syc_instance *inst);
 void fleet_map_remove(struct fleet_map *m, uint64_t id);
+void fleet_map_copy_cells(struct fleet_map *m, const struct fleet_map *from);
 
 #endif
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -26,6 +26,7 @@
 	bool drives_domain; /* it drives its failure domain, which is cut off */
 	uint32_t capacity; /* starts a second; zero: unknown */
 	bool yields; /* it drives until a stronger instance does */
+	struct drive_room room; /* of the workers that it drives */
 	int64_t config_sent_at;
 };
 
@@ -96,6 +97,9 @@
 	int64_t next_workers_read_at;
 	int64_t workers_failed_at; /* the last failed read */
 
+	/* division.c */
+	struct fleet_map wanted_cells; /* its cells; none: no division */
+
 	/* config */
 	uint64_t config_version;
 	void *config;
@@ -122,6 +126,20 @@
 /* Whether messages that waited during a pause may still arrive. */
 bool fleet_is_resuming(const struct fleet *f, int64_t now);
 
+/* fleet.c, of a fleet that drives one cell */
+/* Whether an instance of this failure domain is a member of the fleet. */
+bool fleet_is_member_domain(const struct fleet *f, const char *domain);
+/* Whether this instance is a member and may drive. */
+bool fleet_is_member(const struct fleet *f);
+/* Whether the fleet is divided into cells, so that this one drives nothing. */
+bool fleet_is_divided(const struct fleet *f);
+/* Ends the drive and all jobs, as the cells drive the workers from now on. */
+void fleet_retire(struct fleet *f, int64_t now);
+
+/* division.c */
+/* Decides from the list of workers whether the fleet is to be divided. */
+void division_check(struct fleet *f, const struct drive_worker *list, size_t n);
+
 /* heartbeat.c */
 /* The peer with this id, or NULL if it was dropped or never had a link. */
 const struct fleet_peer *heartbeat_find_peer(const struct fleet *f,
@@ -189,6 +207,11 @@
 void home_job_done(struct fleet *f, int64_t now, uint64_t handle,
 		   uint32_t generation, enum drive_outcome outcome,
 		   uint32_t retry_after_ms, const char *reason);
+/*
+ * Answers all jobs as unknown. Runs of them end with their leases before a
+ * caller submits its job again.
+ */
+void home_end_all(struct fleet *f, int64_t now, const char *reason);
 void home_free(struct fleet *f);
 
 /* workers.c */
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -19,7 +19,7 @@
 	 * list of workers.
 	 */
 	DOMAIN_UNREACHABLE_MS = 5000,
-	HEARTBEAT_FIELDS = 9
+	HEARTBEAT_FIELDS = 11
 };
 
 const struct fleet_peer *heartbeat_find_peer(const struct fleet *f, uint64_t id)
@@ -52,6 +52,10 @@
 static void send_heartbeat(struct fleet *f, int64_t now, uint64_t to)
 {
 	auto_wire_out struct wire_out w = {0};
+	struct drive_room room = {0};
+
+	if (drive_is_active(f->drive))
+		drive_get_room(f->drive, now, &room);
 
 	wire_begin(&w, SYC_PEER_FLEET_HEARTBEAT, HEARTBEAT_FIELDS);
 	wire_put_u64(&w, (uint64_t)(now - f->started_at));
@@ -63,15 +67,30 @@
 	wire_put_bool(&w, f->domain_driver == f->opt.self.id);
 	wire_put_u64(&w, f->opt.capacity);
 	wire_put_bool(&w, f->yielding);
+	wire_put_u64(&w, room.cpu_milli);
+	wire_put_u64(&w, room.free_cpu_milli);
 	f->opt.send(f->opt.ctx, to, wire_bytes(&w));
 }
 
+/*
+ * Whether this instance and the peer exchange heartbeats: members of the fleet
+ * do to elect a driver, and the driver and all homes do.
+ */
+static bool exchanges_heartbeats(const struct fleet *f,
+				 const struct syc_instance *peer)
+{
+	if (fleet_is_member(f) && fleet_is_member_domain(f, peer->domain))
+		return true;
+	return f->driver == f->opt.self.id || f->driver == peer->id;
+}
+
 void heartbeat_send_all(struct fleet *f, int64_t now)
 {
 	size_t i;
 
 	for (i = 0; i < f->n_peers; i++)
-		if (f->peers[i].link_up)
+		if (f->peers[i].link_up &&
+		    exchanges_heartbeats(f, &f->peers[i].instance))
 			send_heartbeat(f, now, f->peers[i].instance.id);
 	f->next_heartbeat_at = now + HEARTBEAT_MS;
 }
@@ -95,6 +114,10 @@
 	if (p->has_timed_out || !p->heartbeat_at ||
 	    now - p->heartbeat_at < DRIVE_HOME_TIMEOUT_MS)
 		return;
+	if (!exchanges_heartbeats(f, &p->instance)) {
+		p->heartbeat_at = 0;
+		return;
+	}
 	p->has_timed_out = true;
 	log_info("peer_silent", LOG_S("peer", p->instance.name),
 		 LOG_U("id", p->instance.id),
@@ -130,6 +153,15 @@
 	}
 }
 
+/* Instances of earlier versions do not send these. */
+static void read_newer_fields(struct fleet_peer *p, struct wire_in *w)
+{
+	p->capacity = (uint32_t)wire_u64(w);
+	p->yields = wire_bool(w);
+	p->room.cpu_milli = wire_u64(w);
+	p->room.free_cpu_milli = wire_u64(w);
+}
+
 bool heartbeat_receive(struct fleet *f, int64_t now, struct fleet_peer *p,
 		       struct syc_bytes msg)
 {
@@ -144,8 +176,8 @@
 	p->leaving = wire_bool(&w);
 	p->has_driver = wire_bool(&w);
 	p->drives_domain = wire_bool(&w);
-	p->capacity = wire_has_more(&w) ? (uint32_t)wire_u64(&w) : 0;
-	p->yields = wire_has_more(&w) && wire_bool(&w);
+	if (wire_has_more(&w))
+		read_newer_fields(p, &w);
 	if (!wire_close(&w))
 		return false;
 	if (fleet_is_resuming(f, now)) {
@@ -215,8 +247,9 @@
 	 */
 	if (peer->id == election_get_driver(f))
 		home_submit_all(f, now);
-	send_heartbeat(f, now, peer->id);
-	if (fleet_is_driver(f))
+	if (exchanges_heartbeats(f, peer))
+		send_heartbeat(f, now, peer->id);
+	if (fleet_is_driver(f) && fleet_is_member_domain(f, peer->domain))
 		workers_send(f, peer->id);
 }
 
--- a/src/fleet/home.c
+++ b/src/fleet/home.c
@@ -27,14 +27,24 @@
 	table_del(&f->jobs, j->handle);
 }
 
+static void set_spec_times(struct home_job *j, int64_t now)
+{
+	int64_t left_ms = j->deadline_at - now;
+
+	j->spec.age_ms = (uint32_t)(now - j->arrived_at);
+	j->spec.deadline_ms = left_ms > 0 ? (uint32_t)left_ms : 0;
+}
+
 static struct fleet_answer make_answer(const struct fleet *f,
-				       const struct home_job *j,
+				       struct home_job *j,
 				       enum fleet_outcome outcome,
 				       uint32_t retry_after_ms,
 				       const char *reason, int64_t now)
 {
 	struct fleet_answer answer = {outcome, retry_after_ms, reason,
-				      now - j->arrived_at};
+				      now - j->arrived_at, &j->spec};
+
+	set_spec_times(j, now);
 
 	log_info("job_answered", LOG_S("job", j->spec.id),
 		 LOG_U("outcome", outcome), LOG_S("reason", reason),
@@ -49,10 +59,9 @@
 {
 	struct fleet_answer answer = make_answer(f, j, outcome, retry_after_ms,
 						 reason, now);
-	uint64_t tag = j->tag;
 
+	f->opt.answer(f->opt.ctx, j->tag, &answer);
 	drop_job(f, j);
-	f->opt.answer(f->opt.ctx, tag, &answer);
 }
 
 /* Copies the job's texts and body into one block. */
@@ -96,8 +105,7 @@
 {
 	if (!election_is_driver_reachable(f, now) || now >= j->deadline_at)
 		return;
-	j->spec.age_ms = (uint32_t)(now - j->arrived_at);
-	j->spec.deadline_ms = (uint32_t)(j->deadline_at - now);
+	set_spec_times(j, now);
 	if (j->submitted)
 		j->generation++;
 	j->spec.generation = j->generation;
@@ -290,6 +298,20 @@
 		tick_job(f, j, now);
 }
 
+void home_end_all(struct fleet *f, int64_t now, const char *reason)
+{
+	struct home_job *j;
+	uint64_t handle;
+	uint32_t pos = 0;
+
+	while ((j = table_next(&f->jobs, &pos, &handle))) {
+		if (j->is_cancelled)
+			drop_job(f, j);
+		else
+			answer_job(f, j, FLEET_UNKNOWN, 0, reason, now);
+	}
+}
+
 void home_free(struct fleet *f)
 {
 	struct home_job *j;
--- a/src/fleet/map_sync.c
+++ b/src/fleet/map_sync.c
@@ -3,9 +3,11 @@
  * instance, names it as the driver, and as the driver removes members that
  * timed out. Every change is a compare-and-swap on the value that was read.
  */
+#include <stdio.h>
 #include <string.h>
 
 #include "fleet/fleet_state.h"
+#include "util/alloc.h"
 
 enum {
 	WATCH_MS = 5000,
@@ -17,8 +19,30 @@
 	JOIN_RETRY_MS = 1000
 };
 
+/* The map of a whole fleet. The map of a cell is named by its domain. */
 static const char map_key[] = "map";
 
+enum { MAP_KEY_MAX = 48 /* bytes with the terminator */ };
+
+static void get_map_key(const struct fleet *f, char key[MAP_KEY_MAX])
+{
+	if (*f->opt.cell)
+		snprintf(key, MAP_KEY_MAX, "cell/%s", f->opt.cell);
+	else
+		copy_text(key, MAP_KEY_MAX, map_key);
+}
+
+static void on_read(void *arg, const struct syc_platform_value *v);
+
+static void read_map(struct fleet *f)
+{
+	char key[MAP_KEY_MAX];
+
+	get_map_key(f, key);
+	f->map_call_in_flight = true;
+	f->opt.store.get(f->opt.store.ctx, key, on_read, f);
+}
+
 static int64_t get_now(const struct fleet *f)
 {
 	return syc_now(&f->opt.clock);
@@ -53,9 +77,13 @@
 
 static void apply_map(struct fleet *f, int64_t now, const struct fleet_map *map)
 {
+	bool was_divided = fleet_is_divided(f);
+
 	f->map = *map;
 	f->map_known = true;
 	dial_members(f);
+	if (fleet_is_divided(f) && !was_divided)
+		fleet_retire(f, now);
 	election_update_driver(f, now, map->epoch, map->driver);
 }
 
@@ -122,18 +150,19 @@
 	/* All instances may start at once, so the next attempts are spread. */
 	f->next_map_call_at = now + (int64_t)(f->opt.self.id % RETRY_SPREAD_MS);
 	election_lost(f);
-	f->map_call_in_flight = true;
-	f->opt.store.get(f->opt.store.ctx, map_key, on_read, f);
+	read_map(f);
 }
 
 static void write_map(struct fleet *f, const struct fleet_map *m)
 {
 	auto_wire_out struct wire_out w = {0};
+	char key[MAP_KEY_MAX];
 
+	get_map_key(f, key);
 	f->pending_map = *m;
 	fleet_map_pack(&w, m);
 	f->map_call_in_flight = true;
-	f->opt.store.cas(f->opt.store.ctx, map_key, m->index, wire_bytes(&w),
+	f->opt.store.cas(f->opt.store.ctx, key, m->index, wire_bytes(&w),
 			 on_write, f);
 }
 
@@ -217,25 +246,30 @@
 	}
 	if (drives && !f->takeover_in_flight)
 		changed |= update_as_driver(f, now, next);
+	if (drives && f->wanted_cells.n_cells && !next->n_cells) {
+		fleet_map_copy_cells(next, &f->wanted_cells);
+		changed = true;
+	}
 	return changed;
 }
 
 void map_sync_tick(struct fleet *f, int64_t now)
 {
+	char key[MAP_KEY_MAX];
 	struct fleet_map next;
 
-	if (now < f->next_map_call_at)
+	if (now < f->next_map_call_at || !fleet_is_member(f))
 		return;
 	if (!f->map_known) {
 		if (f->map_call_in_flight)
 			return;
-		f->map_call_in_flight = true;
-		f->opt.store.get(f->opt.store.ctx, map_key, on_read, f);
+		read_map(f);
 		return;
 	}
 	if (!f->watch_in_flight && f->map.index) {
 		f->watch_in_flight = true;
-		f->opt.store.watch(f->opt.store.ctx, map_key, f->map.index,
+		get_map_key(f, key);
+		f->opt.store.watch(f->opt.store.ctx, key, f->map.index,
 				   WATCH_MS, on_watch, f);
 	}
 	if (!f->map_call_in_flight && !f->store_unreachable &&
--- a/src/fleet/workers.c
+++ b/src/fleet/workers.c
@@ -25,6 +25,8 @@
 {
 	if (f->workers_read_in_flight || now < f->next_workers_read_at)
 		return;
+	if (!fleet_is_member(f) || fleet_is_divided(f))
+		return;
 	f->workers_read_in_flight = true;
 	f->opt.read_workers(f->opt.ctx);
 }
@@ -124,7 +126,8 @@
 	size_t i;
 
 	for (i = 0; i < f->n_peers; i++)
-		if (f->peers[i].link_up)
+		if (f->peers[i].link_up &&
+		    fleet_is_member_domain(f, f->peers[i].instance.domain))
 			workers_send(f, f->peers[i].instance.id);
 }
 
@@ -153,6 +156,18 @@
 	drive_set_workers(f->drive, now, next, n);
 }
 
+/* Copies the workers that this fleet drives; returns their number. */
+static size_t copy_own_workers(const struct fleet *f, struct drive_worker *next,
+			       const struct drive_worker *list, size_t n)
+{
+	size_t i, n_own = 0;
+
+	for (i = 0; i < n; i++)
+		if (fleet_is_member_domain(f, list[i].domain))
+			next[n_own++] = list[i];
+	return n_own;
+}
+
 static struct drive_worker *unpack_list(struct wire_in *w, uint32_t *n)
 {
 	struct drive_worker *list;
@@ -202,7 +217,8 @@
 						 ? DRIVER_READ_INTERVAL_MS
 						 : OTHER_READ_INTERVAL_MS);
 	next = xcalloc(n + f->n_workers + 1, sizeof(*next));
-	memcpy(next, list, n * sizeof(*next));
+	division_check(f, list, n);
+	n = copy_own_workers(f, next, list, n);
 	if (f->workers_failed_at &&
 	    now - f->workers_failed_at < KEEP_MISSING_MS)
 		n = keep_missing_workers(f, next, n);
--- a/test/sim/fleet_random.c
+++ b/test/sim/fleet_random.c
@@ -84,7 +84,7 @@
 
 static int random_instance(struct fsim *s)
 {
-	return (int)rng_below(&s->rng, FSIM_INSTANCES);
+	return (int)rng_below(&s->rng, s->n_instances);
 }
 
 static int64_t random_pause_ms(struct fsim *s)
@@ -155,13 +155,13 @@
 	if (happens(s, rates->list_worker))
 		fsim_set_listed(s, (int)rng_below(&s->rng, FSIM_WORKERS),
 				happens(s, 600));
-	for (k = 0; k < FSIM_INSTANCES; k++)
+	for (k = 0; k < s->n_instances; k++)
 		if (happens(s, rates->start_instance))
 			fsim_start(s, k);
 	for (k = 0; k < FSIM_DOMAINS; k++)
 		if (happens(s, rates->reconnect_domain))
 			fsim_cut_domain(s, k, false);
-	for (k = 0; k < FSIM_INSTANCES; k++)
+	for (k = 0; k < s->n_instances; k++)
 		if (happens(s, rates->reconnect_instance))
 			fsim_cut_instance(s, k, false);
 	if (rates->is_mixed)
@@ -181,12 +181,12 @@
 		s->workers[k].cut = false;
 		s->workers[k].loses_answers = false;
 	}
-	for (k = 0; k < FSIM_INSTANCES; k++) {
+	for (k = 0; k < s->n_instances; k++) {
 		const char *why;
 
 		fsim_cut_instance(s, k, false);
 		if (s->instances[k].fleet &&
-		    !fleet_is_ready(s->instances[k].fleet, &why) &&
+		    !cells_is_ready(s->instances[k].cells, &why) &&
 		    s->instances[k].paused_until <= s->now)
 			fsim_kill(s, k); /* the instance is leaving */
 		fsim_start(s, k);
@@ -220,15 +220,16 @@
 	return true;
 }
 
-bool fsim_run_random(uint64_t seed, int64_t ms, bool mixed, char *message,
-		     size_t size)
+bool fsim_run_random(uint64_t seed, int64_t ms, enum fsim_mode mode,
+		     char *message, size_t size)
 {
-	struct fsim *s = fsim_new(seed);
+	struct fsim *s = mode == FSIM_DIVIDED ? fsim_new_divided(seed)
+					      : fsim_new(seed);
 	int64_t until = s->now + ms;
 	struct fault_rates rates = plain_rates;
 	bool ok;
 
-	if (mixed)
+	if (mode != FSIM_PLAIN)
 		vary_all_rates(s, &rates);
 	s->callers_leave_early = rates.callers_leave_early;
 	while (s->now < until) {
--- a/test/sim/fleet_sim.c
+++ b/test/sim/fleet_sim.c
@@ -107,7 +107,7 @@
 {
 	int i;
 
-	for (i = 0; i < FSIM_INSTANCES; i++)
+	for (i = 0; i < s->n_instances; i++)
 		if (s->instances[i].fleet && s->instances[i].instance.id == id)
 			return &s->instances[i];
 	return NULL;
@@ -382,18 +382,18 @@
 static void deliver_answer(struct fsim *s, struct fsim_instance *i,
 			   struct fsim_event *e)
 {
-	struct drive *d = fleet_get_drive(i->fleet);
-
 	if (e->lists.answer.result != DRIVE_CALL_UNANSWERED &&
 	    (e->at > e->timeout_at ||
 	     !reaches_worker(s, e->instance, e->worker)))
 		return;
 	if (e->call_kind == CALL_START)
-		drive_start_answered(d, s->now, e->call, &e->lists.answer);
+		cells_start_answered(i->cells, s->now, e->call,
+				     &e->lists.answer);
 	else if (e->call_kind == CALL_STOP)
-		drive_stop_answered(d, s->now, e->call, &e->lists.answer);
+		cells_stop_answered(i->cells, s->now, e->call,
+				    &e->lists.answer);
 	else
-		fleet_hold_answered(i->fleet, s->now, e->call, &e->lists);
+		cells_hold_answered(i->cells, s->now, e->call, &e->lists);
 }
 
 static void deliver_list(struct fsim *s, struct fsim_instance *i)
@@ -403,13 +403,13 @@
 	int k;
 
 	if (s->store.down || i->store->cut) {
-		fleet_set_workers(i->fleet, s->now, NULL, 0);
+		cells_set_workers(i->cells, s->now, NULL, 0);
 		return;
 	}
 	for (k = 0; k < FSIM_WORKERS; k++)
 		if (s->workers[k].listed)
 			list[n++] = s->workers[k].info;
-	fleet_set_workers(i->fleet, s->now, list, n);
+	cells_set_workers(i->cells, s->now, list, n);
 }
 
 static void handle_event(struct fsim *s, struct fsim_event *e)
@@ -436,11 +436,11 @@
 							      e->sender_or_tag);
 
 		if (from && s->linked[from - s->instances][e->instance])
-			fleet_receive(i->fleet, s->now, e->sender_or_tag, msg);
+			cells_receive(i->cells, s->now, e->sender_or_tag, msg);
 	} else if (e->kind == EVENT_ANSWER) {
 		deliver_answer(s, i, e);
 	} else if (e->kind == EVENT_CALLER_DISCONNECTED) {
-		fleet_cancel(i->fleet, s->now, e->sender_or_tag);
+		cells_cancel(i->cells, s->now, e->sender_or_tag);
 	} else {
 		deliver_list(s, i);
 	}
@@ -451,21 +451,21 @@
 
 static int pick_home(struct fsim *s, int domain)
 {
-	int k, at = (int)rng_below(&s->rng, FSIM_INSTANCES);
+	int k, at = (int)rng_below(&s->rng, s->n_instances);
 	const char *why;
 
-	for (k = 0; k < FSIM_INSTANCES; k++, at = (at + 1) % FSIM_INSTANCES) {
+	for (k = 0; k < s->n_instances; k++, at = (at + 1) % s->n_instances) {
 		const struct fsim_instance *i = &s->instances[at];
 
 		if (i->fleet && i->domain == domain &&
 		    s->now >= i->paused_until)
 			return at;
 	}
-	for (k = 0; k < FSIM_INSTANCES; k++, at = (at + 1) % FSIM_INSTANCES) {
+	for (k = 0; k < s->n_instances; k++, at = (at + 1) % s->n_instances) {
 		const struct fsim_instance *i = &s->instances[at];
 
 		if (i->fleet && s->now >= i->paused_until &&
-		    fleet_is_ready(i->fleet, &why))
+		    cells_is_ready(i->cells, &why))
 			return at;
 	}
 	return -1;
@@ -500,7 +500,7 @@
 	j->deadline_at = s->now + DEADLINE_MS;
 	j->retry_at = 0;
 	log_context_set(s->instances[home].instance.name);
-	fleet_submit(s->instances[home].fleet, s->now,
+	cells_submit(s->instances[home].cells, s->now,
 		     (uint64_t)(j - s->jobs) + 1, &spec);
 }
 
@@ -529,7 +529,7 @@
 
 	if (s->now >= i->paused_until) {
 		log_context_set(i->instance.name);
-		fleet_cancel(i->fleet, s->now, tag);
+		cells_cancel(i->cells, s->now, tag);
 		return;
 	}
 	e = event_new(EVENT_CALLER_DISCONNECTED, i->paused_until, i);
@@ -608,6 +608,9 @@
 		.clock = {sim_clock, i},
 		.wall_clock = {sim_wall_clock, i},
 		.store = fake_store_ops(i->store),
+		.divided_workers_min = FSIM_WORKERS,
+		.cell_workers_min = s->divided ? FSIM_WORKERS / FSIM_DOMAINS
+					       : 0,
 		.capacity = i->capacity,
 		.lease_ms = LEASE_MS,
 		.hold_wait_ms = HOLD_WAIT_MS,
@@ -622,8 +625,9 @@
 		.hold = on_hold,
 	};
 	i->paused_until = 0;
-	i->fleet = fleet_new(&opt, s->now);
-	fleet_set_config(i->fleet, s->now, 1,
+	i->cells = cells_new(&opt, s->now);
+	i->fleet = cells_whole(i->cells);
+	cells_set_config(i->cells, s->now, 1,
 			 (struct syc_bytes){config, sizeof(config)});
 }
 
@@ -631,7 +635,7 @@
 {
 	s->linked[a][b] = false;
 	if (s->instances[a].fleet)
-		fleet_peer_down(s->instances[a].fleet, s->now,
+		cells_peer_down(s->instances[a].cells, s->now,
 				s->instances[b].instance.id);
 }
 
@@ -643,9 +647,10 @@
 	if (!i->fleet)
 		return;
 	fake_store_end_client(i->store);
-	fleet_free(i->fleet);
+	cells_free(i->cells);
+	i->cells = NULL;
 	i->fleet = NULL;
-	for (k = 0; k < FSIM_INSTANCES; k++) {
+	for (k = 0; k < s->n_instances; k++) {
 		s->linked[instance][k] = false;
 		if (k != instance && s->linked[k][instance])
 			unlink_instances(s, k, instance);
@@ -660,7 +665,7 @@
 void fsim_leave(struct fsim *s, int instance)
 {
 	if (s->instances[instance].fleet)
-		fleet_leave(s->instances[instance].fleet, s->now);
+		cells_leave(s->instances[instance].cells, s->now);
 }
 
 void fsim_cut_domain(struct fsim *s, int domain, bool cut)
@@ -701,15 +706,15 @@
 {
 	int a, b;
 
-	for (a = 0; a < FSIM_INSTANCES; a++) {
-		for (b = 0; b < FSIM_INSTANCES; b++) {
+	for (a = 0; a < s->n_instances; a++) {
+		for (b = 0; b < s->n_instances; b++) {
 			bool can_link = a != b && s->instances[a].fleet &&
 					s->instances[b].fleet &&
 					instances_reach(s, a, b);
 
 			if (can_link && !s->linked[a][b]) {
 				s->linked[a][b] = true;
-				fleet_peer_up(s->instances[a].fleet, s->now,
+				cells_peer_up(s->instances[a].cells, s->now,
 					      &s->instances[b].instance);
 			} else if (!can_link && s->linked[a][b]) {
 				unlink_instances(s, a, b);
@@ -723,8 +728,8 @@
 {
 	int a, b;
 
-	for (a = 0; a < FSIM_INSTANCES; a++)
-		for (b = 0; b < FSIM_INSTANCES; b++)
+	for (a = 0; a < s->n_instances; a++)
+		for (b = 0; b < s->n_instances; b++)
 			if (s->linked[a][b] && !instances_reach(s, a, b))
 				unlink_instances(s, a, b);
 }
@@ -739,7 +744,7 @@
 	close_cut_links(s);
 	if (s->now % LINK_INTERVAL_MS == 0)
 		open_links(s);
-	for (k = 0; k < FSIM_INSTANCES; k++)
+	for (k = 0; k < s->n_instances; k++)
 		s->instances[k].store->paused = s->now <
 						s->instances[k].paused_until;
 	fake_store_run(&s->store, s->now);
@@ -751,13 +756,13 @@
 		s->events = e->next;
 		handle_event(s, e);
 	}
-	for (k = 0; k < FSIM_INSTANCES; k++) {
+	for (k = 0; k < s->n_instances; k++) {
 		struct fsim_instance *in = &s->instances[k];
 
 		if (in->fleet && s->now >= in->paused_until &&
 		    (s->now + k) % TICK_MS == 0) {
 			log_context_set(in->instance.name);
-			fleet_tick(in->fleet, s->now);
+			cells_tick(in->cells, s->now);
 		}
 	}
 	for (i = 0; i < s->n_jobs; i++)
@@ -776,9 +781,9 @@
 {
 	int k;
 
-	for (k = 0; k < FSIM_INSTANCES; k++)
-		if (s->instances[k].fleet &&
-		    fleet_is_driver(s->instances[k].fleet))
+	for (k = 0; k < s->n_instances; k++)
+		if (s->instances[k].cells &&
+		    fleet_is_driver(cells_own(s->instances[k].cells)))
 			return k;
 	return -1;
 }
@@ -792,11 +797,14 @@
 	return n;
 }
 
-struct fsim *fsim_new(uint64_t seed)
+static struct fsim *sim_new(uint64_t seed, bool divided)
 {
 	struct fsim *s = xcalloc(1, sizeof(*s));
 	int k;
 
+	s->divided = divided;
+	s->n_instances = divided ? FSIM_INSTANCES_MAX : FSIM_INSTANCES;
+
 	s->rng.state = seed;
 	s->store.rng.state = seed + 1;
 	s->store.delay_ms = 2;
@@ -806,7 +814,7 @@
 		s->workers[k].domain = k % FSIM_DOMAINS;
 		fsim_restart_worker(s, k);
 	}
-	for (k = 0; k < FSIM_INSTANCES; k++) {
+	for (k = 0; k < s->n_instances; k++) {
 		s->instances[k].sim = s;
 		s->instances[k].domain = k % FSIM_DOMAINS;
 		snprintf(s->instances[k].instance.domain, SYC_NAME_MAX, "d%d",
@@ -817,13 +825,23 @@
 	return s;
 }
 
+struct fsim *fsim_new(uint64_t seed)
+{
+	return sim_new(seed, false);
+}
+
+struct fsim *fsim_new_divided(uint64_t seed)
+{
+	return sim_new(seed, true);
+}
+
 void fsim_free(struct fsim *s)
 {
 	struct fsim_client *c;
 	struct fsim_event *e;
 	int k;
 
-	for (k = 0; k < FSIM_INSTANCES; k++)
+	for (k = 0; k < s->n_instances; k++)
 		fsim_kill(s, k);
 	while ((e = s->events)) {
 		s->events = e->next;
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -7,11 +7,12 @@
 #ifndef TEST_FLEET_SIM_H
 #define TEST_FLEET_SIM_H
 
-#include "fleet/fleet.h"
+#include "fleet/cells.h"
 #include "fake_store.h"
 
 enum {
-	FSIM_INSTANCES = 6,
+	FSIM_INSTANCES = 6, /* of an undivided fleet */
+	FSIM_INSTANCES_MAX = 9, /* of a divided one */
 	FSIM_DOMAINS = 3,
 	FSIM_WORKERS = 12,
 	FSIM_RUNS = 16, /* on one worker */
@@ -23,7 +24,8 @@
 
 struct fsim_instance {
 	struct fsim *sim;
-	struct fleet *fleet; /* NULL while it is down */
+	struct cells *cells; /* NULL while it is down */
+	struct fleet *fleet; /* the whole fleet, of `cells` */
 	struct fake_store_client *store; /* client of this incarnation */
 	struct syc_instance instance;
 	int domain;
@@ -87,11 +89,13 @@
 	int64_t now;
 	struct rng rng;
 	struct fake_store store;
-	struct fsim_instance instances[FSIM_INSTANCES];
+	bool divided; /* into cells, one for each domain */
+	int n_instances;
+	struct fsim_instance instances[FSIM_INSTANCES_MAX];
 	struct fsim_worker workers[FSIM_WORKERS];
 	struct fsim_job jobs[FSIM_JOBS];
 	size_t n_jobs;
-	bool linked[FSIM_INSTANCES][FSIM_INSTANCES];
+	bool linked[FSIM_INSTANCES_MAX][FSIM_INSTANCES_MAX];
 	bool domain_cut[FSIM_DOMAINS]; /* cut off from the others */
 	bool callers_leave_early; /* if their home is not reachable */
 	unsigned late_percent; /* share of calls that arrive 2 to 12 s late */
@@ -107,6 +111,8 @@
 
 /* Starts all instances and workers and runs for 3 s, to elect a driver. */
 struct fsim *fsim_new(uint64_t seed);
+/* The same with a fleet that is divided into cells. */
+struct fsim *fsim_new_divided(uint64_t seed);
 void fsim_free(struct fsim *s);
 void fsim_run(struct fsim *s, int64_t ms);
 
@@ -127,13 +133,19 @@
 int fsim_find_driver(const struct fsim *s);
 size_t fsim_count_outcomes(const struct fsim *s, enum fleet_outcome outcome);
 
+enum fsim_mode {
+	FSIM_PLAIN,
+	/* Some kinds of faults are left out and others are more frequent. */
+	FSIM_MIXED,
+	FSIM_DIVIDED /* mixed, with a fleet that is divided into cells */
+};
+
 /*
  * Runs a fleet under random faults; returns false with a message if a check
- * failed. If `mixed`, some kinds of faults are left out and others are more
- * frequent.
+ * failed.
  */
-bool fsim_run_random(uint64_t seed, int64_t ms, bool mixed, char *message,
-		     size_t size);
+bool fsim_run_random(uint64_t seed, int64_t ms, enum fsim_mode mode,
+		     char *message, size_t size);
 
 /* fleet_sim_worker.c: ends what is due and carries out calls. */
 void fsim_worker_tick(struct fsim *s, struct fsim_worker *w);
--- /dev/null
+++ b/test/unit/cells_test.c
@@ -0,0 +1,262 @@
+/*
+ * Tests of a fleet that is divided into cells: who drives, where jobs run, and
+ * what callers get when a driver, a domain or capacity is lost.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet/cell_choice.h"
+#include "sim/fleet_sim.h"
+#include "unit.h"
+#include "util/log.h"
+
+enum { SEED = 11, DOMAINS = FSIM_DOMAINS };
+
+static struct fsim *start_fleet(void)
+{
+	struct fsim *s;
+
+	log_level_set(getenv("FLEET_LOG") ? LOG_INFO : LOG_ERROR);
+	s = fsim_new_divided(SEED);
+	fsim_run(s, 1500);
+	return s;
+}
+
+static void check_and_free(struct fsim *s)
+{
+	CU_ASSERT_EQUAL(s->n_double_runs, 0);
+	CU_ASSERT_EQUAL(s->n_false_refusals, 0);
+	fsim_free(s);
+}
+
+static bool drives(const struct fsim *s, int k)
+{
+	const struct fsim_instance *i = &s->instances[k];
+
+	return i->cells && fleet_is_driver(cells_own(i->cells));
+}
+
+/* The instance that drives the cell of `domain`, or -1. */
+static int find_driver_of(const struct fsim *s, int domain)
+{
+	int k;
+
+	for (k = 0; k < s->n_instances; k++)
+		if (s->instances[k].domain == domain && drives(s, k))
+			return k;
+	return -1;
+}
+
+static size_t count_drivers(const struct fsim *s)
+{
+	size_t n = 0;
+	int k;
+
+	for (k = 0; k < s->n_instances; k++)
+		n += drives(s, k);
+	return n;
+}
+
+/* Submits `n` jobs of two tasks in `domain`; returns how many complete. */
+static size_t complete_jobs(struct fsim *s, int domain, size_t n,
+			    int64_t within_ms)
+{
+	size_t i, before = fsim_count_outcomes(s, FLEET_COMPLETED);
+
+	for (i = 0; i < n; i++)
+		fsim_submit(s, domain, 2, 80);
+	fsim_run(s, within_ms);
+	return fsim_count_outcomes(s, FLEET_COMPLETED) - before;
+}
+
+static void each_domain_has_its_own_driver(void)
+{
+	struct fsim *s = start_fleet();
+	int k;
+
+	for (k = 0; k < s->n_instances; k++)
+		CU_ASSERT_EQUAL(cells_count(s->instances[k].cells), DOMAINS);
+	CU_ASSERT_EQUAL(count_drivers(s), DOMAINS);
+	for (k = 0; k < DOMAINS; k++) {
+		CU_ASSERT(find_driver_of(s, k) >= 0);
+		CU_ASSERT_EQUAL(complete_jobs(s, k, 1, 120), 1);
+	}
+	check_and_free(s);
+}
+
+static void fleet_with_few_workers_has_one_driver(void)
+{
+	struct fsim *s = fsim_new(SEED);
+	int k;
+
+	fsim_run(s, 3000);
+	for (k = 0; k < s->n_instances; k++)
+		CU_ASSERT_EQUAL(cells_count(s->instances[k].cells), 0);
+	CU_ASSERT_EQUAL(count_drivers(s), 1);
+	check_and_free(s);
+}
+
+/* A domain has room for eight tasks at a time; here it gets twelve. */
+static void load_of_one_domain_spreads_to_the_others(void)
+{
+	struct fsim *s = start_fleet();
+
+	CU_ASSERT_EQUAL(complete_jobs(s, 0, 6, 200), 6);
+	check_and_free(s);
+}
+
+/* Twelve jobs fit at a time, and three such rounds end in time. */
+static void load_beyond_all_capacity_is_refused_at_once(void)
+{
+	struct fsim *s = start_fleet();
+	size_t i, n = 60, refused;
+
+	for (i = 0; i < n; i++)
+		fsim_submit(s, (int)(i % DOMAINS), 2, 600);
+	fsim_run(s, 60);
+	refused = fsim_count_outcomes(s, FLEET_NOT_RUN);
+	CU_ASSERT(refused >= n - 3 * 12);
+	fsim_run(s, 2000);
+	CU_ASSERT_EQUAL(fsim_count_outcomes(s, FLEET_NOT_RUN), refused);
+	CU_ASSERT_EQUAL(fsim_count_outcomes(s, FLEET_COMPLETED), n - refused);
+	CU_ASSERT_EQUAL(complete_jobs(s, 0, 4, 200), 4);
+	check_and_free(s);
+}
+
+static void lost_driver_of_a_cell_stops_no_other_cell(void)
+{
+	struct fsim *s = start_fleet();
+	int lost = find_driver_of(s, 1);
+
+	fsim_kill(s, lost);
+	CU_ASSERT_EQUAL(complete_jobs(s, 0, 1, 120), 1);
+	CU_ASSERT_EQUAL(complete_jobs(s, 2, 1, 120), 1);
+	fsim_run(s, 500);
+	CU_ASSERT(find_driver_of(s, 1) >= 0);
+	CU_ASSERT_EQUAL(complete_jobs(s, 1, 1, 120), 1);
+	check_and_free(s);
+}
+
+/* Jobs that arrive before the next driver go to another cell. */
+static void callers_of_a_cell_without_driver_are_served(void)
+{
+	struct fsim *s = start_fleet();
+
+	fsim_kill(s, find_driver_of(s, 1));
+	fsim_run(s, 380);
+	CU_ASSERT_EQUAL(complete_jobs(s, 1, 2, 150), 2);
+	check_and_free(s);
+}
+
+static void cut_off_domain_keeps_its_driver(void)
+{
+	struct fsim *s = start_fleet();
+	int driver = find_driver_of(s, 2);
+
+	fsim_cut_domain(s, 2, true);
+	fsim_run(s, 400);
+	CU_ASSERT_EQUAL(complete_jobs(s, 2, 2, 120), 2);
+	fsim_run(s, 5000);
+	CU_ASSERT_EQUAL(find_driver_of(s, 2), driver);
+	CU_ASSERT_EQUAL(complete_jobs(s, 0, 2, 120), 2);
+	CU_ASSERT_EQUAL(complete_jobs(s, 2, 2, 120), 2);
+	fsim_cut_domain(s, 2, false);
+	fsim_run(s, 1000);
+	CU_ASSERT_EQUAL(find_driver_of(s, 2), driver);
+	CU_ASSERT_EQUAL(count_drivers(s), DOMAINS);
+	check_and_free(s);
+}
+
+static void leaving_driver_of_a_cell_hands_over_its_runs(void)
+{
+	struct fsim *s = start_fleet();
+	int old = find_driver_of(s, 0);
+	int k;
+
+	for (k = 0; k < DOMAINS; k++)
+		fsim_submit(s, k, 2, 500);
+	fsim_run(s, 40);
+	fsim_leave(s, old);
+	fsim_run(s, 300);
+	CU_ASSERT(find_driver_of(s, 0) >= 0);
+	CU_ASSERT_NOT_EQUAL(find_driver_of(s, 0), old);
+	fsim_run(s, 300);
+	CU_ASSERT_EQUAL(fsim_count_outcomes(s, FLEET_COMPLETED), DOMAINS);
+	check_and_free(s);
+}
+
+static void restarted_fleet_stays_divided(void)
+{
+	struct fsim *s = start_fleet();
+	int k;
+
+	for (k = 0; k < s->n_instances; k++)
+		fsim_kill(s, k);
+	fsim_run(s, 100);
+	for (k = 0; k < s->n_instances; k++)
+		fsim_start(s, k);
+	fsim_run(s, 1500);
+	CU_ASSERT_EQUAL(count_drivers(s), DOMAINS);
+	for (k = 0; k < DOMAINS; k++)
+		CU_ASSERT_EQUAL(complete_jobs(s, k, 1, 120), 1);
+	check_and_free(s);
+}
+
+static void busy_own_cell_is_passed_over_for_one_with_room(void)
+{
+	struct rng rng = {1};
+	struct cell_view v[3] = {
+		{true, false, true, 100, 50},
+		{true, false, false, 100, 60},
+		{true, false, false, 100, 20},
+	};
+	int i;
+
+	CU_ASSERT_EQUAL(cell_choose(v, 3, 8, &rng), 0);
+	v[0].free_cpu_milli = 7;
+	v[2].free_cpu_milli = 7;
+	for (i = 0; i < 10; i++)
+		CU_ASSERT_EQUAL(cell_choose(v, 3, 8, &rng), 1);
+	v[1].tried = true;
+	CU_ASSERT_EQUAL(cell_choose(v, 3, 8, &rng), 0);
+	v[0].reachable = false;
+	CU_ASSERT_EQUAL(cell_choose(v, 3, 8, &rng), 2);
+	v[2].tried = true;
+	CU_ASSERT_EQUAL(cell_choose(v, 3, 8, &rng), 3);
+}
+
+/* A home that always took the emptiest cell would overrun it. */
+static void emptiest_cell_does_not_get_all_jobs(void)
+{
+	struct rng rng = {1};
+	struct cell_view v[4] = {
+		{true, false, true, 100, 0},
+		{true, false, false, 100, 60},
+		{true, false, false, 100, 50},
+		{true, false, false, 100, 40},
+	};
+	unsigned counts[4] = {0};
+	int i;
+
+	for (i = 0; i < 300; i++)
+		counts[cell_choose(v, 4, 8, &rng)]++;
+	CU_ASSERT_EQUAL(counts[0], 0);
+	CU_ASSERT(counts[1] > counts[2]);
+	CU_ASSERT(counts[1] < 250);
+	CU_ASSERT(counts[2] > 50);
+}
+
+SUITE(cells)
+{
+	TEST(each_domain_has_its_own_driver);
+	TEST(fleet_with_few_workers_has_one_driver);
+	TEST(load_of_one_domain_spreads_to_the_others);
+	TEST(load_beyond_all_capacity_is_refused_at_once);
+	TEST(lost_driver_of_a_cell_stops_no_other_cell);
+	TEST(callers_of_a_cell_without_driver_are_served);
+	TEST(cut_off_domain_keeps_its_driver);
+	TEST(leaving_driver_of_a_cell_hands_over_its_runs);
+	TEST(restarted_fleet_stays_divided);
+	TEST(busy_own_cell_is_passed_over_for_one_with_room);
+	TEST(emptiest_cell_does_not_get_all_jobs);
+}
--- a/test/unit/fleet_random_test.c
+++ b/test/unit/fleet_random_test.c
@@ -1,8 +1,8 @@
 /*
  * Tests of whole fleets under random faults: no task has two runs at one time,
  * no job is answered as not run after a start, and all jobs are served after
- * the faults. FLEET_SEEDS="first last" selects the seeds, and FLEET_MIXED
- * leaves out the plain runs.
+ * the faults. FLEET_SEEDS="first last" selects the seeds, FLEET_MIXED leaves out
+ * the plain runs, and FLEET_DIVIDED the mixed runs of an undivided fleet.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -22,15 +22,16 @@
 	log_init(&opt);
 }
 
-static void run_seed(unsigned long seed, bool mixed)
+static const char *const mode_names[] = {"", " mixed", " divided"};
+
+static void run_seed(unsigned long seed, enum fsim_mode mode)
 {
 	char message[200];
-	bool ok = fsim_run_random(seed, RUN_MS, mixed, message,
-				  sizeof(message));
+	bool ok = fsim_run_random(seed, RUN_MS, mode, message, sizeof(message));
 
 	CU_ASSERT(ok);
 	if (!ok)
-		printf("\nfleet seed %lu%s: %s\n", seed, mixed ? " mixed" : "",
+		printf("\nfleet seed %lu%s: %s\n", seed, mode_names[mode],
 		       message);
 }
 
@@ -43,9 +44,9 @@
 
 	init_log();
 	for (i = 0; i < sizeof(seeds) / sizeof(*seeds); i++)
-		run_seed(seeds[i], false);
+		run_seed(seeds[i], FSIM_PLAIN);
 	for (i = 0; i < sizeof(mixed) / sizeof(*mixed); i++)
-		run_seed(mixed[i], true);
+		run_seed(mixed[i], FSIM_MIXED);
 }
 
 static void random_faults(void)
@@ -58,9 +59,12 @@
 		sscanf(env, "%lu %lu", &first, &last);
 	for (seed = first; seed <= last; seed++)
 		if (!getenv("FLEET_MIXED"))
-			run_seed(seed, false);
+			run_seed(seed, FSIM_PLAIN);
+	for (seed = first; seed <= last; seed++)
+		if (!getenv("FLEET_DIVIDED"))
+			run_seed(seed, FSIM_MIXED);
 	for (seed = first; seed <= last; seed++)
-		run_seed(seed, true);
+		run_seed(seed, FSIM_DIVIDED);
 }
 
 SUITE(fleet_random)
