Refuse at once what a late driver would begin too late

Each begun job costs it the starts and lists of its tasks, which makes all other jobs later.

The driver now looks at how long events waited before it read them, the longest turn of its loop of the last fifth of a second. A new job whose slack is shorter than two such turns, in which a start is sent and answered, is refused at once with a time to come back, or tried in another cell. This costs the driver one message. A driver that is less than 20 ms late refuses nothing, and a job that another driver may have begun is never refused so.

--- a/src/cmd/fleet_components.c
+++ b/src/cmd/fleet_components.c
@@ -79,6 +79,13 @@
 	worker_client_hold(d->workers, call);
 }
 
+static uint32_t fleet_late_cb(void *ctx)
+{
+	const struct fleet_daemon *d = ctx;
+
+	return loop_turns_longest_ms(&d->turns);
+}
+
 static void open_fleet(struct fleet_daemon *d)
 {
 	struct fleet_options opt = {
@@ -100,6 +107,7 @@
 		.start = fleet_start_cb,
 		.stop = fleet_stop_cb,
 		.hold = fleet_hold_cb,
+		.get_late_ms = fleet_late_cb,
 	};
 
 	d->fleet = cells_new(&opt, fleet_daemon_now());
--- a/src/drive/admit.c
+++ b/src/drive/admit.c
@@ -8,7 +8,9 @@
 
 enum {
 	REFUSED_RETRY_MS = 1000,
-	TOO_LARGE_RETRY_MS = 0 /* a retry is useless: the job never fits */
+	TOO_LARGE_RETRY_MS = 0, /* a retry is useless: the job never fits */
+	LATE_MIN_MS = 20, /* a driver that is less late refuses nothing */
+	LATE_TURNS = 2 /* in which a start is sent and answered */
 };
 
 static bool add_waiter(struct job *j, uint64_t home, uint64_t tag,
@@ -253,6 +255,27 @@
 			"no_room_in_time", now);
 }
 
+/*
+ * Whether the driver is too late to begin the job before its latest start. For
+ * a load that the driver cannot carry: each job that it begins makes it later,
+ * while a refusal costs it little, and the caller can go elsewhere.
+ */
+static bool is_driver_too_late(struct drive *d, const struct drive_job *spec)
+{
+	uint32_t late_ms = d->opt.get_late_ms(d->opt.ctx);
+	struct run_time *rt;
+	double slack_ms;
+
+	/* Another driver may have begun a job that is submitted again. */
+	if (late_ms < LATE_MIN_MS || spec->generation)
+		return false;
+	rt = run_time_get(&d->run_times, spec->route);
+	slack_ms = run_time_expected_ms(rt, spec->estimate_ms) *
+			   ((double)spec->objective_percent / 100 - 1) +
+		   spec->objective_add_ms - spec->age_ms;
+	return slack_ms < (double)late_ms * LATE_TURNS;
+}
+
 void drive_submit(struct drive *d, int64_t now, uint64_t home, uint64_t tag,
 		  const struct drive_job *spec)
 {
@@ -271,6 +294,12 @@
 		join_job(d, j, home, tag, spec, now);
 		return;
 	}
+	if (is_driver_too_late(d, spec)) {
+		d->counts.refused_late++;
+		refuse_submission(d, home, tag, spec, REFUSED_RETRY_MS,
+				  "driver_late");
+		return;
+	}
 	j = job_new(d, spec, now);
 	add_waiter(j, home, tag, spec->generation);
 	adopt_runs(d, j);
--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -188,6 +188,8 @@
 	 */
 	uint64_t (*choose_higher_epoch)(void *ctx,
 					const struct drive_worker *worker);
+	/* How long events waited lately before this process read them. */
+	uint32_t (*get_late_ms)(void *ctx);
 };
 
 /* Totals since the start, for the metrics. */
@@ -196,6 +198,7 @@
 	uint64_t starts, ends_done, ends_failed, ends_other;
 	uint64_t starts_refused, starts_unanswered, stops, stalls, holds;
 	uint64_t ejections, adopted;
+	uint64_t refused_late; /* as this driver was late */
 	uint64_t silences; /* workers that stopped answering */
 	uint64_t queued, running, workers, workers_usable; /* current */
 	/* From a job's arrival at its home until it begins, in ms. */
--- a/src/fleet/cells.c
+++ b/src/fleet/cells.c
@@ -74,6 +74,13 @@
 	c->opt.hold(c->opt.ctx, call);
 }
 
+static uint32_t on_whole_get_late_ms(void *ctx)
+{
+	struct cells *c = ctx;
+
+	return c->opt.get_late_ms(c->opt.ctx);
+}
+
 /* Callbacks of a cell's fleet. */
 
 static void on_cell_answer(void *ctx, uint64_t tag,
@@ -139,6 +146,13 @@
 	on_whole_hold(cell->cells, &c);
 }
 
+static uint32_t on_cell_get_late_ms(void *ctx)
+{
+	const struct cell *cell = ctx;
+
+	return on_whole_get_late_ms(cell->cells);
+}
+
 struct cells *cells_new(const struct fleet_options *opt, int64_t now)
 {
 	struct cells *c = xcalloc(1, sizeof(*c));
@@ -156,6 +170,7 @@
 	whole.start = on_whole_start;
 	whole.stop = on_whole_stop;
 	whole.hold = on_whole_hold;
+	whole.get_late_ms = on_whole_get_late_ms;
 	c->whole = fleet_new(&whole, now);
 	return c;
 }
@@ -194,6 +209,7 @@
 	opt.start = on_cell_start;
 	opt.stop = on_cell_stop;
 	opt.hold = on_cell_hold;
+	opt.get_late_ms = on_cell_get_late_ms;
 	cell->fleet = fleet_new(&opt, now);
 	for (i = 0; i < whole->n_peers; i++)
 		if (whole->peers[i].link_up)
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -141,6 +141,13 @@
 	f->opt.hold(f->opt.ctx, call);
 }
 
+static uint32_t on_get_late_ms(void *ctx)
+{
+	struct fleet *f = ctx;
+
+	return f->opt.get_late_ms(f->opt.ctx);
+}
+
 struct fleet *fleet_new(const struct fleet_options *opt, int64_t now)
 {
 	struct fleet *f = xcalloc(1, sizeof(*f));
@@ -154,6 +161,7 @@
 		.job_done = on_job_done,
 		.is_home_reachable = on_is_home_reachable,
 		.choose_higher_epoch = on_fenced,
+		.get_late_ms = on_get_late_ms,
 	};
 
 	f->opt = *opt;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -70,6 +70,8 @@
 	void (*start)(void *ctx, const struct drive_start *call);
 	void (*stop)(void *ctx, const struct drive_stop *call);
 	void (*hold)(void *ctx, const struct drive_hold *call);
+	/* How long events waited lately before this process read them. */
+	uint32_t (*get_late_ms)(void *ctx);
 };
 
 struct fleet;
--- a/test/bench/fleet_simulate.c
+++ b/test/bench/fleet_simulate.c
@@ -179,6 +179,11 @@
 	return 0;
 }
 
+static uint32_t is_in_time(void *ctx)
+{
+	return 0;
+}
+
 /* Workers. */
 
 static void send_answer(struct simulation *sim, enum call_kind kind,
@@ -512,6 +517,7 @@
 		.job_done = on_done,
 		.is_home_reachable = is_home_reachable,
 		.choose_higher_epoch = keep_epoch,
+		.get_late_ms = is_in_time,
 	};
 
 	sim->now = BEGIN_AT - WARM_UP_MS;
--- a/test/sim/fleet_sim.c
+++ b/test/sim/fleet_sim.c
@@ -17,6 +17,7 @@
 	LINK_INTERVAL_MS = 200, /* between attempts to open links */
 	LEASE_MS = 1000,
 	HOLD_WAIT_MS = 200,
+	US_PER_MS = 1000,
 	LATE_MIN_MS = 2000,
 	LATE_SPREAD_MS = 10000
 };
@@ -34,6 +35,7 @@
 struct fsim_event {
 	struct fsim_event *next;
 	int64_t at;
+	int64_t arrived_at; /* zero: not at a busy instance yet */
 	enum event_kind kind;
 	int instance; /* the receiver, or the sender of a call */
 	uint64_t incarnation; /* incarnation of `instance` */
@@ -257,6 +259,25 @@
 	push_event(s, e);
 }
 
+static int64_t late_us(const struct fsim_instance *i)
+{
+	int64_t us = i->busy_until_us - i->sim->now * US_PER_MS;
+
+	return us > 0 ? us : 0;
+}
+
+static uint32_t on_get_late_ms(void *ctx)
+{
+	const struct fsim_instance *i = ctx;
+
+	return i->event_late_ms;
+}
+
+static void use_processor(struct fsim_instance *i, uint32_t us)
+{
+	i->busy_until_us = i->sim->now * US_PER_MS + late_us(i) + us;
+}
+
 static void on_start(void *ctx, const struct drive_start *call)
 {
 	struct fsim_instance *i = ctx;
@@ -267,6 +288,7 @@
 	e->run = call->run;
 	e->fence = call->fence;
 	e->lease_expires_at = call->lease_expires_at;
+	use_processor(i, i->sim->start_us);
 	send_call(i->sim, e);
 }
 
@@ -429,6 +451,15 @@
 		push_event(s, e);
 		return;
 	}
+	if (!e->arrived_at)
+		e->arrived_at = s->now;
+	if (late_us(i) >= US_PER_MS) {
+		e->at = s->now + late_us(i) / US_PER_MS;
+		push_event(s, e);
+		return;
+	}
+	use_processor(i, s->event_us);
+	i->event_late_ms = (uint32_t)(s->now - e->arrived_at);
 	log_context_set(i->instance.name);
 	if (e->kind == EVENT_MESSAGE) {
 		struct syc_bytes msg = {e->bytes, e->len};
@@ -485,7 +516,7 @@
 		.memory_mb = 64,
 		.estimate_ms = j->run_ms,
 		.objective_percent = 160,
-		.objective_add_ms = 1000,
+		.objective_add_ms = s->objective_add_ms,
 		.deadline_ms = DEADLINE_MS,
 		.body = {"x", 1},
 	};
@@ -623,8 +654,11 @@
 		.start = on_start,
 		.stop = on_stop,
 		.hold = on_hold,
+		.get_late_ms = on_get_late_ms,
 	};
 	i->paused_until = 0;
+	i->busy_until_us = 0;
+	i->next_tick_at = 0;
 	i->cells = cells_new(&opt, s->now);
 	i->fleet = cells_whole(i->cells);
 	cells_set_config(i->cells, s->now, 1,
@@ -760,7 +794,9 @@
 		struct fsim_instance *in = &s->instances[k];
 
 		if (in->fleet && s->now >= in->paused_until &&
-		    (s->now + k) % TICK_MS == 0) {
+		    (s->now + k) % TICK_MS == 0 && s->now >= in->next_tick_at) {
+			/* A late loop reaches its timers once a turn. */
+			in->next_tick_at = s->now + late_us(in) / US_PER_MS;
 			log_context_set(in->instance.name);
 			cells_tick(in->cells, s->now);
 		}
@@ -803,6 +839,7 @@
 	int k;
 
 	s->divided = divided;
+	s->objective_add_ms = 1000;
 	s->n_instances = divided ? FSIM_INSTANCES_MAX : FSIM_INSTANCES;
 
 	s->rng.state = seed;
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -17,7 +17,7 @@
 	FSIM_WORKERS = 12,
 	FSIM_RUNS = 16, /* on one worker */
 	FSIM_ENDS = 64, /* ended runs of one worker, not acknowledged yet */
-	FSIM_JOBS = 512
+	FSIM_JOBS = 4096
 };
 
 struct fsim;
@@ -31,6 +31,9 @@
 	int domain;
 	int64_t paused_until;
 	bool cut; /* cut off from all other instances */
+	int64_t busy_until_us; /* it handles no event before */
+	int64_t next_tick_at;
+	uint32_t event_late_ms; /* how long the last event waited for it */
 	uint32_t capacity; /* of its next start; zero: unknown */
 };
 
@@ -98,6 +101,10 @@
 	bool linked[FSIM_INSTANCES_MAX][FSIM_INSTANCES_MAX];
 	bool domain_cut[FSIM_DOMAINS]; /* cut off from the others */
 	bool callers_leave_early; /* if their home is not reachable */
+	/* Processor time of an instance; zero: it is always in time. */
+	uint32_t event_us, start_us;
+	uint32_t
+		objective_add_ms; /* of jobs, besides 1.6 times their run time */
 	unsigned late_percent; /* share of calls that arrive 2 to 12 s late */
 	struct fsim_client *clients; /* of the store, for all incarnations */
 	struct fsim_event *events; /* in the order of their times */
--- a/test/unit/drive_fake.c
+++ b/test/unit/drive_fake.c
@@ -77,6 +77,13 @@
 	return f->raised_epoch;
 }
 
+static uint32_t on_get_late_ms(void *ctx)
+{
+	const struct drive_fake *f = ctx;
+
+	return f->late_ms;
+}
+
 void drive_fake_init(struct drive_fake *f, size_t n)
 {
 	struct drive_worker list[FAKE_WORKERS_MAX];
@@ -90,6 +97,7 @@
 		.job_done = on_job_done,
 		.is_home_reachable = on_is_home_reachable,
 		.choose_higher_epoch = on_fenced,
+		.get_late_ms = on_get_late_ms,
 	};
 	size_t i;
 
--- a/test/unit/drive_fake.h
+++ b/test/unit/drive_fake.h
@@ -33,6 +33,7 @@
 	struct drive_job_done jobs_done[FAKE_CALLS_MAX];
 	size_t n_starts, n_stops, n_holds, n_jobs_done;
 	bool homes_unreachable;
+	uint32_t late_ms; /* that the driver takes itself to be */
 	uint64_t raised_epoch; /* returned for a fenced worker */
 	int n_fenced;
 };
--- a/test/unit/drive_test.c
+++ b/test/unit/drive_test.c
@@ -597,6 +597,32 @@
 	drive_fake_free(&f);
 }
 
+static void late_driver_refuses_what_it_would_begin_too_late(void)
+{
+	struct drive_job quick = drive_fake_job("quick", 1);
+	struct drive_job patient = drive_fake_job("patient", 1);
+	struct drive_job again = drive_fake_job("again", 1);
+	struct drive_fake f;
+
+	drive_fake_init(&f, 2);
+	quick.objective_add_ms = 100;
+	again.objective_add_ms = 100;
+	again.generation = 1;
+	f.late_ms = 60;
+	drive_fake_submit(&f, 1, &quick);
+	CU_ASSERT_EQUAL(f.n_jobs_done, 1);
+	CU_ASSERT_EQUAL(f.jobs_done[0].outcome, DRIVE_REFUSED);
+	CU_ASSERT(f.jobs_done[0].retry_after_ms > 0);
+	CU_ASSERT_EQUAL(f.n_starts, 0);
+	drive_fake_submit(&f, 2, &patient);
+	drive_fake_submit(&f, 3, &again);
+	CU_ASSERT_EQUAL(f.n_jobs_done, 1);
+	f.late_ms = 0;
+	drive_fake_submit(&f, 4, &quick);
+	CU_ASSERT_EQUAL(f.n_jobs_done, 1);
+	drive_fake_free(&f);
+}
+
 /* The driver itself was late: no list told it that the tasks stand still. */
 static void late_driver_takes_no_task_for_stalled(void)
 {
@@ -661,6 +687,7 @@
 	TEST(fence_is_raised_for_one_worker_alone);
 	TEST(leaving_worker_gets_no_new_task);
 	TEST(fence_is_kept_when_a_worker_is_listed_again);
+	TEST(late_driver_refuses_what_it_would_begin_too_late);
 	TEST(late_driver_takes_no_task_for_stalled);
 	TEST(deadline_ends_a_job);
 }
--- a/test/unit/fleet_test.c
+++ b/test/unit/fleet_test.c
@@ -380,6 +380,65 @@
 	check_and_free(s);
 }
 
+enum { LOAD_TASKS = 2, LOAD_RUN_MS = 20, LOAD_STEP_MS = 10 };
+
+/* Submits `per_s` jobs a second for `ms`; returns the number of the first. */
+static size_t submit_load(struct fsim *s, unsigned per_s, int64_t ms)
+{
+	size_t first = s->n_jobs;
+	int64_t began_at = s->now;
+
+	while (s->now < began_at + ms) {
+		size_t due = (size_t)(s->now - began_at) * per_s / 1000;
+
+		while (s->n_jobs - first < due)
+			fsim_submit(s, (int)(s->n_jobs % DOMAINS), LOAD_TASKS,
+				    LOAD_RUN_MS);
+		fsim_run(s, LOAD_STEP_MS);
+	}
+	return first;
+}
+
+/* How many of 100 jobs from `first` on completed within `limit_ms`. */
+static size_t percent_completed(const struct fsim *s, size_t first, size_t end,
+				int64_t limit_ms)
+{
+	size_t i, n = 0;
+
+	for (i = first; i < end; i++)
+		n += s->jobs[i].answered &&
+		     s->jobs[i].outcome == FLEET_COMPLETED &&
+		     s->jobs[i].ended_at - s->jobs[i].began_at <= limit_ms;
+	return n * 100 / (end - first);
+}
+
+/*
+ * The driver carries about 110 of these jobs a second. It gets 60, then 400 for
+ * three seconds, then 60 again. The workers have capacity for all. In the
+ * overload, half of what the driver carries must be served.
+ */
+static void service_returns_when_an_overload_ends(void)
+{
+	struct fsim *s = start_fleet();
+	size_t before, during, after, settled;
+	int driver;
+
+	s->event_us = 100;
+	s->start_us = 4000;
+	s->objective_add_ms = 100;
+	before = submit_load(s, 60, 1000);
+	driver = fsim_find_driver(s);
+	during = submit_load(s, 400, 3000);
+	after = submit_load(s, 60, 1000);
+	settled = submit_load(s, 60, 1000);
+	fsim_run(s, 300);
+	CU_ASSERT_EQUAL(fsim_find_driver(s), driver);
+	CU_ASSERT(percent_completed(s, before, during, 150) >= 99);
+	CU_ASSERT(percent_completed(s, during, after, 150) >= 110 * 50 / 400);
+	CU_ASSERT(percent_completed(s, settled, s->n_jobs, 150) >= 99);
+	check_and_free(s);
+}
+
 static void restarted_fleet_elects_a_driver(void)
 {
 	struct fsim *s = start_fleet();
@@ -415,5 +474,6 @@
 	TEST(job_that_reaches_a_late_driver_is_not_lost);
 	TEST(weak_machine_drives_only_if_no_stronger_one_is_up);
 	TEST(weak_driver_yields_to_a_strong_instance_that_returns);
+	TEST(service_returns_when_an_overload_ends);
 	TEST(restarted_fleet_elects_a_driver);
 }
