--- a/test/process/30-fleet.sh
+++ b/test/process/30-fleet.sh
@@ -6,87 +6,9 @@
 # two runs at the same time.
 . "$(dirname "$0")/case.sh"
 
-JOBS_MS=3000
-n_jobs=0
+. "$(dirname "$0")/fleet_lib.sh"
 
-start_platform() {
-	spawn platform "$STANDIN" fleet --workers 6 --run-ms 60
-	wait_for "$DIR/platform.out" listening "$(pid_of platform)" ||
-		die "the platform's stand-in did not start"
-	STORE=$(sed -n 's/^listening //p' "$DIR/platform.out")
-}
-
-# start_instance NAME DOMAIN
-start_instance() {
-	cat >"$DIR/$1.conf" <<-END
-	[instance]
-	name = $1
-	domain = $2
-	[listen]
-	callers = 127.0.0.1:0
-	peers = 127.0.0.1:0
-	admin = 127.0.0.1:0
-	[cluster]
-	name = process test
-	[platform]
-	store = $STORE
-	END
-	spawn "$1" "$SHORE" fleet --settings "$DIR/$1.conf"
-	wait_for "$DIR/$1.out" callers_port= "$(pid_of "$1")" ||
-		die "$1 did not start"
-	for which in callers admin
-	do
-		sed -n "s/.*${which}_port=\([0-9]*\).*/127.0.0.1:\1/p" \
-			"$DIR/$1.out" | tail -1 >"$DIR/$1.$which"
-	done
-}
-
-# wait_ready NAME: waits until /readyz of the instance answers 200.
-wait_ready() {
-	left=$((WAIT_S * 20))
-	until ask GET "$(cat "$DIR/$1.admin")" /readyz | grep -q '^200'
-	do
-		left=$((left - 1))
-		[ "$left" -gt 0 ] || die "$1 is not ready after $WAIT_S s"
-		sleep 0.05
-	done
-}
-
-# job NAME: submits a job of four tasks and prints the answer's status.
-job() {
-	n_jobs=$((n_jobs + 1))
-	ask POST "$(cat "$DIR/$1.callers")" \
-		"/quick/$(printf '%016x' $n_jobs)" --body \
-		'{"taskSpec":"x","bestEffort":true,"steps":[{"count":4,"cpu":8000,"memMb":64,"estimatedMs":60}]}' |
-		head -1
-}
-
-# wait_served NAME: waits until a job is served; jobs may be refused before.
-wait_served() {
-	left=$((WAIT_S * 5))
-	until [ "$(job "$1")" = 200 ]
-	do
-		left=$((left - 1))
-		[ "$left" -gt 0 ] || die "$1 serves no job after $WAIT_S s"
-		sleep 0.2
-	done
-}
-
-# driver NAME...: the first of these instances that is the driver.
-driver() {
-	for i in "$@"
-	do
-		ask GET "$(cat "$DIR/$i.admin")" /metrics |
-			grep -q '^sycamoreshore_drives 1' && echo "$i"
-	done | head -1
-}
-
-# counts MEMBER: a count of the platform's stand-in.
-counts() {
-	ask GET "$STORE" /standin/counts | sed -n "s/.*\"$1\":\([0-9]*\).*/\1/p"
-}
-
-start_platform
+start_platform 6
 start_instance a d0
 start_instance b d1
 start_instance c d0
