Let an instance that missed the division drive nothing

An instance that read the map before the fleet was divided, and has lost the store since, went on as in an undivided fleet: when its domain was cut off it drove the domain's workers beside the driver of the cell, and both raised fences until the next one answered; its callers' jobs went to a driver that drives nothing.

Heartbeats now say whether their sender works in a divided fleet. An instance that does not know the cells by itself does not drive, is not ready, and refuses its callers' jobs at once. Found by reading; the test failed before (the rule taken out): the instance drove.

--- a/src/fleet/election.c
+++ b/src/fleet/election.c
@@ -330,7 +330,7 @@
 			 LOG_U("epoch", f->epoch));
 		heartbeat_send_all(f, now);
 	}
-	if (!fleet_is_member(f))
+	if (!fleet_is_member(f) || fleet_misses_division(f))
 		return;
 	if (f->takeover_in_flight) {
 		if (now > f->takeover_deadline_at)
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -93,6 +93,11 @@
 	return f->map.n_cells > 0;
 }
 
+bool fleet_misses_division(const struct fleet *f)
+{
+	return f->missed_division && !fleet_is_divided(f);
+}
+
 void fleet_retire(struct fleet *f, int64_t now)
 {
 	log_info("fleet_divided", LOG_U("cells", f->map.n_cells),
@@ -327,6 +332,8 @@
 		*why = "stopping";
 	else if (!f->config_version)
 		*why = "no configuration yet";
+	else if (fleet_misses_division(f))
+		*why = "the cells are not known yet";
 	else if (!f->driver)
 		*why = "no driver yet";
 	else if (!f->workers_known)
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -98,6 +98,8 @@
 	int64_t workers_failed_at; /* the last failed read */
 
 	/* division.c */
+	/* A peer works in a division that this instance has not read yet. */
+	bool missed_division;
 	struct fleet_map wanted_cells; /* its cells; none: no division */
 
 	/* config */
@@ -133,6 +135,11 @@
 bool fleet_is_member(const struct fleet *f);
 /* Whether the fleet is divided into cells, so that this one drives nothing. */
 bool fleet_is_divided(const struct fleet *f);
+/*
+ * Whether the fleet is divided and this instance does not know its cells, as
+ * the store is unreachable. It must not drive, and its jobs have no driver.
+ */
+bool fleet_misses_division(const struct fleet *f);
 /* Ends the drive and all jobs, as the cells drive the workers from now on. */
 void fleet_retire(struct fleet *f, int64_t now);
 
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -19,7 +19,7 @@
 	 * list of workers.
 	 */
 	DOMAIN_UNREACHABLE_MS = 5000,
-	HEARTBEAT_FIELDS = 11
+	HEARTBEAT_FIELDS = 12
 };
 
 const struct fleet_peer *heartbeat_find_peer(const struct fleet *f, uint64_t id)
@@ -69,6 +69,7 @@
 	wire_put_bool(&w, f->yielding);
 	wire_put_u64(&w, room.cpu_milli);
 	wire_put_u64(&w, room.free_cpu_milli);
+	wire_put_bool(&w, fleet_is_divided(f));
 	f->opt.send(f->opt.ctx, to, wire_bytes(&w));
 }
 
@@ -154,12 +155,14 @@
 }
 
 /* Instances of earlier versions do not send these. */
-static void read_newer_fields(struct fleet_peer *p, struct wire_in *w)
+static void read_newer_fields(struct fleet *f, struct fleet_peer *p,
+			      struct wire_in *w)
 {
 	p->capacity = (uint32_t)wire_u64(w);
 	p->yields = wire_bool(w);
 	p->room.cpu_milli = wire_u64(w);
 	p->room.free_cpu_milli = wire_u64(w);
+	f->missed_division |= wire_bool(w);
 }
 
 bool heartbeat_receive(struct fleet *f, int64_t now, struct fleet_peer *p,
@@ -177,7 +180,7 @@
 	p->has_driver = wire_bool(&w);
 	p->drives_domain = wire_bool(&w);
 	if (wire_has_more(&w))
-		read_newer_fields(p, &w);
+		read_newer_fields(f, p, &w);
 	if (!wire_close(&w))
 		return false;
 	if (fleet_is_resuming(f, now)) {
--- a/src/fleet/home.c
+++ b/src/fleet/home.c
@@ -261,7 +261,8 @@
 
 static void tick_job(struct fleet *f, struct home_job *j, int64_t now)
 {
-	bool is_takeover_overdue = election_is_takeover_overdue(f, now);
+	bool is_takeover_overdue = election_is_takeover_overdue(f, now) ||
+				   fleet_misses_division(f);
 
 	if (j->is_cancelled) {
 		if (now > j->deadline_at + DEADLINE_SLACK_MS)
--- a/test/unit/cells_test.c
+++ b/test/unit/cells_test.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "fleet/cell_choice.h"
+#include "fleet/fleet_state.h"
 #include "sim/fleet_sim.h"
 #include "unit.h"
 #include "util/log.h"
@@ -202,6 +203,53 @@
 	check_and_free(s);
 }
 
+static bool is_in_domain_of_whole_driver(const struct fsim *s, int k)
+{
+	uint64_t driver = s->instances[k].fleet->driver;
+	int i;
+
+	for (i = 0; i < s->n_instances; i++)
+		if (s->instances[i].instance.id == driver)
+			return s->instances[i].domain == s->instances[k].domain;
+	return false;
+}
+
+/* Its domain is cut off too, and it must not drive it beside the cell. */
+static void instance_that_missed_the_division_drives_nothing(void)
+{
+	struct drive_worker list[FSIM_WORKERS];
+	struct fsim *s = start_fleet();
+	bool drove = false;
+	int i, k = 0;
+
+	/* The driver of the whole fleet is in another domain. */
+	while (is_in_domain_of_whole_driver(s, k))
+		k++;
+	fsim_kill(s, k);
+	fsim_run(s, 500);
+	/* It has a map without the cells, knows the workers, and no store. */
+	fsim_start(s, k);
+	s->instances[k].store->cut = true;
+	s->instances[k].fleet->map =
+		s->instances[(k + 1) % s->n_instances].fleet->map;
+	s->instances[k].fleet->map.n_cells = 0;
+	s->instances[k].fleet->map_known = true;
+	for (i = 0; i < FSIM_WORKERS; i++)
+		list[i] = s->workers[i].info;
+	fleet_set_workers(s->instances[k].fleet, s->now, list, FSIM_WORKERS);
+	fsim_run(s, 1000);
+	CU_ASSERT_EQUAL(cells_count(s->instances[k].cells), 0);
+	fsim_cut_domain(s, s->instances[k].domain, true);
+	for (i = 0; i < 300; i++) {
+		fsim_run(s, 10);
+		drove |= fleet_is_driver(s->instances[k].fleet);
+	}
+	CU_ASSERT_FALSE(drove);
+	CU_ASSERT_EQUAL(count_drivers(s), DOMAINS);
+	fsim_cut_domain(s, s->instances[k].domain, false);
+	check_and_free(s);
+}
+
 static void busy_own_cell_is_passed_over_for_one_with_room(void)
 {
 	struct rng rng = {1};
@@ -257,6 +305,7 @@
 	TEST(cut_off_domain_keeps_its_driver);
 	TEST(leaving_driver_of_a_cell_hands_over_its_runs);
 	TEST(restarted_fleet_stays_divided);
+	TEST(instance_that_missed_the_division_drives_nothing);
 	TEST(busy_own_cell_is_passed_over_for_one_with_room);
 	TEST(emptiest_cell_does_not_get_all_jobs);
 }
