--- a/test/measure/rules-out.sh
+++ b/test/measure/rules-out.sh
@@ -39,9 +39,10 @@
 	done
 	wait
 	found=$(cat "$dir"/found.* | sort -u)
-	printf '%-66s %s plain, %s mixed of %s\n' "$1" \
+	printf '%-66s %s plain, %s mixed, %s divided of %s\n' "$1" \
 		"$(echo "$found" | grep -c '[0-9]:')" \
-		"$(echo "$found" | grep -c 'mixed:')" "$last_seed"
+		"$(echo "$found" | grep -c 'mixed:')" \
+		"$(echo "$found" | grep -c 'divided:')" "$last_seed"
 }
 
 try_without "none: all rules are in place" "" ""
@@ -78,6 +79,12 @@
 try_without "messages that waited during a pause are not trusted" \
 	src/fleet/fleet.c \
 	's/PAUSED_MS = 200/PAUSED_MS = 2000000000/'
+try_without "a cell that does not know a job's outcome keeps the job" \
+	src/fleet/cell_jobs.c \
+	's/answer->outcome != FLEET_NOT_RUN || //'
+try_without "epochs of a cell are above those of the whole fleet" \
+	src/fleet/cells.c \
+	's/^	opt.epoch_floor = whole->epoch;$//'
 try_without "a domain is cut off only if no other domain answers" \
 	src/fleet/isolated.c \
 	's/if (!f->has_probe_answer && /if (/'
