Split the cells' connection with the daemon and the yield into files

No change of behaviour: the whole fleet is a cell of the same struct, so one set of callbacks serves both kinds; the yield leaves the election's file.

--- a/src/fleet/cell_jobs.c
+++ b/src/fleet/cell_jobs.c
@@ -117,7 +117,7 @@
 	size_t number;
 
 	if (!c->n) {
-		fleet_submit(c->whole, now, tag, job);
+		fleet_submit(c->whole.fleet, now, tag, job);
 		return;
 	}
 	j = add_job(c, tag);
@@ -168,7 +168,7 @@
 	struct cell_job *j = find_job(c, tag);
 
 	if (!j) {
-		fleet_cancel(c->whole, now, tag);
+		fleet_cancel(c->whole.fleet, now, tag);
 		return;
 	}
 	fleet_cancel(c->cells[j->cell].fleet, now, tag);
@@ -181,7 +181,7 @@
 	size_t i;
 
 	if (!c->n)
-		return fleet_cancel_id(c->whole, now, id);
+		return fleet_cancel_id(c->whole.fleet, now, id);
 	for (i = 0; i < c->n; i++)
 		sent |= fleet_cancel_id(c->cells[i].fleet, now, id);
 	return sent;
--- a/src/fleet/cells_state.h
+++ b/src/fleet/cells_state.h
@@ -6,7 +6,7 @@
 #include "fleet/fleet_state.h"
 #include "util/rng.h"
 
-/* One cell, as this instance sees it. */
+/* One cell, or the whole fleet, as this instance sees it. */
 struct cell {
 	struct cells *cells;
 	size_t number;
@@ -27,7 +27,7 @@
 
 struct cells {
 	struct fleet_options opt;
-	struct fleet *whole;
+	struct cell whole;
 	size_t n; /* zero: not divided */
 	struct cell cells[FLEET_CELLS_MAX];
 	struct table jobs; /* of struct cell_job */
@@ -36,6 +36,14 @@
 	bool workers_read_in_flight;
 };
 
+/* cell_fleet.c */
+/*
+ * Creates the fleet of `cell`, which drives the workers of `domain`; empty: of
+ * all domains. Its epochs are above `epoch_floor`.
+ */
+void cell_create_fleet(struct cell *cell, const char *domain,
+		       uint64_t epoch_floor, int64_t now);
+
 /* cell_jobs.c */
 /* Handles a cell's answer to a job: the caller's, or another cell is tried. */
 void cell_jobs_answered(struct cell *cell, uint64_t tag,
--- a/src/fleet/election.c
+++ b/src/fleet/election.c
@@ -4,8 +4,7 @@
  * takes over; among equals the one that started last, as a rolling restart
  * reaches it last. If two instances try at once, the map in the store decides
  * between them. While the store is unreachable the workers decide, as they obey
- * only the higher fence. A driver on a much weaker machine than another
- * instance's yields to it.
+ * only the higher fence.
  */
 #include "fleet/fleet_state.h"
 
@@ -25,13 +24,7 @@
 	 */
 	MINORITY_TAKEOVER_MS = 4500,
 	/* Time for the instance that raised a fence to announce itself. */
-	FENCED_TIMEOUT_MS = 2000,
-	/* A driver yields to an instance that can drive this multiple. */
-	YIELD_FACTOR = 2,
-	YIELD_UPTIME_MS = 3000, /* of the stronger instance, and as driver */
-	YIELD_TIMEOUT_MS = 500, /* longer than a planned takeover */
-	YIELD_RETRY_MS = 5000, /* doubled while no instance takes over */
-	YIELD_DOUBLINGS_MAX = 4
+	FENCED_TIMEOUT_MS = 2000
 };
 
 /* What decides which instance is the best driver. */
@@ -115,8 +108,8 @@
 	return a->id < b->id;
 }
 
-static bool is_reachable_member(const struct fleet *f,
-				const struct fleet_peer *p, int64_t now)
+bool election_is_reachable_member(const struct fleet *f,
+				  const struct fleet_peer *p, int64_t now)
 {
 	return heartbeat_is_reachable(p, now) &&
 	       fleet_is_member_domain(f, p->instance.domain);
@@ -139,7 +132,7 @@
 		const struct fleet_peer *p = &f->peers[i];
 		struct candidate peer = peer_candidate(p);
 
-		if (!is_reachable_member(f, p, now) || p->leaving ||
+		if (!election_is_reachable_member(f, p, now) || p->leaving ||
 		    p->instance.id == f->driver)
 			continue;
 		if (is_better_candidate(&peer, &self))
@@ -154,7 +147,7 @@
 	size_t i, n = 1;
 
 	for (i = 0; i < f->n_peers; i++)
-		if (is_reachable_member(f, &f->peers[i], now) &&
+		if (election_is_reachable_member(f, &f->peers[i], now) &&
 		    !f->peers[i].has_driver)
 			n++;
 	return n;
@@ -165,7 +158,7 @@
 	size_t i, n = 1;
 
 	for (i = 0; i < f->n_peers; i++)
-		n += is_reachable_member(f, &f->peers[i], now);
+		n += election_is_reachable_member(f, &f->peers[i], now);
 	return n * 2 > f->map.n_members;
 }
 
@@ -260,60 +253,12 @@
 	begin_driving(f, now, election_next_epoch(f));
 }
 
-static bool has_stronger_peer(const struct fleet *f, int64_t now)
-{
-	const struct fleet_peer *p;
-	size_t i;
-
-	for (i = 0; i < f->n_peers; i++) {
-		p = &f->peers[i];
-		if (is_reachable_member(f, p, now) && !p->leaving &&
-		    p->has_driver && p->uptime_ms >= YIELD_UPTIME_MS &&
-		    p->capacity >= (uint64_t)YIELD_FACTOR * f->opt.capacity)
-			return true;
-	}
-	return false;
-}
-
-static int64_t yield_retry_ms(const struct fleet *f)
-{
-	uint32_t doublings = f->n_yields < YIELD_DOUBLINGS_MAX
-				     ? f->n_yields
-				     : YIELD_DOUBLINGS_MAX;
-
-	return (int64_t)YIELD_RETRY_MS << doublings;
-}
-
-/* Lets a stronger instance take over, as a planned stop does. */
-static void check_yield(struct fleet *f, int64_t now)
-{
-	if (f->yielding) {
-		if (now - f->yield_began_at < YIELD_TIMEOUT_MS)
-			return;
-		f->yielding = false;
-		f->n_yields++;
-		f->next_yield_at = now + yield_retry_ms(f);
-		log_info("yield_ended", LOG_U("epoch", f->epoch),
-			 LOG_U("in_row", f->n_yields));
-		return;
-	}
-	if (!f->opt.capacity || f->store_unreachable ||
-	    now - f->drive_began_at < YIELD_UPTIME_MS ||
-	    now < f->next_yield_at || !has_stronger_peer(f, now))
-		return;
-	f->yielding = true;
-	f->yield_began_at = now;
-	log_info("yield_begun", LOG_U("epoch", f->epoch),
-		 LOG_U("capacity", f->opt.capacity));
-	heartbeat_send_all(f, now);
-}
-
 static void check_own_drive(struct fleet *f, int64_t now)
 {
 	if (f->driver != f->opt.self.id || f->domain_driver || f->leaving)
 		return;
 	check_fence(f, now);
-	check_yield(f, now);
+	yield_tick(f, now);
 }
 
 void election_tick(struct fleet *f, int64_t now)
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -60,6 +60,8 @@
 	int64_t driver_lost_at; /* zero: the fleet's driver is reachable */
 	int64_t driver_learned_at;
 	int64_t drive_began_at; /* when this instance began to drive */
+
+	/* yield.c */
 	/* This instance drives and lets a stronger one take over. */
 	bool yielding;
 	int64_t yield_began_at;
@@ -185,6 +187,14 @@
 /* Ends this takeover, as another instance changed the map first. */
 void election_lost(struct fleet *f);
 
+/* Whether the peer is a member of this fleet and reachable. */
+bool election_is_reachable_member(const struct fleet *f,
+				  const struct fleet_peer *p, int64_t now);
+
+/* yield.c */
+/* Called while this instance drives its whole fleet. */
+void yield_tick(struct fleet *f, int64_t now);
+
 /* isolated.c */
 /*
  * Probes whether this failure domain is cut off; if it is, this instance
--- a/test/measure/rules-out.sh
+++ b/test/measure/rules-out.sh
@@ -84,7 +84,7 @@
 	's/answer->outcome != FLEET_NOT_RUN || //'
 try_without "epochs of a cell are above those of the whole fleet" \
 	src/fleet/cells.c \
-	's/^	opt.epoch_floor = whole->epoch;$//'
+	's/whole->map.cells\[number\], whole->epoch, now/whole->map.cells[number], 0, now/'
 try_without "a domain is cut off only if no other domain answers" \
 	src/fleet/isolated.c \
 	's/if (!f->has_probe_answer && /if (/'
