--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -1,5 +1,4 @@
-/* Creates an instance of the fleet and passes events to its parts. */
-#include <jansson.h>
+/* Creates an instance of the fleet, and passes events to its parts. */
 #include <stdlib.h>
 #include <string.h>
 
@@ -199,106 +198,6 @@
 	home_tick(f, now);
 }
 
-static bool receive_job(struct fleet *f, int64_t now, uint64_t from,
-			struct syc_bytes msg)
-{
-	struct msg_job m;
-	struct wire_in w;
-	bool ok = msg_job_unpack(&w, msg, &m);
-
-	/*
-	 * An instance that does not drive drops the job, and its home submits
-	 * it again. A driver that was paused accepts the job, although its home
-	 * may have given it up meanwhile: it begins after a new heartbeat of
-	 * the home, which is sent after the cancellation and names the driver
-	 * that has the job now.
-	 */
-	if (ok && drive_is_active(f->drive))
-		drive_submit(f->drive, now, from, m.tag, &m.job);
-	return wire_close(&w) && ok;
-}
-
-static bool receive_job_done(struct fleet *f, int64_t now, struct syc_bytes msg)
-{
-	char reason[SYC_NAME_MAX];
-	uint32_t generation, retry_ms;
-	enum drive_outcome outcome;
-	struct wire_in w;
-	uint64_t tag;
-
-	wire_open(&w, msg);
-	tag = wire_u64(&w);
-	generation = (uint32_t)wire_u64(&w);
-	outcome = (enum drive_outcome)wire_u64(&w);
-	retry_ms = (uint32_t)wire_u64(&w);
-	wire_str(&w, reason, sizeof(reason));
-	if (!wire_close(&w) || outcome < DRIVE_COMPLETED ||
-	    outcome > DRIVE_ABORTED)
-		return false;
-	home_job_done(f, now, tag, generation, outcome, retry_ms, reason);
-	return true;
-}
-
-static bool receive_cancel(struct fleet *f, int64_t now, uint64_t from,
-			   struct syc_bytes msg)
-{
-	char id[DRIVE_JOB_ID_MAX];
-	struct wire_in w;
-	uint64_t tag;
-
-	wire_open(&w, msg);
-	tag = wire_u64(&w);
-	wire_str(&w, id, sizeof(id));
-	if (!wire_close(&w))
-		return false;
-	if (*id)
-		drive_cancel_id(f->drive, now, id);
-	else
-		drive_cancel(f->drive, now, from, tag);
-	return true;
-}
-
-static bool receive_config(struct fleet *f, struct syc_bytes msg)
-{
-	struct syc_bytes text;
-	struct wire_in w;
-	uint64_t version;
-
-	wire_open(&w, msg);
-	version = wire_u64(&w);
-	text = wire_view(&w);
-	if (!w.failed && version > f->config_version)
-		f->opt.config(f->opt.ctx, version, text);
-	return wire_close(&w);
-}
-
-bool fleet_receive(struct fleet *f, int64_t now, uint64_t from,
-		   struct syc_bytes msg)
-{
-	struct fleet_peer *p;
-
-	fleet_detect_pause(f, now);
-	p = heartbeat_get_peer(f, from);
-	if (!p)
-		return true; /* the peer was dropped meanwhile */
-	switch (wire_type(msg)) {
-	case SYC_PEER_FLEET_HEARTBEAT:
-		return heartbeat_receive(f, now, p, msg);
-	case SYC_PEER_JOB:
-		return receive_job(f, now, from, msg);
-	case SYC_PEER_JOB_DONE:
-		return receive_job_done(f, now, msg);
-	case SYC_PEER_JOB_CANCEL:
-		return receive_cancel(f, now, from, msg);
-	case SYC_PEER_CONFIG:
-		return receive_config(f, msg);
-	case SYC_PEER_WORKERS:
-		return workers_receive(f, now, msg);
-	default:
-		return false;
-	}
-}
-
 void fleet_set_config(struct fleet *f, int64_t now, uint64_t version,
 		      struct syc_bytes text)
 {
@@ -371,38 +270,3 @@
 			return false;
 	return true;
 }
-
-char *fleet_dump(const struct fleet *f, int64_t now)
-{
-	json_t *root, *peers = json_array(), *drive;
-	char *text = drive_dump(f->drive, now);
-	size_t i;
-
-	drive = json_loads(text, 0, NULL);
-	free(text);
-	for (i = 0; i < f->n_peers; i++) {
-		const struct fleet_peer *p = &f->peers[i];
-
-		json_array_append_new(
-			peers,
-			json_pack("{s:s, s:I, s:b, s:I, s:I, s:b}", "name",
-				  p->instance.name, "id",
-				  (json_int_t)p->instance.id, "up", p->link_up,
-				  "heard_ms",
-				  (json_int_t)(p->heartbeat_at
-						       ? now - p->heartbeat_at
-						       : -1),
-				  "uptime_ms", (json_int_t)p->uptime_ms,
-				  "leaving", p->leaving));
-	}
-	root = json_pack("{s:I, s:I, s:I, s:b, s:i, s:i, s:I, s:o, s:o}", "id",
-			 (json_int_t)f->opt.self.id, "driver",
-			 (json_int_t)f->driver, "epoch", (json_int_t)f->epoch,
-			 "store_away", f->store_unreachable, "members",
-			 (int)f->map.n_members, "jobs", (int)fleet_open_jobs(f),
-			 "config_version", (json_int_t)f->config_version,
-			 "peers", peers, "drive", drive);
-	text = json_dumps(root, JSON_INDENT(1));
-	json_decref(root);
-	return text;
-}
--- /dev/null
+++ b/src/fleet/fleet_dump.c
@@ -0,0 +1,40 @@
+/* Writes the state of a fleet as JSON, for operators. */
+#include <jansson.h>
+#include <stdlib.h>
+
+#include "fleet/fleet_state.h"
+
+char *fleet_dump(const struct fleet *f, int64_t now)
+{
+	json_t *root, *peers = json_array(), *drive;
+	char *text = drive_dump(f->drive, now);
+	size_t i;
+
+	drive = json_loads(text, 0, NULL);
+	free(text);
+	for (i = 0; i < f->n_peers; i++) {
+		const struct fleet_peer *p = &f->peers[i];
+
+		json_array_append_new(
+			peers,
+			json_pack("{s:s, s:I, s:b, s:I, s:I, s:b}", "name",
+				  p->instance.name, "id",
+				  (json_int_t)p->instance.id, "up", p->link_up,
+				  "heard_ms",
+				  (json_int_t)(p->heartbeat_at
+						       ? now - p->heartbeat_at
+						       : -1),
+				  "uptime_ms", (json_int_t)p->uptime_ms,
+				  "leaving", p->leaving));
+	}
+	root = json_pack("{s:I, s:I, s:I, s:b, s:i, s:i, s:I, s:o, s:o}", "id",
+			 (json_int_t)f->opt.self.id, "driver",
+			 (json_int_t)f->driver, "epoch", (json_int_t)f->epoch,
+			 "store_away", f->store_unreachable, "members",
+			 (int)f->map.n_members, "jobs", (int)fleet_open_jobs(f),
+			 "config_version", (json_int_t)f->config_version,
+			 "peers", peers, "drive", drive);
+	text = json_dumps(root, JSON_INDENT(1));
+	json_decref(root);
+	return text;
+}
