Watch the signals before the sockets are opened

A SIGTERM or SIGHUP in the first milliseconds of a start ended the process by the signal, without a line in the log: a planned stop then has status 15, and a reload takes the instance down. Signals are now watched before the sockets are opened, in fleet and in entry, and handled when the loop runs.

--- a/src/cmd/cmd_entry.c
+++ b/src/cmd/cmd_entry.c
@@ -115,12 +115,16 @@
 	ev_signal_start(e->loop, w);
 }
 
-static void run_loop(struct entry *e)
+static void watch_signals(struct entry *e)
 {
 	signal(SIGPIPE, SIG_IGN);
 	watch_signal(e, &e->sigterm, SIGTERM, on_stop);
 	watch_signal(e, &e->sigint, SIGINT, on_stop);
 	watch_signal(e, &e->sigusr1, SIGUSR1, on_dump);
+}
+
+static void run_loop(struct entry *e)
+{
 	ev_timer_init(&e->tick, on_tick, 0., TICK_MS / 1000.);
 	e->tick.data = e;
 	ev_timer_start(e->loop, &e->tick);
@@ -140,6 +144,8 @@
 	if (fd < 0)
 		return EXIT_FAILED;
 	e->loop = ev_default_loop(EVFLAG_AUTO);
+	/* A signal during the start is handled by the loop. */
+	watch_signals(e);
 	if (entry_open(e, err, sizeof(err))) {
 		run_loop(e);
 	} else {
--- a/src/cmd/cmd_fleet.c
+++ b/src/cmd/cmd_fleet.c
@@ -32,6 +32,7 @@
 	crash_report_init();
 	open_log(&d->settings);
 	d->loop = ev_default_loop(EVFLAG_AUTO);
+	fleet_daemon_watch_signals(d);
 	if (fleet_daemon_open(d, err, sizeof(err))) {
 		fleet_daemon_run(d);
 	} else {
--- a/src/cmd/fleet_daemon.c
+++ b/src/cmd/fleet_daemon.c
@@ -172,13 +172,17 @@
 	ev_signal_start(d->loop, w);
 }
 
-void fleet_daemon_run(struct fleet_daemon *d)
+void fleet_daemon_watch_signals(struct fleet_daemon *d)
 {
 	signal(SIGPIPE, SIG_IGN);
 	watch_signal(d, &d->sigterm, SIGTERM, on_stop);
 	watch_signal(d, &d->sigint, SIGINT, on_stop);
 	watch_signal(d, &d->sighup, SIGHUP, on_reload);
 	watch_signal(d, &d->sigusr1, SIGUSR1, on_dump);
+}
+
+void fleet_daemon_run(struct fleet_daemon *d)
+{
 	ev_timer_init(&d->tick, on_tick, 0., TICK_MS / 1000.);
 	d->tick.data = d;
 	ev_timer_start(d->loop, &d->tick);
--- a/src/cmd/fleet_daemon.h
+++ b/src/cmd/fleet_daemon.h
@@ -54,6 +54,12 @@
 bool fleet_daemon_open(struct fleet_daemon *d, char *err, size_t errlen);
 void fleet_daemon_free(struct fleet_daemon *d);
 
+/*
+ * Must be called before fleet_daemon_open, so that a signal during the start
+ * does not end the process. It is handled by fleet_daemon_run.
+ */
+void fleet_daemon_watch_signals(struct fleet_daemon *d);
+
 /* Runs the daemon until a stop has ended. */
 void fleet_daemon_run(struct fleet_daemon *d);
 
