Add a soak of a fleet of real processes

build/fleet_soak runs instances and the platform's stand-in as processes, with a proxy in front of the store, each worker and each instance's callers: bytes are delayed or held back in one or both directions, connections reset; processes are killed, stopped, paused and restarted, singly, in a rolling restart or all at once, with changed settings; the store is down, tasks run long. The faults overlap. Callers keep their connections and submit jobs of unknown outcome again.

Checked: no task has two runs at one time; a job answered with 200 ran each task, and one refused in each attempt ran none; an undisturbed instance answers within the deadline; no process ends by itself; a planned stop ends with 0; after the faults every instance serves. The stand-in counts starts and ends by job for it, refuses a start that comes after the stop of its run, and can register ports of proxies.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets: all, check, check-asan, check-processes, bench, bench-transport,
-# soak, lint, format, install, clean. BUILD is the build directory; set it to
+# soak, fleet-soak, lint, format, install, clean. BUILD is the build directory; set it to
 # keep several builds.
 
 CC = cc
@@ -23,6 +23,7 @@
 TEST_SRC = $(sort $(wildcard test/unit/*.c))
 SIM_SRC = $(sort $(wildcard test/sim/*.c))
 SOAK_SRC = $(sort $(wildcard test/soak/*.c))
+FLEET_SOAK_SRC = $(sort $(wildcard test/fleet_soak/*.c))
 STANDIN_SRC = $(sort $(wildcard test/standin/*.c))
 
 obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
@@ -32,6 +33,7 @@
 TEST_OBJ = $(call obj,$(TEST_SRC))
 SIM_OBJ = $(call obj,$(SIM_SRC))
 SOAK_OBJ = $(call obj,$(SOAK_SRC))
+FLEET_SOAK_OBJ = $(call obj,$(FLEET_SOAK_SRC))
 STANDIN_OBJ = $(call obj,$(STANDIN_SRC))
 # The stand-in for the platform serves HTTP with the program's own code.
 STANDIN_PARTS = $(call obj,src/transport/http_server.c \
@@ -43,6 +45,7 @@
 UNIT = $(BUILD)/unit
 STANDIN = $(BUILD)/standin
 SOAK = $(BUILD)/soak
+FLEET_SOAK = $(BUILD)/fleet_soak
 COORD_BENCH = $(BUILD)/coord_bench
 COORD_BENCH_OBJ = $(call obj,test/bench/coord_bench.c)
 TRANSPORT_BENCH = $(BUILD)/bench-transport
@@ -55,6 +58,8 @@
 EXAMPLE = $(BUILD)/embed_claims
 SEEDS = 1..50
 MS = 120000
+S = 20
+INSTANCES = 6
 
 all: $(BIN) $(LIBA) $(STANDIN)
 
@@ -78,6 +83,9 @@
 $(SOAK): $(SOAK_OBJ) $(SIM_OBJ) $(LIBA)
 	$(CC) $(CFLAGS) $(SAN) $(LDFLAGS) -o $@ $^ $(LIBS)
 
+$(FLEET_SOAK): $(FLEET_SOAK_OBJ) $(filter-out $(BIN_MAIN),$(BIN_OBJ)) $(LIBA)
+	$(CC) $(CFLAGS) $(SAN) $(LDFLAGS) -o $@ $^ $(LIBS)
+
 $(TRANSPORT_BENCH): $(call obj,test/bench/transport.c) \
 		$(filter-out $(BIN_MAIN),$(BIN_OBJ)) $(LIBA)
 	$(CC) $(CFLAGS) $(SAN) $(LDFLAGS) -o $@ $^ $(LIBS)
@@ -125,6 +133,10 @@
 soak: $(SOAK)
 	$(SOAK) $(subst .., ,$(SEEDS)) $(MS)
 
+# Runs real processes under random faults from the outside, S seconds per seed.
+fleet-soak: all $(FLEET_SOAK)
+	$(FLEET_SOAK) $(BUILD) $(subst .., ,$(SEEDS)) $(S) $(INSTANCES)
+
 SOURCES = $(sort $(wildcard src/*/*.[ch] platform/*.[ch] include/sycamoreshore/*.h \
 	test/*/*.[ch] examples/*.c))
 
@@ -158,6 +170,6 @@
 
 -include $(LIB_OBJ:.o=.d) $(BIN_OBJ:.o=.d) $(TEST_OBJ:.o=.d) \
 	$(STANDIN_OBJ:.o=.d) $(SIM_OBJ:.o=.d) $(SOAK_OBJ:.o=.d) \
-	$(FLEET_LOAD_OBJ:.o=.d)
+	$(FLEET_LOAD_OBJ:.o=.d) $(FLEET_SOAK_OBJ:.o=.d)
 
-.PHONY: all check check-asan check-processes bench soak lint format install clean
+.PHONY: all check check-asan check-processes bench soak fleet-soak lint format install clean
--- /dev/null
+++ b/test/fleet_soak/faults.c
@@ -0,0 +1,168 @@
+/* Injects random faults from the outside, in series that overlap. */
+#include <signal.h>
+#include <stdio.h>
+#include <unistd.h>
+
+#include "soak.h"
+
+enum {
+	INTERVAL_MAX_MS = 250, /* between two faults */
+	RESTART_MAX_MS = 2500,
+	PAUSE_MAX_MS = 2500,
+	DISTURB_MAX_MS = 3000,
+	DELAY_MAX_MS = 300,
+	ROLL_GAP_MS = 400, /* between the stops of a rolling restart */
+	LONG_RUN_MS = 700,
+	USUAL_RUN_MS = 60
+};
+
+static struct soak_instance *random_instance(struct soak *s)
+{
+	return &s->instances[rng_below(&s->rng, (uint64_t)s->n_instances)];
+}
+
+static int64_t random_ms(struct soak *s, int64_t max)
+{
+	return 20 + (int64_t)rng_below(&s->rng, (uint64_t)max);
+}
+
+static void kill_instance(struct soak *s, struct soak_instance *i)
+{
+	soak_signal(&i->process, SIGKILL);
+	i->continue_at = 0;
+	i->start_at = proxy_now_ms() + random_ms(s, RESTART_MAX_MS);
+}
+
+static void stop_instance(struct soak *s, struct soak_instance *i,
+			  int64_t restart_after_ms)
+{
+	soak_signal(&i->process, SIGTERM);
+	i->start_at = proxy_now_ms() + restart_after_ms;
+}
+
+static void pause_instance(struct soak *s)
+{
+	struct soak_instance *i = random_instance(s);
+
+	if (!i->process.pid || i->continue_at)
+		return;
+	soak_signal(&i->process, SIGSTOP);
+	i->continue_at = proxy_now_ms() + random_ms(s, PAUSE_MAX_MS);
+}
+
+static void kill_all(struct soak *s)
+{
+	int k;
+
+	for (k = 0; k < s->n_instances; k++)
+		kill_instance(s, &s->instances[k]);
+}
+
+static void roll_all(struct soak *s)
+{
+	int k;
+
+	for (k = 0; k < s->n_instances; k++)
+		if (!s->instances[k].start_at)
+			stop_instance(s, &s->instances[k],
+				      (k + 1) * ROLL_GAP_MS);
+}
+
+static void disturb(struct soak *s, struct proxy *p)
+{
+	static const enum proxy_mode modes[] = {PROXY_SILENT, PROXY_NO_ANSWERS,
+						PROXY_DELAY, PROXY_DELAY};
+	uint64_t k = rng_below(&s->rng, sizeof(modes) / sizeof(*modes) + 1);
+
+	if (k == sizeof(modes) / sizeof(*modes))
+		proxy_reset(p);
+	else
+		proxy_disturb(p, modes[k], random_ms(s, DELAY_MAX_MS),
+			      random_ms(s, DISTURB_MAX_MS));
+}
+
+static void set_knob(struct soak *s, const char *name, long val)
+{
+	char path[64];
+
+	snprintf(path, sizeof(path), "/standin/knobs?%s=%ld", name, val);
+	soak_ask(s, "PUT", path, NULL);
+}
+
+static void inject_one(struct soak *s)
+{
+	struct soak_instance *i = random_instance(s);
+	uint64_t k = rng_below(&s->rng, 100);
+
+	s->n_faults++;
+	if (k < 12)
+		kill_instance(s, i);
+	else if (k < 22)
+		stop_instance(s, i, random_ms(s, RESTART_MAX_MS));
+	else if (k < 42)
+		pause_instance(s);
+	else if (k < 48)
+		soak_signal(&i->process, SIGHUP);
+	else if (k < 60)
+		disturb(s, &i->store);
+	else if (k < 72)
+		disturb(s, &i->callers);
+	else if (k < 90)
+		disturb(s, &s->workers[rng_below(&s->rng,
+						 (uint64_t)s->n_workers)]);
+	else if (k < 94)
+		set_knob(s, "down", (long)rng_below(&s->rng, 2));
+	else if (k < 97)
+		set_knob(s, "run_ms",
+			 rng_below(&s->rng, 2) ? LONG_RUN_MS : USUAL_RUN_MS);
+	else if (k < 99)
+		roll_all(s);
+	else
+		kill_all(s);
+}
+
+static void tick_instance(struct soak *s, struct soak_instance *i, int64_t now)
+{
+	if (i->continue_at && now >= i->continue_at) {
+		i->continue_at = 0;
+		soak_signal(&i->process, SIGCONT);
+	}
+	if (i->start_at && now >= i->start_at && !i->process.pid) {
+		i->settings_version++;
+		soak_start_instance(s, i);
+	}
+}
+
+void soak_faults_tick(struct soak *s, int64_t now)
+{
+	int k;
+
+	for (k = 0; k < s->n_instances; k++)
+		tick_instance(s, &s->instances[k], now);
+	if (s->calm || now < s->next_fault_at)
+		return;
+	s->next_fault_at = now + random_ms(s, INTERVAL_MAX_MS);
+	inject_one(s);
+}
+
+void soak_heal(struct soak *s)
+{
+	int64_t now = proxy_now_ms();
+	int k;
+
+	s->calm = true;
+	set_knob(s, "down", 0);
+	set_knob(s, "run_ms", USUAL_RUN_MS);
+	for (k = 0; k < s->n_workers; k++)
+		s->workers[k].mode = PROXY_PASS;
+	for (k = 0; k < s->n_instances; k++) {
+		struct soak_instance *i = &s->instances[k];
+
+		i->callers.mode = i->store.mode = PROXY_PASS;
+		if (i->continue_at)
+			soak_signal(&i->process, SIGCONT);
+		i->continue_at = 0;
+		if (!i->process.pid || i->process.stop_sent_at)
+			i->start_at = now;
+	}
+}
--- /dev/null
+++ b/test/fleet_soak/soak.h
@@ -0,0 +1,109 @@
+/*
+ * A soak of a fleet of real processes: instances and the platform's stand-in on
+ * loopback, callers that keep their connections, and random faults from the
+ * outside. All state of one run.
+ */
+#ifndef FLEET_SOAK_H
+#define FLEET_SOAK_H
+
+#include <sys/types.h>
+
+#include "proxy.h"
+#include "transport/http_client.h"
+#include "util/rng.h"
+
+enum {
+	SOAK_INSTANCES_MAX = 64,
+	SOAK_WORKERS_MAX = 64,
+	SOAK_CALLERS_MAX = 256,
+	SOAK_DOMAINS = 2,
+	SOAK_PATH_MAX = 256, /* bytes of a file name with the terminator */
+	SOAK_ID_MAX = 24 /* bytes of a job's id with the terminator */
+};
+
+struct soak;
+
+/* A process that the soak started. */
+struct soak_process {
+	struct soak *soak;
+	char name[16];
+	pid_t pid; /* zero: it is down */
+	ev_child child;
+	bool expects_end; /* the soak has sent SIGKILL or SIGTERM */
+	bool was_killed;
+	int64_t stop_sent_at; /* zero: no SIGTERM since its start */
+	int64_t started_at;
+	int64_t disturbed_at; /* the last signal, pause, start or end */
+};
+
+struct soak_instance {
+	struct soak_process process;
+	int domain;
+	uint16_t callers_port, peers_port, admin_port;
+	struct proxy callers, store; /* to its port, to the store */
+	int64_t start_at; /* zero: not to be started */
+	int64_t continue_at; /* zero: not paused */
+	unsigned settings_version;
+};
+
+/* A caller with one job at a time. */
+struct soak_caller {
+	struct soak *soak;
+	char id[SOAK_ID_MAX]; /* of its job; empty: it has none */
+	int n_tasks;
+	int n_sent;
+	int home; /* of the last attempt */
+	int64_t sent_at;
+	int64_t next_at; /* when it sends next */
+	bool in_flight;
+	bool may_have_run; /* an attempt was neither refused nor unsent */
+	bool is_probe; /* it must be served */
+};
+
+struct soak {
+	struct ev_loop *loop;
+	struct rng rng;
+	uint64_t seed;
+	const char *build; /* directory of the programs */
+	char dir[SOAK_PATH_MAX]; /* settings and logs of the run */
+	struct soak_process platform;
+	uint16_t store_port;
+	int n_instances, n_workers, n_callers;
+	bool divided;
+	struct soak_instance instances[SOAK_INSTANCES_MAX];
+	struct proxy workers[SOAK_WORKERS_MAX];
+	struct soak_caller callers[SOAK_CALLERS_MAX];
+	struct http_client *client;
+	int64_t faults_until, next_fault_at;
+	bool calm; /* no further faults or load */
+	uint64_t next_job;
+	unsigned n_jobs, n_completed, n_refused, n_unknown, n_faults;
+	unsigned n_violations;
+};
+
+/* Counts and prints a broken promise. */
+void soak_violation(struct soak *s, const char *format, ...)
+	__attribute__((format(printf, 2, 3)));
+
+/* Runs the loop until `ms` have passed. */
+void soak_run(struct soak *s, int64_t ms);
+
+/* process.c */
+void soak_start_platform(struct soak *s);
+void soak_start_instance(struct soak *s, struct soak_instance *i);
+void soak_signal(struct soak_process *p, int signum);
+/* Sends a request to the stand-in and waits; returns a member of its answer. */
+long soak_ask(struct soak *s, const char *method, const char *path,
+	      const char *member);
+
+/* callers.c */
+void soak_callers_tick(struct soak *s, int64_t now);
+/* Submits a job to each instance; returns how many are not served. */
+int soak_count_unserved(struct soak *s, int64_t within_ms);
+
+/* faults.c */
+void soak_faults_tick(struct soak *s, int64_t now);
+/* Ends all faults and starts all instances. */
+void soak_heal(struct soak *s);
+
+#endif
--- a/test/standin/fleet.c
+++ b/test/standin/fleet.c
@@ -19,11 +19,14 @@
 
 static int opt_workers = 6;
 static int opt_run_ms = 60;
+static char *opt_ports;
 
 static struct poptOption options[] = {
 	{"workers", 'n', POPT_ARG_INT, &opt_workers, 0, "worker count", "N"},
 	{"run-ms", 'r', POPT_ARG_INT, &opt_run_ms, 0, "run time of every task",
 	 "MS"},
+	{"ports", 'p', POPT_ARG_STRING, &opt_ports, 0,
+	 "ports that the workers register, as proxies serve them", "N,..."},
 	POPT_AUTOHELP POPT_TABLEEND};
 
 void fleet_reply(struct http_server *s, uint64_t id, unsigned status,
@@ -75,21 +78,37 @@
 	return s;
 }
 
+/* The next of opt_ports, or `port` if there is none. */
+static unsigned take_registered_port(unsigned port)
+{
+	char *end;
+	unsigned long next;
+
+	if (!opt_ports || !*opt_ports)
+		return port;
+	next = strtoul(opt_ports, &end, 10);
+	opt_ports = *end ? end + 1 : end;
+	return (unsigned)next;
+}
+
 static void add_worker(struct fleet_platform *p, size_t i)
 {
 	struct fleet_worker *w = &p->workers[i];
 	char key[64], *text;
 	json_t *entry;
+	unsigned port;
 
 	w->platform = p;
 	w->server = listen_on(p, w, fleet_worker_request,
 			      fleet_worker_client_gone);
+	port = http_server_port(w->server);
 	snprintf(w->name, sizeof(w->name), "w%zu", i);
+	printf("worker %s %u\n", w->name, port);
 	snprintf(key, sizeof(key), STORE_WORKERS_PREFIX "%s", w->name);
 	entry = json_pack(
 		"{s:s, s:o, s:o, s:s, s:{s:i, s:i, s:i}, s:[s]}",
 		WORKER_SERVICE, "s", WORKER_ADDRESS,
-		json_sprintf("127.0.0.1:%u", http_server_port(w->server)),
+		json_sprintf("127.0.0.1:%u", take_registered_port(port)),
 		WORKER_DOMAIN, json_sprintf("d%zu", i % DOMAINS), WORKER_STATE,
 		"ready", WORKER_CAPACITY, SIZE_CPU, 16000, SIZE_MEMORY, 65536,
 		SIZE_ACCELERATORS, 0, WORKER_LABELS, "a");
--- a/test/standin/fleet.h
+++ b/test/standin/fleet.h
@@ -10,6 +10,7 @@
 #include <jansson.h>
 
 #include "transport/http_server.h"
+#include "util/index.h"
 
 enum {
 	FLEET_WORKERS_MAX = 64,
@@ -17,6 +18,7 @@
 	FLEET_ENDS_MAX = 512, /* ended runs, not acknowledged yet */
 	FLEET_KEYS_MAX = 256,
 	FLEET_WATCHES_MAX = 64,
+	FLEET_JOBS_MAX = 65536, /* further jobs are not counted */
 	FLEET_HOLDS_MAX = 8 /* waiting holds of one worker */
 };
 
@@ -53,6 +55,12 @@
 	double deadline;
 };
 
+/* What the workers saw of a job. */
+struct fleet_job {
+	unsigned starts;
+	uint64_t done; /* a bit for each task that ended as done */
+};
+
 struct fleet_platform;
 
 struct fleet_worker {
@@ -83,8 +91,15 @@
 	size_t n_workers;
 	/* counts for the tests */
 	unsigned starts, done, concurrent_starts;
+	struct fleet_job jobs[FLEET_JOBS_MAX];
+	size_t n_jobs;
+	struct index job_ids; /* to its place in `jobs` */
 };
 
+/* Counts the start or the end of a task for its job. */
+void fleet_count_start(struct fleet_platform *p, const char *task);
+void fleet_count_done(struct fleet_platform *p, const char *task);
+
 /* Answers the request `id` with the JSON value `body` and releases it. */
 void fleet_reply(struct http_server *s, uint64_t id, unsigned status,
 		 json_t *body);
--- a/test/standin/fleet_store.c
+++ b/test/standin/fleet_store.c
@@ -163,6 +163,20 @@
 			      (int)p->concurrent_starts));
 }
 
+static void reply_job(struct fleet_platform *p, uint64_t id, const char *job)
+{
+	static const struct fleet_job none;
+	const struct fleet_job *j = &none;
+	uint64_t place;
+
+	if (job &&
+	    index_get(&p->job_ids, index_hash_bytes(job, strlen(job)), &place))
+		j = &p->jobs[place];
+	fleet_reply(p->store, id, 200,
+		    json_pack("{s:i, s:i}", "starts", (int)j->starts, "done",
+			      __builtin_popcountll(j->done)));
+}
+
 static void set_knobs(struct fleet_platform *p, uint64_t id,
 		      const struct http_request *req)
 {
@@ -184,6 +198,8 @@
 		set_knobs(p, id, req);
 	else if (!strcmp(req->path, "/standin/counts"))
 		reply_counts(p, id);
+	else if (!strcmp(req->path, "/standin/job"))
+		reply_job(p, id, http_query(req, "id"));
 	else if (p->down)
 		fleet_reply(p->store, id, 503, json_object());
 	else if (!strcmp(req->path, STORE_KEY_PATH))
--- a/test/standin/fleet_worker.c
+++ b/test/standin/fleet_worker.c
@@ -42,7 +42,10 @@
 	copy_text(e->task, sizeof(e->task), w->runs[i].task);
 	e->run = w->runs[i].run;
 	e->outcome = outcome;
-	w->platform->done += !strcmp(outcome, "done");
+	if (!strcmp(outcome, "done")) {
+		w->platform->done++;
+		fleet_count_done(w->platform, w->runs[i].task);
+	}
 	w->runs[i] = w->runs[--w->n_runs];
 }
 
@@ -147,6 +150,7 @@
 		return;
 	}
 	w->platform->starts++;
+	fleet_count_start(w->platform, task);
 	w->platform->concurrent_starts += is_running_anywhere(w->platform,
 							      task);
 	r = &w->runs[w->n_runs++];
@@ -157,13 +161,33 @@
 	reply_result(w, id, 200, NULL);
 }
 
-static void handle_stop(struct fleet_worker *w, uint64_t id, const char *task)
+/* A start of this run that arrives later is refused as old. */
+static void add_stopped(struct fleet_worker *w, const char *task, uint64_t run)
+{
+	struct fleet_ended_run *e;
+
+	if (w->n_ends == FLEET_ENDS_MAX)
+		memmove(w->ends, w->ends + 1, --w->n_ends * sizeof(*w->ends));
+	e = &w->ends[w->n_ends++];
+	e->number = ++w->last_end_number;
+	copy_text(e->task, sizeof(e->task), task);
+	e->run = run;
+	e->outcome = "stopped";
+}
+
+static void handle_stop(struct fleet_worker *w, uint64_t id, const char *task,
+			uint64_t run)
 {
+	bool found = false;
 	size_t i;
 
 	for (i = w->n_runs; i-- > 0;)
-		if (!strcmp(w->runs[i].task, task))
+		if (!strcmp(w->runs[i].task, task) && w->runs[i].run <= run) {
 			end_run(w, i, "stopped");
+			found = true;
+		}
+	if (!found)
+		add_stopped(w, task, run);
 	reply_result(w, id, 200, NULL);
 }
 
@@ -186,7 +210,7 @@
 	else if (!strcmp(path, CALL_START_PATH) && task)
 		handle_start(w, id, body, task, run);
 	else if (!strcmp(path, CALL_STOP_PATH) && task)
-		handle_stop(w, id, task);
+		handle_stop(w, id, task, run);
 	else
 		reply_result(w, id, 400, NULL);
 }
