Do not suspect the driver for one's own pause

A pause of the process, which it detects at the next event, is now taken off the silence of its peers when it judges its own driver. All rules that protect a task from two runs still count the whole silence.

--- a/src/fleet/election.c
+++ b/src/fleet/election.c
@@ -38,7 +38,8 @@
 {
 	const struct fleet_peer *p = heartbeat_find_peer(f, id);
 
-	return p && heartbeat_is_reachable(p, now) && !p->leaving && !p->yields;
+	return p && heartbeat_is_reachable_awake(p, now) && !p->leaving &&
+	       !p->yields;
 }
 
 static bool is_in_map(const struct fleet *f, uint64_t id)
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -119,6 +119,7 @@
 	if (paused_ms < PAUSED_MS)
 		return;
 	f->resumed_at = now;
+	heartbeat_add_pause(f, paused_ms);
 	log_warn("stood_still", LOG_I("for_ms", paused_ms),
 		 LOG_U("drives", fleet_is_driver(f)));
 	heartbeat_check_timeouts(f, now);
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -16,6 +16,7 @@
 	bool link_up;
 	bool has_timed_out; /* no heartbeat for long: its jobs are given up */
 	int64_t heartbeat_at; /* of the last heartbeat; zero: none yet */
+	int64_t paused_ms; /* pauses of this process since then */
 	/* from its last heartbeat */
 	uint32_t uptime_ms;
 	uint64_t epoch;
@@ -161,6 +162,14 @@
  * the heartbeats of this instance, unless the link has just failed.
  */
 bool heartbeat_is_recent(const struct fleet_peer *p, int64_t now);
+/*
+ * Whether the peer has sent a heartbeat in the last time in which this process
+ * could have read it. For suspicion only: the peer may have given this instance
+ * up during a pause.
+ */
+bool heartbeat_is_reachable_awake(const struct fleet_peer *p, int64_t now);
+/* Notes a pause of this process, in which it read no heartbeats. */
+void heartbeat_add_pause(struct fleet *f, int64_t paused_ms);
 void heartbeat_tick(struct fleet *f, int64_t now);
 void heartbeat_send_all(struct fleet *f, int64_t now);
 /* Gives up the jobs of peers that sent no heartbeat for too long. */
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -44,6 +44,20 @@
 	return p->heartbeat_at && now - p->heartbeat_at <= REACHABLE_MS;
 }
 
+bool heartbeat_is_reachable_awake(const struct fleet_peer *p, int64_t now)
+{
+	return p->heartbeat_at &&
+	       now - p->heartbeat_at - p->paused_ms <= REACHABLE_MS;
+}
+
+void heartbeat_add_pause(struct fleet *f, int64_t paused_ms)
+{
+	size_t i;
+
+	for (i = 0; i < f->n_peers; i++)
+		f->peers[i].paused_ms += paused_ms;
+}
+
 bool heartbeat_is_recent(const struct fleet_peer *p, int64_t now)
 {
 	return p->heartbeat_at && now - p->heartbeat_at <= RECENT_MS;
@@ -195,6 +209,7 @@
 	    !heartbeat_is_reachable(p, now))
 		driver_returned = true;
 	p->heartbeat_at = now;
+	p->paused_ms = 0;
 	p->has_timed_out = false;
 	if (driver_returned)
 		home_submit_all(f, now);
--- a/test/unit/fleet_test.c
+++ b/test/unit/fleet_test.c
@@ -380,6 +380,24 @@
 	check_and_free(s);
 }
 
+/* All other instances were late at once, as after a burst that hit them all. */
+static void late_instances_do_not_replace_a_healthy_driver(void)
+{
+	struct fsim *s = start_fleet();
+	int driver = fsim_find_driver(s);
+	int k, n;
+
+	for (n = 0; n < 5; n++) {
+		for (k = 0; k < FSIM_INSTANCES; k++)
+			if (k != driver)
+				fsim_pause(s, k, 400 + 20 * n);
+		fsim_run(s, 1000);
+		CU_ASSERT_EQUAL(fsim_find_driver(s), driver);
+	}
+	CU_ASSERT_EQUAL(complete_jobs_in_all_domains(s, 200), DOMAINS);
+	check_and_free(s);
+}
+
 enum { LOAD_TASKS = 2, LOAD_RUN_MS = 20, LOAD_STEP_MS = 10 };
 
 /* Submits `per_s` jobs a second for `ms`; returns the number of the first. */
@@ -474,6 +492,7 @@
 	TEST(job_that_reaches_a_late_driver_is_not_lost);
 	TEST(weak_machine_drives_only_if_no_stronger_one_is_up);
 	TEST(weak_driver_yields_to_a_strong_instance_that_returns);
+	TEST(late_instances_do_not_replace_a_healthy_driver);
 	TEST(service_returns_when_an_overload_ends);
 	TEST(restarted_fleet_elects_a_driver);
 }
