Have a job submitted again that reached a driver just after a pause

Its home had long turned to another driver, answered its caller and forgotten the job, so it sent no cancellation; then the paused instance became the driver for all, the home's next heartbeat confirmed it, and the job began beside its caller's second submission.

The driver now answers such a job with 'not taken'. A home that still has it in the same generation, so that it went to no other driver since, submits it again after 50 ms, with a higher generation and all its rules; any other ignores the answer.

The test of the lost job first lets the driver be known for 10 s, as a job that is submitted again waits that long for a new driver; it fails without the answer. Suspicion of the driver after one's own pause now leaves the submission of jobs alone: they wait until the driver is heard.

--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -74,7 +74,8 @@
 	DRIVE_FAILED, /* a task has used up its attempts */
 	DRIVE_CANCELLED,
 	DRIVE_REFUSED, /* this driver started no task of it */
-	DRIVE_ABORTED /* given up after a task was started */
+	DRIVE_ABORTED, /* given up after a task was started */
+	DRIVE_NOT_TAKEN /* dropped unread; the home submits it again */
 };
 
 /* The final answer to a submitted job. */
--- a/src/fleet/election.c
+++ b/src/fleet/election.c
@@ -38,8 +38,7 @@
 {
 	const struct fleet_peer *p = heartbeat_find_peer(f, id);
 
-	return p && heartbeat_is_reachable_awake(p, now) && !p->leaving &&
-	       !p->yields;
+	return p && heartbeat_is_reachable(p, now) && !p->leaving && !p->yields;
 }
 
 static bool is_in_map(const struct fleet *f, uint64_t id)
@@ -68,6 +67,18 @@
 	       is_in_map(f, f->driver) && !is_known_to_end(f, f->driver);
 }
 
+/*
+ * Whether the driver's silence may be due to pauses of this process. Its jobs
+ * wait meanwhile, but it does not suspect the driver yet.
+ */
+static bool may_be_own_pause(const struct fleet *f, int64_t now)
+{
+	const struct fleet_peer *p = heartbeat_find_peer(f, f->driver);
+
+	return p && heartbeat_is_reachable_awake(p, now) &&
+	       !is_known_to_end(f, f->driver);
+}
+
 bool election_is_driver_reachable(const struct fleet *f, int64_t now)
 {
 	/* A leaving driver of a cut-off domain drives until another does. */
@@ -270,6 +281,8 @@
 		isolated_end(f, now, "driver_heard");
 		return;
 	}
+	if (!f->driver_lost_at && may_be_own_pause(f, now))
+		return;
 	if (!f->driver_lost_at) {
 		f->driver_lost_at = now;
 		log_info("driver_silent", LOG_U("driver", f->driver),
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -14,7 +14,7 @@
 	RESUME_MS = 40
 };
 
-static void send_job_done(struct fleet *f, const struct drive_job_done *done)
+void fleet_send_job_done(struct fleet *f, const struct drive_job_done *done)
 {
 	auto_wire_out struct wire_out w = {0};
 
@@ -34,7 +34,7 @@
 	struct fleet *f = ctx;
 
 	if (done->home != f->opt.self.id)
-		send_job_done(f, done);
+		fleet_send_job_done(f, done);
 	else
 		home_job_done(f, syc_now(&f->opt.clock), done->tag,
 			      done->generation, done->outcome,
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -36,6 +36,7 @@
 	uint64_t handle; /* the tag that the driver gets */
 	uint64_t tag; /* the caller's tag */
 	bool submitted; /* to a driver */
+	int64_t resubmit_at; /* zero: not to be submitted again yet */
 	/*
 	 * Its caller has disconnected or has an answer, and the cancellation
 	 * may not have reached the driver.
@@ -128,6 +129,8 @@
  * Messages that waited in sockets during a pause are older than they appear.
  */
 void fleet_detect_pause(struct fleet *f, int64_t now);
+/* Tells the home of a job what the driver on this instance made of it. */
+void fleet_send_job_done(struct fleet *f, const struct drive_job_done *done);
 /* Whether messages that waited during a pause may still arrive. */
 bool fleet_is_resuming(const struct fleet *f, int64_t now);
 
--- a/src/fleet/home.c
+++ b/src/fleet/home.c
@@ -14,6 +14,8 @@
 	/* A takeover takes less, so after this time no instance can drive. */
 	NO_DRIVER_TIMEOUT_MS = 600,
 	NO_DRIVER_RETRY_MS = 1000,
+	/* A driver that was paused takes jobs again after this time. */
+	NOT_TAKEN_RETRY_MS = 50,
 	DEADLINE_SLACK_MS = 50 /* for the driver's answer at the deadline */
 };
 
@@ -105,6 +107,7 @@
 {
 	if (!election_is_driver_reachable(f, now) || now >= j->deadline_at)
 		return;
+	j->resubmit_at = 0;
 	set_spec_times(j, now);
 	if (j->submitted)
 		j->generation++;
@@ -237,6 +240,11 @@
 
 	if (!j)
 		return;
+	if (outcome == DRIVE_NOT_TAKEN) {
+		if (generation == j->generation)
+			j->resubmit_at = now + NOT_TAKEN_RETRY_MS;
+		return;
+	}
 	if (j->is_cancelled) {
 		drop_job(f, j);
 		return;
@@ -269,6 +277,8 @@
 			drop_job(f, j);
 		return;
 	}
+	if (j->resubmit_at && now >= j->resubmit_at)
+		submit_job(f, j, now);
 	if (!j->submitted && (is_takeover_overdue ||
 			      now - j->arrived_at > NO_DRIVER_TIMEOUT_MS)) {
 		answer_job(f, j, FLEET_NOT_RUN, NO_DRIVER_RETRY_MS, "no_driver",
--- a/src/fleet/receive.c
+++ b/src/fleet/receive.c
@@ -1,6 +1,21 @@
 /* Reads the messages of peers and passes them to the fleet's parts. */
 #include "fleet/fleet_state.h"
 
+static void refuse_unread(struct fleet *f, uint64_t from,
+			  const struct msg_job *m)
+{
+	struct drive_job_done done = {
+		.home = from,
+		.tag = m->tag,
+		.generation = m->job.generation,
+		.outcome = DRIVE_NOT_TAKEN,
+		.reason = "driver_paused",
+	};
+
+	log_info("job_not_taken", LOG_S("job", m->job.id), LOG_U("home", from));
+	fleet_send_job_done(f, &done);
+}
+
 static bool receive_job(struct fleet *f, int64_t now, uint64_t from,
 			struct syc_bytes msg)
 {
@@ -10,12 +25,12 @@
 
 	/*
 	 * An instance that does not drive drops the job, and its home submits
-	 * it again. A driver that was paused accepts the job, although its home
-	 * may have given it up meanwhile: it begins after a new heartbeat of
-	 * the home, which is sent after the cancellation and names the driver
-	 * that has the job now.
+	 * it again. A driver that was paused cannot tell whether the home has
+	 * given the job up meanwhile, so the home must submit it again.
 	 */
-	if (ok && drive_is_active(f->drive))
+	if (ok && drive_is_active(f->drive) && fleet_is_resuming(f, now))
+		refuse_unread(f, from, &m);
+	else if (ok && drive_is_active(f->drive))
 		drive_submit(f->drive, now, from, m.tag, &m.job);
 	return wire_close(&w) && ok;
 }
@@ -35,7 +50,7 @@
 	retry_ms = (uint32_t)wire_u64(&w);
 	wire_str(&w, reason, sizeof(reason));
 	if (!wire_close(&w) || outcome < DRIVE_COMPLETED ||
-	    outcome > DRIVE_ABORTED)
+	    outcome > DRIVE_NOT_TAKEN)
 		return false;
 	home_job_done(f, now, tag, generation, outcome, retry_ms, reason);
 	return true;
--- a/test/unit/fleet_test.c
+++ b/test/unit/fleet_test.c
@@ -301,6 +301,8 @@
 	int driver = fsim_find_driver(s);
 	int domain = (s->instances[driver].domain + 1) % DOMAINS;
 
+	/* A driver knows all workers that may have runs after 10 s. */
+	fsim_run(s, 10000);
 	fsim_pause(s, driver, 250);
 	fsim_run(s, 200);
 	fsim_submit(s, domain, 2, 80);
