--- a/test/fleet_soak/process.c
+++ b/test/fleet_soak/process.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <unistd.h>
 
 #include "soak.h"
@@ -17,6 +18,8 @@
 	ARGS_MAX = 12,
 	ASK_TIMEOUT_MS = 3000,
 	START_MAX_MS = 5000,
+	PORT_MIN = 10000,
+	PORTS = 20000,
 	/* Before it is in main, a process cannot handle a signal. */
 	EXEC_MAX_MS = 100
 };
@@ -54,6 +57,8 @@
 	p->pid = fork();
 	invariant(p->pid >= 0);
 	if (!p->pid) {
+		/* An interrupted soak leaves no process behind. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 		dup2(fd, STDOUT_FILENO);
 		dup2(fd, STDERR_FILENO);
@@ -79,13 +84,24 @@
 	kill(p->pid, signum);
 }
 
+/*
+ * A port below those that the system gives to clients, as one of these could
+ * take the port while its instance is down.
+ */
 static uint16_t find_free_port(void)
 {
-	struct syc_addr any = {"127.0.0.1", 0};
+	static uint16_t next;
+	struct syc_addr addr = {"127.0.0.1", 0};
 	uint16_t port;
 	int fd;
 
-	invariant(!addr_listen(&any, &fd, &port));
+	if (!next)
+		next = (uint16_t)(PORT_MIN + getpid() * 131 % PORTS);
+	do {
+		if (++next >= PORT_MIN + PORTS)
+			next = PORT_MIN;
+		addr.port = next;
+	} while (addr_listen(&addr, &fd, &port));
 	close(fd);
 	return port;
 }
