Send the workers' list on whenever an entry has changed, and whole

All members are compared, and the second list has no limit. Two unused members of the simulation go.

--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -234,6 +234,9 @@
 void drive_set_workers(struct drive *d, int64_t now,
 		       const struct drive_worker *list, size_t n);
 
+/* The number of known workers, listed or not. */
+size_t drive_count_workers(const struct drive *d);
+
 /*
  * Copies up to `max` workers that left the list so recently that something
  * may still run there; returns their number.
--- a/src/drive/worker.c
+++ b/src/drive/worker.c
@@ -238,6 +238,11 @@
 	d->forgot_worker = false;
 }
 
+size_t drive_count_workers(const struct drive *d)
+{
+	return d->workers.used;
+}
+
 size_t drive_get_unlisted_workers(const struct drive *d, int64_t now,
 				  struct drive_worker *list, size_t max)
 {
--- a/src/fleet/workers.c
+++ b/src/fleet/workers.c
@@ -15,7 +15,6 @@
 	OTHER_READ_INTERVAL_MS = 10000,
 	FAILED_READ_RETRY_MS = 500,
 	WORKER_FIELDS = 10,
-	UNLISTED_MAX = 256,
 	LIST_MAX = 20000, /* workers in one message */
 	/* After a failed read, entries may be missing for this time. */
 	KEEP_MISSING_MS = 2500
@@ -111,9 +110,12 @@
 void workers_send(struct fleet *f, uint64_t to)
 {
 	auto_wire_out struct wire_out w = {0};
-	struct drive_worker unlisted[UNLISTED_MAX];
-	size_t n = drive_get_unlisted_workers(f->drive, syc_now(&f->opt.clock),
-					      unlisted, UNLISTED_MAX);
+	auto_free struct drive_worker *unlisted = NULL;
+	size_t n = drive_count_workers(f->drive);
+
+	unlisted = xcalloc(n + 1, sizeof(*unlisted));
+	n = drive_get_unlisted_workers(f->drive, syc_now(&f->opt.clock),
+				       unlisted, n);
 
 	wire_begin(&w, SYC_PEER_WORKERS, 2);
 	pack_list(&w, f->workers, f->n_workers);
@@ -131,6 +133,31 @@
 			workers_send(f, f->peers[i].instance.id);
 }
 
+static bool has_same_labels(const struct drive_worker *a,
+			    const struct drive_worker *b)
+{
+	size_t i;
+
+	if (a->n_labels != b->n_labels)
+		return false;
+	for (i = 0; i < a->n_labels; i++)
+		if (strcmp(a->labels[i], b->labels[i]))
+			return false;
+	return true;
+}
+
+static bool is_same_worker(const struct drive_worker *a,
+			   const struct drive_worker *b)
+{
+	return !strcmp(a->name, b->name) && !strcmp(a->service, b->service) &&
+	       !strcmp(a->domain, b->domain) &&
+	       !strcmp(a->addr.ip, b->addr.ip) &&
+	       a->addr.port == b->addr.port && a->cpu_milli == b->cpu_milli &&
+	       a->memory_mb == b->memory_mb &&
+	       a->accelerators == b->accelerators && a->leaving == b->leaving &&
+	       has_same_labels(a, b);
+}
+
 static bool is_same_list(const struct fleet *f, const struct drive_worker *list,
 			 size_t n)
 {
@@ -139,8 +166,7 @@
 	if (n != f->n_workers)
 		return false;
 	for (i = 0; i < n; i++)
-		if (strcmp(list[i].name, f->workers[i].name) ||
-		    list[i].leaving != f->workers[i].leaving)
+		if (!is_same_worker(&list[i], &f->workers[i]))
 			return false;
 	return true;
 }
--- a/test/sim/fleet_sim.c
+++ b/test/sim/fleet_sim.c
@@ -320,7 +320,7 @@
 
 static uint32_t percent_done(const struct fsim *s, const struct fsim_run *r)
 {
-	if (r->stalled || r->ends_at <= r->began_at)
+	if (r->ends_at <= r->began_at)
 		return 0;
 	return (uint32_t)((s->now - r->began_at) * 100 /
 			  (r->ends_at - r->began_at));
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -41,7 +41,6 @@
 	struct drive_task task;
 	uint32_t number;
 	int64_t began_at, ends_at;
-	bool stalled;
 };
 
 struct fsim_end {
@@ -113,7 +112,6 @@
 	unsigned n_double_runs; /* two runs of a task at one time */
 	unsigned n_false_refusals; /* answered as not run after a start */
 	char message[160]; /* describes the first failed check */
-	bool trace; /* unused */
 };
 
 /* Starts all instances and workers and runs for 3 s, to elect a driver. */
--- a/test/sim/fleet_sim_worker.c
+++ b/test/sim/fleet_sim_worker.c
@@ -36,7 +36,7 @@
 	size_t i;
 
 	for (i = w->n_runs; i-- > 0;)
-		if (!w->runs[i].stalled && s->now >= w->runs[i].ends_at)
+		if (s->now >= w->runs[i].ends_at)
 			end_run(w, i, DRIVE_RUN_DONE);
 	if (read_worker_clock(s, w) <= w->lease_expires_at)
 		return;
--- a/test/unit/fleet_test.c
+++ b/test/unit/fleet_test.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "fleet/fleet_state.h"
 #include "sim/fleet_sim.h"
 #include "unit.h"
 #include "util/log.h"
@@ -459,6 +460,22 @@
 	check_and_free(s);
 }
 
+/* The next driver places tasks by what the last one told it of a worker. */
+static void changed_worker_is_sent_to_the_other_instances(void)
+{
+	struct fsim *s = start_fleet();
+	int k, driver = fsim_find_driver(s);
+
+	fsim_run(s, 1000);
+	s->workers[3].info.cpu_milli = 8000;
+	fsim_run(s, 700);
+	for (k = 0; k < FSIM_INSTANCES; k++)
+		CU_ASSERT_EQUAL(s->instances[k].fleet->workers[3].cpu_milli,
+				8000);
+	CU_ASSERT_EQUAL(fsim_find_driver(s), driver);
+	check_and_free(s);
+}
+
 static void restarted_fleet_elects_a_driver(void)
 {
 	struct fsim *s = start_fleet();
@@ -496,5 +513,6 @@
 	TEST(weak_driver_yields_to_a_strong_instance_that_returns);
 	TEST(late_instances_do_not_replace_a_healthy_driver);
 	TEST(service_returns_when_an_overload_ends);
+	TEST(changed_worker_is_sent_to_the_other_instances);
 	TEST(restarted_fleet_elects_a_driver);
 }
