Keep a divided fleet divided if its map is lost, and divide no mixed one

Found by reading the division as a newcomer would. If the whole fleet's map was lost in the store, or written anew by an instance of an earlier version, which drops the cells, the instances took the fleet for undivided, while their cells went on: the whole fleet's driver would have driven all workers beside the cells' drivers. And a fleet with an instance of an earlier version could be divided, whose jobs would then go to a driver that drives nothing.

An instance keeps the cells that it has read once, and the driver writes them back. A fleet is divided only if all members' heartbeats show that they know cells.

--- a/src/fleet/division.c
+++ b/src/fleet/division.c
@@ -5,7 +5,9 @@
  * wide jobs, and enough instances to elect a driver after losing one.
  *
  * The division is written into the map and never taken back, so that a worker
- * never has drivers of both kinds.
+ * never has drivers of both kinds. A fleet with an instance of a version without
+ * cells is not divided, as that one would submit its jobs to the whole fleet's
+ * driver.
  */
 #include <string.h>
 
@@ -55,6 +57,22 @@
 	return division->n_cells > 1;
 }
 
+/* Whether all members run a version that knows cells. */
+static bool do_all_know_cells(const struct fleet *f)
+{
+	const struct fleet_peer *p;
+	size_t i;
+
+	for (i = 0; i < f->map.n_members; i++) {
+		if (f->map.members[i].id == f->opt.self.id)
+			continue;
+		p = heartbeat_find_peer(f, f->map.members[i].id);
+		if (!p || !p->knows_cells)
+			return false;
+	}
+	return true;
+}
+
 void division_check(struct fleet *f, const struct drive_worker *list, size_t n)
 {
 	struct fleet_map division = {0};
@@ -62,6 +80,6 @@
 	if (*f->opt.cell || fleet_is_divided(f) || !f->opt.cell_workers_min ||
 	    f->driver != f->opt.self.id || n < f->opt.divided_workers_min)
 		return;
-	if (divide(f, list, n, &division))
+	if (do_all_know_cells(f) && divide(f, list, n, &division))
 		fleet_map_copy_cells(&f->wanted_cells, &division);
 }
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -28,6 +28,7 @@
 	uint32_t capacity; /* starts a second; zero: unknown */
 	bool yields; /* it drives until a stronger instance does */
 	struct drive_room room; /* of the workers that it drives */
+	bool knows_cells; /* its version does */
 	int64_t config_sent_at;
 };
 
@@ -105,6 +106,7 @@
 	/* A peer works in a division that this instance has not read yet. */
 	bool missed_division;
 	struct fleet_map wanted_cells; /* its cells; none: no division */
+	bool lost_cells; /* the map in the store lacks them */
 
 	/* config */
 	uint64_t config_version;
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -172,6 +172,7 @@
 static void read_newer_fields(struct fleet *f, struct fleet_peer *p,
 			      struct wire_in *w)
 {
+	p->knows_cells = true;
 	p->capacity = (uint32_t)wire_u64(w);
 	p->yields = wire_bool(w);
 	p->room.cpu_milli = wire_u64(w);
--- a/src/fleet/map_sync.c
+++ b/src/fleet/map_sync.c
@@ -77,10 +77,17 @@
 
 static void apply_map(struct fleet *f, int64_t now, const struct fleet_map *map)
 {
+	struct fleet_map old = f->map;
 	bool was_divided = fleet_is_divided(f);
 
 	f->map = *map;
 	f->map_known = true;
+	/* A map that was lost, or written by an earlier version, lacks them. */
+	if (was_divided && !fleet_is_divided(f)) {
+		log_warn("cells_kept", LOG_U("index", map->index));
+		fleet_map_copy_cells(&f->map, &old);
+		f->lost_cells = true;
+	}
 	dial_members(f);
 	if (fleet_is_divided(f) && !was_divided)
 		fleet_retire(f, now);
@@ -214,6 +221,18 @@
 	return true;
 }
 
+/* Writes the division that was decided, or that the map has lost. */
+static bool update_cells(struct fleet *f, struct fleet_map *next)
+{
+	bool lost = f->lost_cells;
+
+	f->lost_cells = false;
+	if (!f->wanted_cells.n_cells || next->n_cells)
+		return lost;
+	fleet_map_copy_cells(next, &f->wanted_cells);
+	return true;
+}
+
 /*
  * A removed instance joins again at once when the driver is reachable. While
  * the driver is unreachable, it may remove the instance again, as it receives
@@ -246,10 +265,8 @@
 	}
 	if (drives && !f->takeover_in_flight)
 		changed |= update_as_driver(f, now, next);
-	if (drives && f->wanted_cells.n_cells && !next->n_cells) {
-		fleet_map_copy_cells(next, &f->wanted_cells);
-		changed = true;
-	}
+	if (drives)
+		changed |= update_cells(f, next);
 	return changed;
 }
 
--- a/test/sim/fleet_sim.c
+++ b/test/sim/fleet_sim.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "fleet_sim.h"
+#include "protocol/wire.h"
 #include "util/alloc.h"
 #include "util/invariant.h"
 #include "util/log.h"
@@ -18,6 +19,8 @@
 	LEASE_MS = 1000,
 	HOLD_WAIT_MS = 200,
 	US_PER_MS = 1000,
+	OLD_NUMBERS = 4, /* of a heartbeat of the first version */
+	OLD_FLAGS = 3,
 	LATE_MIN_MS = 2000,
 	LATE_SPREAD_MS = 10000
 };
@@ -136,6 +139,26 @@
 {
 }
 
+/* Repacks a heartbeat with the fields that the first version had. */
+static void cut_newer_fields(struct fsim_event *e)
+{
+	struct syc_bytes msg = {e->bytes, e->len};
+	auto_wire_out struct wire_out out = {0};
+	struct wire_in in;
+	int i;
+
+	wire_open(&in, msg);
+	wire_begin(&out, SYC_PEER_FLEET_HEARTBEAT, OLD_NUMBERS + OLD_FLAGS);
+	for (i = 0; i < OLD_NUMBERS; i++)
+		wire_put_u64(&out, wire_u64(&in));
+	for (i = 0; i < OLD_FLAGS; i++)
+		wire_put_bool(&out, wire_bool(&in));
+	invariant(wire_close(&in));
+	free(e->bytes);
+	e->len = wire_bytes(&out).n;
+	e->bytes = xmemdup(wire_bytes(&out).p, e->len);
+}
+
 static bool on_send(void *ctx, uint64_t to, struct syc_bytes msg)
 {
 	struct fsim_instance *i = ctx;
@@ -150,6 +173,8 @@
 	e->sender_or_tag = i->instance.id;
 	e->bytes = xmemdup(msg.p, msg.n);
 	e->len = msg.n;
+	if (s->first_is_old && !a && wire_type(msg) == SYC_PEER_FLEET_HEARTBEAT)
+		cut_newer_fields(e);
 	push_event(s, e);
 	return true;
 }
@@ -833,12 +858,13 @@
 	return n;
 }
 
-static struct fsim *sim_new(uint64_t seed, bool divided)
+static struct fsim *sim_new(uint64_t seed, bool divided, bool first_is_old)
 {
 	struct fsim *s = xcalloc(1, sizeof(*s));
 	int k;
 
 	s->divided = divided;
+	s->first_is_old = first_is_old;
 	s->objective_add_ms = 1000;
 	s->n_instances = divided ? FSIM_INSTANCES_MAX : FSIM_INSTANCES;
 
@@ -864,12 +890,17 @@
 
 struct fsim *fsim_new(uint64_t seed)
 {
-	return sim_new(seed, false);
+	return sim_new(seed, false, false);
 }
 
 struct fsim *fsim_new_divided(uint64_t seed)
 {
-	return sim_new(seed, true);
+	return sim_new(seed, true, false);
+}
+
+struct fsim *fsim_new_divided_with_old(uint64_t seed)
+{
+	return sim_new(seed, true, true);
 }
 
 void fsim_free(struct fsim *s)
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -92,6 +92,7 @@
 	struct rng rng;
 	struct fake_store store;
 	bool divided; /* into cells, one for each domain */
+	bool first_is_old; /* it sends heartbeats of an earlier version */
 	int n_instances;
 	struct fsim_instance instances[FSIM_INSTANCES_MAX];
 	struct fsim_worker workers[FSIM_WORKERS];
@@ -118,6 +119,8 @@
 struct fsim *fsim_new(uint64_t seed);
 /* The same with a fleet that is divided into cells. */
 struct fsim *fsim_new_divided(uint64_t seed);
+/* The same, but the first instance sends heartbeats of an earlier version. */
+struct fsim *fsim_new_divided_with_old(uint64_t seed);
 void fsim_free(struct fsim *s);
 void fsim_run(struct fsim *s, int64_t ms);
 
--- a/test/unit/cells_test.c
+++ b/test/unit/cells_test.c
@@ -203,6 +203,50 @@
 	check_and_free(s);
 }
 
+/* An instance of an earlier version writes a map without the cells, too. */
+static void lost_map_leaves_the_fleet_divided(void)
+{
+	struct fsim *s = start_fleet();
+	bool whole_drove = false;
+	int i, k;
+
+	/* The whole fleet's next driver must not drive either. */
+	for (k = 0;
+	     s->instances[k].instance.id != s->instances[k].fleet->driver;)
+		k++;
+	fsim_kill(s, k);
+	fake_store_put(&s->store, "map", "?");
+	for (i = 0; i < 300; i++) {
+		fsim_run(s, 10);
+		for (k = 0; k < s->n_instances; k++)
+			whole_drove |= s->instances[k].fleet &&
+				       fleet_is_driver(s->instances[k].fleet);
+	}
+	CU_ASSERT_FALSE(whole_drove);
+	CU_ASSERT_EQUAL(count_drivers(s), DOMAINS);
+	fsim_kill(s, 0);
+	fsim_start(s, 0);
+	fsim_run(s, 1500);
+	CU_ASSERT_EQUAL(cells_count(s->instances[0].cells), DOMAINS);
+	for (k = 0; k < DOMAINS; k++)
+		CU_ASSERT_EQUAL(complete_jobs(s, k, 1, 120), 1);
+	check_and_free(s);
+}
+
+static void fleet_with_an_earlier_version_is_not_divided(void)
+{
+	struct fsim *s;
+	int k;
+
+	log_level_set(getenv("FLEET_LOG") ? LOG_INFO : LOG_ERROR);
+	s = fsim_new_divided_with_old(SEED);
+	fsim_run(s, 3000);
+	for (k = 0; k < s->n_instances; k++)
+		CU_ASSERT_EQUAL(cells_count(s->instances[k].cells), 0);
+	CU_ASSERT_EQUAL(count_drivers(s), 1);
+	check_and_free(s);
+}
+
 static bool is_in_domain_of_whole_driver(const struct fsim *s, int k)
 {
 	uint64_t driver = s->instances[k].fleet->driver;
@@ -306,6 +350,8 @@
 	TEST(leaving_driver_of_a_cell_hands_over_its_runs);
 	TEST(restarted_fleet_stays_divided);
 	TEST(instance_that_missed_the_division_drives_nothing);
+	TEST(lost_map_leaves_the_fleet_divided);
+	TEST(fleet_with_an_earlier_version_is_not_divided);
 	TEST(busy_own_cell_is_passed_over_for_one_with_room);
 	TEST(emptiest_cell_does_not_get_all_jobs);
 }
