--- a/test/unit/drive_test.c
+++ b/test/unit/drive_test.c
@@ -120,7 +120,7 @@
 static void jobs_that_arrive_together_are_refused_at_once(void)
 {
 	struct drive_fake f;
-	char id[8];
+	char id[16];
 	int i;
 
 	drive_fake_init(&f, 2); /* capacity for four tasks */
