Refuse the jobs that an instance took before it knew the cells as not run

Jobs that were submitted to no driver are refused as not run, with a time to come back. The test failed before: no answer of that kind.

--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -239,8 +239,8 @@
 		   uint32_t generation, enum drive_outcome outcome,
 		   uint32_t retry_after_ms, const char *reason);
 /*
- * Answers all jobs as unknown. Runs of them end with their leases before a
- * caller submits its job again.
+ * Answers all jobs, as unknown if they were submitted to a driver. Runs of
+ * these end with their leases before a caller submits its job again.
  */
 void home_end_all(struct fleet *f, int64_t now, const char *reason);
 void home_free(struct fleet *f);
--- a/src/fleet/home.c
+++ b/src/fleet/home.c
@@ -318,8 +318,11 @@
 	while ((j = table_next(&f->jobs, &pos, &handle))) {
 		if (j->is_cancelled)
 			drop_job(f, j);
-		else
+		else if (j->submitted)
 			answer_job(f, j, FLEET_UNKNOWN, 0, reason, now);
+		else
+			answer_job(f, j, FLEET_NOT_RUN, NO_DRIVER_RETRY_MS,
+				   reason, now);
 	}
 }
 
--- a/test/unit/cells_test.c
+++ b/test/unit/cells_test.c
@@ -203,6 +203,33 @@
 	check_and_free(s);
 }
 
+/* An instance that starts learns the cells after its first callers' jobs. */
+static void job_of_an_instance_that_starts_is_refused_as_not_run(void)
+{
+	struct fsim *s = start_fleet();
+	struct drive_job job = {.id = "early",
+				.service = "s",
+				.route = "r",
+				.label = "",
+				.n_tasks = 1,
+				.deadline_ms = 2000};
+	struct fsim_instance *i = &s->instances[0];
+
+	fsim_kill(s, 0);
+	fsim_run(s, 100);
+	fsim_start(s, 0);
+	s->n_jobs = 1;
+	s->jobs[0] = (struct fsim_job){.home = 0,
+				       .home_incarnation = i->instance.id,
+				       .sent_at = s->now,
+				       .deadline_at = s->now + 2000};
+	cells_submit(i->cells, s->now, 1, &job);
+	fsim_run(s, 300);
+	CU_ASSERT(s->jobs[0].answered);
+	CU_ASSERT_EQUAL(s->jobs[0].outcome, FLEET_NOT_RUN);
+	check_and_free(s);
+}
+
 /* An instance of an earlier version writes a map without the cells, too. */
 static void lost_map_leaves_the_fleet_divided(void)
 {
@@ -350,6 +377,7 @@
 	TEST(leaving_driver_of_a_cell_hands_over_its_runs);
 	TEST(restarted_fleet_stays_divided);
 	TEST(instance_that_missed_the_division_drives_nothing);
+	TEST(job_of_an_instance_that_starts_is_refused_as_not_run);
 	TEST(lost_map_leaves_the_fleet_divided);
 	TEST(fleet_with_an_earlier_version_is_not_divided);
 	TEST(busy_own_cell_is_passed_over_for_one_with_room);
