--- a/src/drive/admit.c
+++ b/src/drive/admit.c
@@ -10,7 +10,8 @@
 	REFUSED_RETRY_MS = 1000,
 	TOO_LARGE_RETRY_MS = 0, /* a retry is useless: the job never fits */
 	LATE_MIN_MS = 20, /* a driver that is less late refuses nothing */
-	LATE_TURNS = 2 /* in which a start is sent and answered */
+	LATE_TURNS =
+		2 /* turns of the loop to send a start and read its answer */
 };
 
 static bool add_waiter(struct job *j, uint64_t home, uint64_t tag,
--- a/src/drive/run.c
+++ b/src/drive/run.c
@@ -304,8 +304,8 @@
 }
 
 /*
- * Only lists show progress, and a late driver has not read them. So a list of
- * after the limit must show that there was none.
+ * Only lists show progress, and a late driver has not read them. So a list that
+ * was read after the limit must still show none.
  */
 static bool is_run_stalled(const struct drive *d, const struct run *r,
 			   const struct worker *w, int64_t now)
--- a/src/transport/loop_turns.c
+++ b/src/transport/loop_turns.c
@@ -1,6 +1,6 @@
 #include "transport/loop_turns.h"
 
-/* Two of these slots are remembered. */
+/* The longest turns of the current slot and of the one before are kept. */
 static const double slot_s = 0.1;
 
 static void on_wait_ended(struct ev_loop *loop, ev_check *w, int revents)
