--- a/src/fleet/cell_choice.h
+++ b/src/fleet/cell_choice.h
@@ -18,7 +18,7 @@
 	bool reachable; /* its driver is */
 	bool tried; /* it refused the job */
 	bool is_own; /* it is the cell of this instance's failure domain */
-	uint64_t cpu_milli; /* of all workers that can be used */
+	uint64_t cpu_milli; /* of the usable workers, free or not */
 	uint64_t free_cpu_milli;
 };
 
--- a/src/fleet/cells.h
+++ b/src/fleet/cells.h
@@ -2,8 +2,8 @@
  * One instance as the daemon sees it: a fleet, or, if there are many workers,
  * a fleet that is divided into cells. A cell is a failure domain whose workers
  * have a driver of their own, so the load is carried by several machines, and
- * a domain that is cut off keeps its driver. The fleet as a whole then only
- * keeps the map of instances, spreads the configuration and drives nothing.
+ * a domain that is cut off keeps its driver. In a divided fleet, the whole fleet
+ * keeps the map of instances and spreads the configuration, and drives nothing.
  *
  * A job runs in one cell. A cell that refuses it has started no task of it, so
  * it may be submitted to another cell. A job whose outcome in a cell is not
--- a/src/fleet/division.c
+++ b/src/fleet/division.c
@@ -58,7 +58,7 @@
 }
 
 /* Whether all members run a version that knows cells. */
-static bool do_all_know_cells(const struct fleet *f)
+static bool all_members_know_cells(const struct fleet *f)
 {
 	const struct fleet_peer *p;
 	size_t i;
@@ -80,6 +80,6 @@
 	if (*f->opt.cell || fleet_is_divided(f) || !f->opt.cell_workers_min ||
 	    f->driver != f->opt.self.id || n < f->opt.divided_workers_min)
 		return;
-	if (do_all_know_cells(f) && divide(f, list, n, &division))
+	if (all_members_know_cells(f) && divide(f, list, n, &division))
 		fleet_map_copy_cells(&f->wanted_cells, &division);
 }
--- a/src/fleet/yield.c
+++ b/src/fleet/yield.c
@@ -8,7 +8,8 @@
 enum {
 	FACTOR = 2, /* of the stronger instance's capacity to the driver's */
 	UPTIME_MIN_MS = 3000, /* of the stronger instance, and as driver */
-	TIMEOUT_MS = 500, /* longer than a planned takeover */
+	TIMEOUT_MS =
+		500, /* until the driver stops yielding; a takeover is faster */
 	RETRY_MS = 5000, /* doubled while no instance takes over */
 	DOUBLINGS_MAX = 4
 };
--- a/test/fleet_soak/soak.h
+++ b/test/fleet_soak/soak.h
@@ -41,8 +41,8 @@
 	int domain;
 	uint16_t callers_port, peers_port, admin_port;
 	struct proxy callers, store; /* to its port, to the store */
-	int64_t start_at; /* zero: not to be started */
-	int64_t continue_at; /* zero: not paused */
+	int64_t start_at; /* when it is started again; zero: it is not */
+	int64_t continue_at; /* when its pause ends; zero: it is not paused */
 	unsigned settings_version;
 };
 
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -119,7 +119,7 @@
 struct fsim *fsim_new(uint64_t seed);
 /* The same with a fleet that is divided into cells. */
 struct fsim *fsim_new_divided(uint64_t seed);
-/* The same, but the first instance sends heartbeats of an earlier version. */
+/* The same, but instance 0 runs an earlier version, as its heartbeats show. */
 struct fsim *fsim_new_divided_with_old(uint64_t seed);
 void fsim_free(struct fsim *s);
 void fsim_run(struct fsim *s, int64_t ms);
--- a/test/unit/fleet_test.c
+++ b/test/unit/fleet_test.c
@@ -302,7 +302,7 @@
 	int driver = fsim_find_driver(s);
 	int domain = (s->instances[driver].domain + 1) % DOMAINS;
 
-	/* A driver knows all workers that may have runs after 10 s. */
+	/* For 10 s, a new driver may not know all workers that have runs. */
 	fsim_run(s, 10000);
 	fsim_pause(s, driver, 250);
 	fsim_run(s, 200);
