Log unanswered watches and show the configuration's age

An instance now logs each unanswered call for the configuration and the map with the time since it was sent, and a peer's newer version; a metric has the time since the store's last answer.

--- a/src/cmd/config_watcher.c
+++ b/src/cmd/config_watcher.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 
 #include "cmd/config_watcher.h"
+#include "sycamoreshore/clock.h"
 #include "util/alloc.h"
 #include "util/log.h"
 
@@ -14,6 +15,8 @@
 	struct config_watcher_options opt;
 	struct fleet_routes routes;
 	uint64_t index; /* index of the last read; zero: absent or not read */
+	int64_t sent_at; /* of the call in flight */
+	int64_t answered_at; /* the store's last answer; zero: none yet */
 	ev_timer timer;
 };
 
@@ -50,9 +53,20 @@
 	ev_timer_start(c->opt.loop, &c->timer);
 }
 
+static void log_unanswered(const struct config_watcher *c, int64_t now,
+			   const struct syc_platform_value *v)
+{
+	log_warn("config_unanswered",
+		 LOG_S("call", c->index ? "watch" : "read"),
+		 LOG_I("sent_ms_ago", now - c->sent_at),
+		 LOG_I("age_ms", c->answered_at ? now - c->answered_at : -1),
+		 LOG_U("version", c->routes.version), LOG_S("why", v->message));
+}
+
 static void on_value(void *arg, const struct syc_platform_value *v)
 {
 	struct config_watcher *c = arg;
+	int64_t now = syc_now(&syc_clock_boot);
 
 	if (v->status == SYC_PLATFORM_ABSENT) {
 		c->index = 0;
@@ -60,9 +74,11 @@
 		return;
 	}
 	if (v->status != SYC_PLATFORM_OK) {
+		log_unanswered(c, now, v);
 		read_later(c, UNREACHABLE_RETRY_MS);
 		return;
 	}
+	c->answered_at = now;
 	if (v->value.n)
 		config_watcher_offer(c, v->value, "store");
 	c->index = v->index;
@@ -73,6 +89,7 @@
 {
 	const struct syc_platform_ops *ops = &c->opt.store;
 
+	c->sent_at = syc_now(&syc_clock_boot);
 	if (c->index)
 		ops->watch(ops->ctx, c->opt.key, c->index, WATCH_WAIT_MS,
 			   on_value, c);
@@ -110,3 +127,10 @@
 {
 	return &c->routes;
 }
+
+int64_t config_watcher_age_ms(const struct config_watcher *c)
+{
+	if (!c->answered_at)
+		return -1;
+	return syc_now(&syc_clock_boot) - c->answered_at;
+}
--- a/src/cmd/config_watcher.h
+++ b/src/cmd/config_watcher.h
@@ -39,4 +39,7 @@
 const struct fleet_routes *config_watcher_routes(
 	const struct config_watcher *c);
 
+/* Returns the time in ms since the store's last answer; -1: none yet. */
+int64_t config_watcher_age_ms(const struct config_watcher *c);
+
 #endif
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -83,6 +83,7 @@
 	struct fleet_map map; /* as last read */
 	struct fleet_map pending_map; /* written by the call in flight */
 	int64_t next_map_call_at;
+	int64_t watch_sent_at; /* the watch of the map that is in flight */
 	int64_t store_reachable_at; /* when the store was reachable again */
 	int64_t last_join_at; /* the last attempt to join the map */
 
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -180,11 +180,23 @@
 	f->missed_division |= wire_bool(w);
 }
 
+static void log_newer_config(const struct fleet *f, const struct fleet_peer *p,
+			     uint64_t version_before)
+{
+	if (p->config_version <= f->config_version ||
+	    p->config_version == version_before)
+		return;
+	log_info("peer_config_newer", LOG_S("peer", p->instance.name),
+		 LOG_U("peer_version", p->config_version),
+		 LOG_U("version", f->config_version));
+}
+
 bool heartbeat_receive(struct fleet *f, int64_t now, struct fleet_peer *p,
 		       struct syc_bytes msg)
 {
-	struct wire_in w;
+	uint64_t version_before = p->config_version;
 	bool driver_returned = false; /* it was unreachable until now */
+	struct wire_in w;
 
 	wire_open(&w, msg);
 	p->uptime_ms = (uint32_t)wire_u64(&w);
@@ -198,6 +210,7 @@
 		read_newer_fields(f, p, &w);
 	if (!wire_close(&w))
 		return false;
+	log_newer_config(f, p, version_before);
 	if (fleet_is_resuming(f, now)) {
 		election_update_driver(f, now, p->epoch, p->driver);
 		return true;
--- a/src/fleet/map_sync.c
+++ b/src/fleet/map_sync.c
@@ -135,6 +135,10 @@
 	struct fleet *f = arg;
 
 	f->watch_in_flight = false;
+	if (is_store_unreachable(v->status))
+		log_warn("map_unanswered",
+			 LOG_I("sent_ms_ago", get_now(f) - f->watch_sent_at),
+			 LOG_S("why", v->message));
 	handle_read(f, v);
 }
 
@@ -285,6 +289,7 @@
 	}
 	if (!f->watch_in_flight && f->map.index) {
 		f->watch_in_flight = true;
+		f->watch_sent_at = now;
 		get_map_key(f, key);
 		f->opt.store.watch(f->opt.store.ctx, key, f->map.index,
 				   WATCH_MS, on_watch, f);
