--- a/test/process/fleet_lib.sh
+++ b/test/process/fleet_lib.sh
@@ -87,3 +87,30 @@
 counts() {
 	ask GET "$STORE" /standin/counts | sed -n "s/.*\"$1\":\([0-9]*\).*/\1/p"
 }
+
+# knobs SETTING: sets a knob of the platform's stand-in.
+knobs() {
+	ask PUT "$STORE" "/standin/knobs?$1" >/dev/null
+}
+
+# config_version NAME: the version that is in force at the instance.
+config_version() {
+	ask GET "$(cat "$DIR/$1.admin")" /metrics |
+		sed -n 's/^sycamoreshore_config_version \([0-9]*\).*/\1/p'
+}
+
+# wait_config VERSION NAME...: waits until it is in force at the instances.
+wait_config() {
+	version=$1
+	shift
+	for name in "$@"
+	do
+		left=$((WAIT_S * 20))
+		until [ "$(config_version "$name")" -eq "$version" ]
+		do
+			left=$((left - 1))
+			[ "$left" -gt 0 ] || die "$name lacks version $version"
+			sleep 0.05
+		done
+	done
+}
--- a/test/standin/fleet.c
+++ b/test/standin/fleet.c
@@ -8,13 +8,15 @@
 #include "fleet.h"
 #include "platform/names.h"
 #include "standin.h"
+#include "util/buf.h"
 
 enum {
 	BODY_MAX = 1024 * 1024, /* bytes */
 	CONNS_MAX = 1024,
 	IDLE_S = 60,
 	TICK_MS = 5,
-	DOMAINS = 2
+	DOMAINS = 2,
+	FIRST_VERSION = 3 /* of the configuration */
 };
 
 static int opt_workers = 6;
@@ -118,15 +120,24 @@
 	json_decref(entry);
 }
 
-static void add_config(struct fleet_platform *p)
+/* Besides /quick/, version N has a route /vN/ that no other version has. */
+void fleet_put_config(struct fleet_platform *p, long version)
 {
-	static const char config[] =
-		"{\"version\":3,\"routes\":[{\"name\":\"quick\","
-		"\"host\":\"127.0.0.1\",\"prefix\":\"/quick/\","
-		"\"service\":\"s\",\"maxAttempts\":3,\"slackFactor\":1.6,"
-		"\"targetLatencyMs\":3000,\"timeoutMs\":5000}]}";
-
-	fleet_store_put(p, STORE_CONFIG_KEY, config);
+	static const char route[] =
+		"{\"name\":\"%s%ld\",\"host\":\"127.0.0.1\","
+		"\"prefix\":\"/%s/\",\"service\":\"s\",\"maxAttempts\":3,"
+		"\"slackFactor\":1.6,\"targetLatencyMs\":3000,"
+		"\"timeoutMs\":5000}";
+	auto_buf struct buf text = {0};
+	char prefix[32];
+
+	snprintf(prefix, sizeof(prefix), "v%ld", version);
+	buf_printf(&text, "{\"version\":%ld,\"routes\":[", version);
+	buf_printf(&text, route, "quick", 0L, "quick");
+	buf_puts(&text, ",");
+	buf_printf(&text, route, "v", version, prefix);
+	buf_puts(&text, "]}");
+	fleet_store_put(p, STORE_CONFIG_KEY, text.data);
 }
 
 int standin_fleet(int argc, const char **argv)
@@ -147,7 +158,7 @@
 	for (i = 0; i < (size_t)opt_workers; i++)
 		add_worker(&p, i);
 	p.n_workers = (size_t)opt_workers;
-	add_config(&p);
+	fleet_put_config(&p, FIRST_VERSION);
 	ev_timer_init(&p.tick, on_tick, 0, TICK_MS / 1000.0);
 	p.tick.data = &p;
 	ev_timer_start(p.loop, &p.tick);
--- a/test/standin/fleet.h
+++ b/test/standin/fleet.h
@@ -83,6 +83,9 @@
 	ev_timer tick;
 	int run_ms; /* run time of every task */
 	bool down; /* the store answers 503 to all calls */
+	/* Calls that reach the store, or are due, now get no answer at all. */
+	bool silent;
+	bool deaf; /* watches end without the changes made meanwhile */
 	uint64_t revision;
 	struct fleet_item items[FLEET_KEYS_MAX];
 	size_t n_items;
@@ -113,6 +116,9 @@
 void fleet_store_put(struct fleet_platform *p, const char *key,
 		     const char *text);
 
+/* Puts the configuration of that version into the store, see fleet.c. */
+void fleet_put_config(struct fleet_platform *p, long version);
+
 /* Functions of fleet_worker.c. */
 void fleet_worker_request(void *ctx, uint64_t id,
 			  const struct http_request *req);
--- a/test/standin/fleet_store.c
+++ b/test/standin/fleet_store.c
@@ -181,10 +181,19 @@
 		      const struct http_request *req)
 {
 	const char *down = http_query(req, "down");
+	const char *silent = http_query(req, "silent");
+	const char *deaf = http_query(req, "deaf");
+	const char *config = http_query(req, "config");
 	const char *run_ms = http_query(req, "run_ms");
 
 	if (down)
 		p->down = *down == '1';
+	if (silent)
+		p->silent = *silent == '1';
+	if (deaf)
+		p->deaf = *deaf == '1';
+	if (config)
+		fleet_put_config(p, strtol(config, NULL, 10));
 	if (run_ms)
 		p->run_ms = (int)strtol(run_ms, NULL, 10);
 	fleet_reply(p->store, id, 200, json_object());
@@ -200,6 +209,8 @@
 		reply_counts(p, id);
 	else if (!strcmp(req->path, "/standin/job"))
 		reply_job(p, id, http_query(req, "id"));
+	else if (p->silent)
+		return;
 	else if (p->down)
 		fleet_reply(p->store, id, 503, json_object());
 	else if (!strcmp(req->path, STORE_KEY_PATH))
@@ -231,12 +242,17 @@
 
 	if (!id)
 		return;
-	events = items_json(p, w->prefix, w->after_revision);
+	events = p->deaf ? json_array()
+			 : items_json(p, w->prefix, w->after_revision);
 	if (!json_array_size(events) && ev_now(p->loop) < w->deadline) {
 		json_decref(events);
 		return;
 	}
 	w->request = 0;
+	if (p->silent) {
+		json_decref(events);
+		return;
+	}
 	fleet_reply(p->store, id, 200,
 		    json_pack("{s:o, s:I}", WATCH_EVENTS, events,
 			      STORE_REVISION, (json_int_t)p->revision));
