Have reads prove the configuration, as a lost watch looks quiet

Cause: an instance learned of changes from a watch of 5 s with 1 s for the call. One that was sent into a silence of the store, or due in it, was waited for up to 6 s, and the attempt after it was a watch again. All instances had begun theirs at the same change, so no peer had anything to pass on. The class: the absence of an answer taken for the absence of news, with no bound on the age of what is held.

Change: key_watch keeps the value of a key known. A watch is for speed; reads prove that nothing was missed. What is known has an age; it is read again at a fraction of the time in which a change has to apply, [platform] config_apply_ms, from the deployment's bounds. Reads follow unanswered ones without waiting for them, an answer after lost calls renews the watches, and an empty watch proves nothing. Heartbeats carry the age, so one instance reads for all; a heartbeat may have been held back, so the age counts from the one that its sender had received. Older instances ignore the two new fields and send none.

The age past its bound is logged (unconfirmed), and a metric shows it.

--- a/src/cmd/fleet_components.c
+++ b/src/cmd/fleet_components.c
@@ -4,7 +4,6 @@
 #include <string.h>
 
 #include "cmd/fleet_daemon.h"
-#include "platform/config.h"
 #include "util/alloc.h"
 #include "util/invariant.h"
 
@@ -44,11 +43,12 @@
 	mailbox_post(&d->to_jobs, MAIL_ANSWER, tag, head, no_bytes);
 }
 
-static void fleet_config_cb(void *ctx, uint64_t version, struct syc_bytes text)
+static uint64_t fleet_config_cb(void *ctx, struct syc_bytes text,
+				const char *from)
 {
 	struct fleet_daemon *d = ctx;
 
-	config_watcher_offer(d->config, text, "peer");
+	return routes_in_force_offer(&d->routes, text, from);
 }
 
 static void fleet_read_workers_cb(void *ctx)
@@ -93,6 +93,8 @@
 		.clock = syc_clock_boot,
 		.wall_clock = syc_clock_wall,
 		.store = platform_store_ops(d->store),
+		.config_key = PLATFORM_CONFIG,
+		.config_apply_ms = d->settings.config_apply_ms,
 		.divided_workers_min = d->settings.divided_workers_min,
 		.cell_workers_min = d->settings.cell_workers_min,
 		.capacity = capacity_estimate(&d->settings.machine),
@@ -159,12 +161,26 @@
 	cells_set_workers(d->fleet, fleet_daemon_now(), list, n);
 }
 
+/*
+ * Lost reads must end before the age of the configuration reaches its bound, as
+ * there is a limit on the reads in flight.
+ */
+static uint32_t limit_store_timeout(const struct fleet_settings *s)
+{
+	uint32_t max_ms = s->config_apply_ms / 2;
+
+	if (s->store_timeout_ms <= max_ms)
+		return s->store_timeout_ms;
+	log_info("store_timeout_limited", LOG_U("timeout_ms", max_ms));
+	return max_ms;
+}
+
 static void open_store(struct fleet_daemon *d)
 {
 	struct platform_store_options opt = {
 		.loop = d->loop,
 		.addr = d->settings.store,
-		.timeout_ms = d->settings.store_timeout_ms,
+		.timeout_ms = limit_store_timeout(&d->settings),
 		.ctx = d,
 		.workers = workers_cb,
 	};
@@ -172,33 +188,11 @@
 	d->store = platform_store_new(&opt);
 }
 
-static void config_changed_cb(void *ctx, uint64_t version,
-			      struct syc_bytes text)
-{
-	struct fleet_daemon *d = ctx;
-
-	cells_set_config(d->fleet, fleet_daemon_now(), version, text);
-}
-
-static void open_config(struct fleet_daemon *d)
-{
-	struct config_watcher_options opt = {
-		.loop = d->loop,
-		.store = platform_store_ops(d->store),
-		.key = PLATFORM_CONFIG,
-		.read = platform_config_read,
-		.ctx = d,
-		.changed = config_changed_cb,
-	};
-
-	d->config = config_watcher_new(&opt);
-}
-
 static const struct fleet_routes *routes_cb(void *ctx)
 {
 	struct fleet_daemon *d = ctx;
 
-	return config_watcher_routes(d->config);
+	return &d->routes;
 }
 
 static void submit_cb(void *ctx, uint64_t tag, const struct drive_job *job)
@@ -392,6 +386,5 @@
 	open_store(d);
 	open_workers(d);
 	open_fleet(d);
-	open_config(d);
 	return open_jobs(d, err, errlen) && open_admin(d, err, errlen);
 }
--- a/src/cmd/fleet_daemon.c
+++ b/src/cmd/fleet_daemon.c
@@ -64,7 +64,7 @@
 	job_server_free(d->jobs);
 	worker_client_free(d->workers);
 	platform_store_free(d->store);
-	config_watcher_free(d->config);
+	fleet_routes_free(&d->routes);
 	peer_links_free(d->peers);
 	cells_free(d->fleet);
 	if (d->to_fleet.end) {
--- a/src/cmd/fleet_daemon.h
+++ b/src/cmd/fleet_daemon.h
@@ -9,9 +9,9 @@
 #include <ev.h>
 
 #include "cmd/admin_server.h"
-#include "cmd/config_watcher.h"
 #include "cmd/fleet_settings.h"
 #include "cmd/mailbox.h"
+#include "cmd/routes_in_force.h"
 #include "fleet/cells.h"
 #include "platform/job_server.h"
 #include "platform/store.h"
@@ -33,7 +33,7 @@
 	struct job_server *jobs;
 	struct worker_client *workers;
 	struct platform_store *store;
-	struct config_watcher *config;
+	struct fleet_routes routes; /* in force */
 	struct admin_server *admin;
 	struct peer_links *peers;
 	struct mailbox to_fleet;
--- a/src/cmd/fleet_metrics.c
+++ b/src/cmd/fleet_metrics.c
@@ -125,11 +125,11 @@
 		   cells_open_jobs(d->fleet));
 	set_metric(d, METRIC_GAUGE, "sycamoreshore_config_version",
 		   "Version of the configuration in force; zero for none.",
-		   NULL, config_watcher_routes(d->config)->version);
+		   NULL, d->routes.version);
 	set_metric(d, METRIC_GAUGE, "sycamoreshore_config_age_ms",
 		   "Time since the store last confirmed the configuration; "
 		   "the largest value: never.",
-		   NULL, (uint64_t)config_watcher_age_ms(d->config));
+		   NULL, (uint64_t)cells_config_age_ms(d->fleet));
 	set_metric(d, METRIC_GAUGE, "sycamoreshore_epoch",
 		   "Epoch of the driver that is followed; zero for none.", NULL,
 		   fleet_epoch(cells_own(d->fleet)));
--- a/src/cmd/fleet_settings.c
+++ b/src/cmd/fleet_settings.c
@@ -58,7 +58,13 @@
 	{"store", FIELD_ADDR, OFFSET_OF(store), 0, 0, NULL, NULL,
 	 "Address of the platform's store."},
 	{"timeout_ms", FIELD_U32, OFFSET_OF(store_timeout_ms), 50, 60000, "ms",
-	 "1000", "Time limit of a call; a watch adds its wait time."},
+	 "1000",
+	 "Time limit of a call, at most half of config_apply_ms; a watch adds "
+	 "its wait time."},
+	{"config_apply_ms", FIELD_U32, OFFSET_OF(config_apply_ms), 400, 600000,
+	 "ms", "2000",
+	 "Time within which a change of the configuration is in force after "
+	 "the store has confirmed it; an older confirmation is logged."},
 	{0},
 };
 
--- a/src/cmd/fleet_settings.h
+++ b/src/cmd/fleet_settings.h
@@ -27,6 +27,7 @@
 	/* [platform] */
 	struct syc_addr store;
 	uint32_t store_timeout_ms;
+	uint32_t config_apply_ms;
 	/* [workers] */
 	uint32_t lease_ms;
 	uint32_t hold_wait_ms;
--- a/src/fleet/cell_fleet.c
+++ b/src/fleet/cell_fleet.c
@@ -47,13 +47,13 @@
 		cell_jobs_answered(cell, tag, answer);
 }
 
-/* Only the whole fleet has a configuration to spread. */
-static void on_config(void *ctx, uint64_t version, struct syc_bytes text)
+/* Only the whole fleet has a configuration. */
+static uint64_t on_config(void *ctx, struct syc_bytes text, const char *from)
 {
 	const struct cell *cell = ctx;
 	const struct fleet_options *opt = &cell->cells->opt;
 
-	opt->config(opt->ctx, version, text);
+	return opt->config(opt->ctx, text, from);
 }
 
 static void on_read_workers(void *ctx)
--- a/src/fleet/cells.c
+++ b/src/fleet/cells.c
@@ -127,10 +127,9 @@
 			fleet_set_workers(c->cells[i].fleet, now, list, n);
 }
 
-void cells_set_config(struct cells *c, int64_t now, uint64_t version,
-		      struct syc_bytes text)
+int64_t cells_config_age_ms(const struct cells *c)
 {
-	fleet_set_config(c->whole.fleet, now, version, text);
+	return fleet_config_age_ms(c->whole.fleet);
 }
 
 struct fleet *cells_whole(struct cells *c)
--- a/src/fleet/cells.h
+++ b/src/fleet/cells.h
@@ -39,8 +39,7 @@
 
 void cells_set_workers(struct cells *c, int64_t now,
 		       const struct drive_worker *list, size_t n);
-void cells_set_config(struct cells *c, int64_t now, uint64_t version,
-		      struct syc_bytes text);
+int64_t cells_config_age_ms(const struct cells *c);
 
 /* Pass in the answers to calls to workers. */
 void cells_start_answered(struct cells *c, int64_t now, uint64_t call,
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -173,6 +173,7 @@
 	f->started_at = now;
 	f->last_event_at = now;
 	f->drive = drive_new(&drive);
+	config_sync_init(f, now);
 	table_init(&f->jobs, sizeof(struct home_job));
 	return f;
 }
@@ -192,6 +193,7 @@
 {
 	fleet_detect_pause(f, now);
 	map_sync_tick(f, now);
+	config_sync_tick(f, now);
 	heartbeat_tick(f, now);
 	election_tick(f, now);
 	workers_tick(f, now);
@@ -199,18 +201,6 @@
 	home_tick(f, now);
 }
 
-void fleet_set_config(struct fleet *f, int64_t now, uint64_t version,
-		      struct syc_bytes text)
-{
-	if (version <= f->config_version)
-		return;
-	f->config_version = version;
-	free(f->config);
-	f->config = xmemdup(text.p, text.n);
-	f->config_len = text.n;
-	heartbeat_send_all(f, now);
-}
-
 struct drive *fleet_get_drive(struct fleet *f)
 {
 	return f->drive;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -47,6 +47,9 @@
 	struct syc_clock clock; /* the source of `now` */
 	struct syc_clock wall_clock; /* the source of epochs */
 	struct syc_platform_ops store;
+	const char *config_key; /* of the configuration in the store */
+	/* In force within this time of its confirmation by the store. */
+	uint32_t config_apply_ms;
 	/* The fleet is divided into cells from this number of workers on... */
 	uint32_t divided_workers_min;
 	/* ...if each failure domain has this number; zero: never. */
@@ -62,8 +65,12 @@
 	/* Gives the final answer to the job with this tag; called once. */
 	void (*answer)(void *ctx, uint64_t tag,
 		       const struct fleet_answer *answer);
-	/* A peer has sent a newer configuration, as it stands in the store. */
-	void (*config)(void *ctx, uint64_t version, struct syc_bytes text);
+	/*
+	 * Puts a configuration in force, as it stands in the store, and returns
+	 * its version; zero: it is not newer, or cannot be read. `from` is its
+	 * source, for the log.
+	 */
+	uint64_t (*config)(void *ctx, struct syc_bytes text, const char *from);
 	/* Requests the list of workers, which fleet_set_workers passes in. */
 	void (*read_workers)(void *ctx);
 	/* Calls to workers; see drive.h. */
@@ -103,9 +110,11 @@
 void fleet_set_workers(struct fleet *f, int64_t now,
 		       const struct drive_worker *list, size_t n);
 
-/* Sets the configuration in force, which is sent to peers that lack it. */
-void fleet_set_config(struct fleet *f, int64_t now, uint64_t version,
-		      struct syc_bytes text);
+/*
+ * The time in ms since the store confirmed the configuration in force, to this
+ * instance or to a peer; -1: never.
+ */
+int64_t fleet_config_age_ms(const struct fleet *f);
 
 /*
  * Passes in the answer to a hold. The answers to starts and stops are passed
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -4,6 +4,7 @@
 
 #include "fleet/fleet.h"
 #include "fleet/fleet_map.h"
+#include "fleet/key_watch.h"
 #include "protocol/wire.h"
 #include "util/index.h"
 #include "util/list.h"
@@ -30,6 +31,8 @@
 	struct drive_room room; /* of the workers that it drives */
 	bool knows_cells; /* its version does */
 	int64_t config_sent_at;
+	/* Its `uptime_ms` as it sent it, which it gets back as an echo. */
+	uint64_t sent_at_ms;
 };
 
 /* A job that a caller submitted to this instance. */
@@ -109,8 +112,9 @@
 	struct fleet_map wanted_cells; /* its cells; none: no division */
 	bool lost_cells; /* the map in the store lacks them */
 
-	/* config */
-	uint64_t config_version;
+	/* config_sync.c */
+	struct key_watch config_watch;
+	uint64_t config_version; /* in force; zero: none */
 	void *config;
 	size_t config_len;
 
@@ -229,6 +233,13 @@
 /* Writes the map that names this instance as the driver under `epoch`. */
 void map_sync_take_over(struct fleet *f, int64_t now, uint64_t epoch);
 
+/* config_sync.c */
+void config_sync_init(struct fleet *f, int64_t now);
+void config_sync_tick(struct fleet *f, int64_t now);
+/* Sends the configuration to a peer that lacks it. */
+void config_sync_send(struct fleet *f, int64_t now, struct fleet_peer *p);
+bool config_sync_receive(struct fleet *f, int64_t now, struct syc_bytes msg);
+
 /* home.c */
 void home_tick(struct fleet *f, int64_t now);
 /*
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -13,13 +13,12 @@
 	/* Well below REACHABLE_MS, after which peers may replace a driver. */
 	RECENT_MS = 220,
 	REACHABLE_MS = 350, /* since the last heartbeat of a peer */
-	CONFIG_RETRY_MS = 500, /* until a configuration is sent again */
 	/*
 	 * A domain without heartbeat for this time may be driven with an old
 	 * list of workers.
 	 */
 	DOMAIN_UNREACHABLE_MS = 5000,
-	HEARTBEAT_FIELDS = 12
+	HEARTBEAT_FIELDS = 14
 };
 
 const struct fleet_peer *heartbeat_find_peer(const struct fleet *f, uint64_t id)
@@ -63,8 +62,19 @@
 	return p->heartbeat_at && now - p->heartbeat_at <= RECENT_MS;
 }
 
+/* The age of the configuration for peers; zero: it was never confirmed. */
+static uint64_t get_config_age_ms(const struct fleet *f, int64_t now)
+{
+	int64_t age_ms = key_watch_age_ms(&f->config_watch, now);
+
+	if (age_ms < 0)
+		return 0;
+	return age_ms ? (uint64_t)age_ms : 1;
+}
+
 static void send_heartbeat(struct fleet *f, int64_t now, uint64_t to)
 {
+	const struct fleet_peer *p = heartbeat_find_peer(f, to);
 	auto_wire_out struct wire_out w = {0};
 	struct drive_room room = {0};
 
@@ -84,6 +94,8 @@
 	wire_put_u64(&w, room.cpu_milli);
 	wire_put_u64(&w, room.free_cpu_milli);
 	wire_put_bool(&w, fleet_is_divided(f));
+	wire_put_u64(&w, p ? p->sent_at_ms : 0);
+	wire_put_u64(&w, get_config_age_ms(f, now));
 	f->opt.send(f->opt.ctx, to, wire_bytes(&w));
 }
 
@@ -110,20 +122,6 @@
 	f->next_heartbeat_at = now + HEARTBEAT_MS;
 }
 
-static void send_config(struct fleet *f, int64_t now, struct fleet_peer *p)
-{
-	auto_wire_out struct wire_out w = {0};
-
-	if (!f->config_version || p->config_version >= f->config_version ||
-	    now - p->config_sent_at < CONFIG_RETRY_MS)
-		return;
-	p->config_sent_at = now;
-	wire_begin(&w, SYC_PEER_CONFIG, 2);
-	wire_put_u64(&w, f->config_version);
-	wire_put_bytes(&w, f->config, f->config_len);
-	f->opt.send(f->opt.ctx, p->instance.id, wire_bytes(&w));
-}
-
 static void check_timeout(struct fleet *f, int64_t now, struct fleet_peer *p)
 {
 	if (p->has_timed_out || !p->heartbeat_at ||
@@ -180,6 +178,23 @@
 	f->missed_division |= wire_bool(w);
 }
 
+/*
+ * Accepts the peer's word for the age of the configuration, if both have the
+ * same. The heartbeat may have been held back on its way, so the age counts from
+ * when this instance sent the heartbeat that the peer had received before.
+ */
+static void read_config_age(struct fleet *f, const struct fleet_peer *p,
+			    struct wire_in *w)
+{
+	int64_t echo_ms = (int64_t)wire_u64(w);
+	int64_t age_ms = (int64_t)wire_u64(w);
+
+	if (w->failed || !echo_ms || !age_ms || !p->config_version ||
+	    p->config_version != f->config_version)
+		return;
+	key_watch_confirm(&f->config_watch, f->started_at + echo_ms - age_ms);
+}
+
 static void log_newer_config(const struct fleet *f, const struct fleet_peer *p,
 			     uint64_t version_before)
 {
@@ -199,7 +214,8 @@
 	struct wire_in w;
 
 	wire_open(&w, msg);
-	p->uptime_ms = (uint32_t)wire_u64(&w);
+	p->sent_at_ms = wire_u64(&w);
+	p->uptime_ms = (uint32_t)p->sent_at_ms;
 	p->epoch = wire_u64(&w);
 	p->driver = wire_u64(&w);
 	p->config_version = wire_u64(&w);
@@ -208,6 +224,8 @@
 	p->drives_domain = wire_bool(&w);
 	if (wire_has_more(&w))
 		read_newer_fields(f, p, &w);
+	if (wire_has_more(&w))
+		read_config_age(f, p, &w);
 	if (!wire_close(&w))
 		return false;
 	log_newer_config(f, p, version_before);
@@ -230,7 +248,7 @@
 	if (p->drives_domain)
 		isolated_update_driver(f, now, p);
 	election_update_driver(f, now, p->epoch, p->driver);
-	send_config(f, now, p);
+	config_sync_send(f, now, p);
 	return true;
 }
 
--- a/src/fleet/receive.c
+++ b/src/fleet/receive.c
@@ -75,20 +75,6 @@
 	return true;
 }
 
-static bool receive_config(struct fleet *f, struct syc_bytes msg)
-{
-	struct syc_bytes text;
-	struct wire_in w;
-	uint64_t version;
-
-	wire_open(&w, msg);
-	version = wire_u64(&w);
-	text = wire_view(&w);
-	if (!w.failed && version > f->config_version)
-		f->opt.config(f->opt.ctx, version, text);
-	return wire_close(&w);
-}
-
 bool fleet_receive(struct fleet *f, int64_t now, uint64_t from,
 		   struct syc_bytes msg)
 {
@@ -108,7 +94,7 @@
 	case SYC_PEER_JOB_CANCEL:
 		return receive_cancel(f, now, from, msg);
 	case SYC_PEER_CONFIG:
-		return receive_config(f, msg);
+		return config_sync_receive(f, now, msg);
 	case SYC_PEER_WORKERS:
 		return workers_receive(f, now, msg);
 	default:
--- a/test/deploy.sh
+++ b/test/deploy.sh
@@ -20,6 +20,8 @@
 	-e 's/{{platform.address}}/10.0.0.9:8169/' \
 	-e 's/{{limits.cpuShare}}/0.25/; s/{{limits.cpuCores}}/1/' \
 	-e 's/{{limits.linkMbps}}/1000.0/' \
+	-e 's/{{[#/]bounds.configApplyMs}}//g' \
+	-e 's/{{bounds.configApplyMs}}/2000/' \
 	-e 's/{{bounds.holdMaxMs}}/1000/' deploy/fleet.ini >"$dir/fleet.ini"
 if grep '{{' "$dir/fleet.ini"
 then
--- a/test/sim/fake_store.c
+++ b/test/sim/fake_store.c
@@ -5,6 +5,8 @@
 #include "util/alloc.h"
 #include "util/invariant.h"
 
+enum { LATE_MAX_MS = 1500 };
+
 enum call_kind { CALL_GET, CALL_CAS, CALL_WATCH, CALL_LIST };
 
 struct fake_call {
@@ -15,6 +17,9 @@
 	char *value;
 	size_t len;
 	int64_t due_at; /* ms */
+	int64_t timeout_at; /* ms */
+	bool is_lost; /* it ends at its time limit */
+	bool is_late; /* its reply was delayed */
 	int64_t wait_ends_at; /* ms; of a watch */
 	bool is_applied;
 	enum syc_platform_status status;
@@ -80,6 +85,12 @@
 	}
 }
 
+static bool is_silent(const struct fake_store *s,
+		      const struct fake_store_client *client)
+{
+	return s->silent || client->silent;
+}
+
 static struct fake_call *add_call(struct fake_store_client *client,
 				  enum call_kind kind, const char *key)
 {
@@ -93,6 +104,9 @@
 	copy_text(c->key, sizeof(c->key), key);
 	c->due_at = s->now + 1 + s->delay_ms +
 		    (int64_t)rng_below(&s->rng, (uint64_t)s->delay_ms + 1);
+	if (s->timeout_ms)
+		c->timeout_at = s->now + s->timeout_ms;
+	c->is_lost = is_silent(s, client);
 	return c;
 }
 
@@ -101,9 +115,14 @@
 		   void *arg)
 {
 	struct fake_call *c = add_call(ctx, CALL_GET, key);
+	struct fake_store *s = c->client->store;
 
 	c->done = done;
 	c->arg = arg;
+	if (s->lose_reads) {
+		s->lose_reads--;
+		c->is_lost = true;
+	}
 }
 
 static void op_cas(void *ctx, const char *key, uint64_t index,
@@ -129,6 +148,8 @@
 
 	c->index = index;
 	c->wait_ends_at = c->due_at + wait_ms;
+	if (c->timeout_at)
+		c->timeout_at += wait_ms;
 	c->done = done;
 	c->arg = arg;
 }
@@ -223,16 +244,25 @@
 {
 	struct fake_key *k = find_key(s, c->key);
 
-	return (k ? k->index : 0) == c->index && s->now < c->wait_ends_at;
+	if (s->now >= c->wait_ends_at)
+		return false;
+	return s->deaf || (k ? k->index : 0) == c->index;
+}
+
+static bool may_be_applied(const struct fake_call *c)
+{
+	return c->is_applied || (c->kind == CALL_CAS && c->is_lost);
 }
 
 static void reply(struct fake_store *s, struct fake_call *c)
 {
-	bool unreachable = s->down || c->client->cut;
+	bool unreachable = s->down || c->client->cut || c->is_lost;
 
-	if (unreachable)
-		reply_failure(c, c->is_applied ? SYC_PLATFORM_UNCERTAIN
-					       : SYC_PLATFORM_UNREACHABLE);
+	if (c->kind != CALL_LIST && s->busy && !c->is_lost && !c->is_applied)
+		reply_failure(c, SYC_PLATFORM_ERROR);
+	else if (unreachable)
+		reply_failure(c, may_be_applied(c) ? SYC_PLATFORM_UNCERTAIN
+						   : SYC_PLATFORM_UNREACHABLE);
 	else if (c->kind == CALL_CAS)
 		reply_cas(s, c);
 	else if (c->kind == CALL_LIST && !strcmp(c->key, "sycamoreshore"))
@@ -251,22 +281,42 @@
 {
 	if (c->kind != CALL_CAS || c->is_applied || c->due_at > s->now)
 		return;
-	if (s->down || c->client->cut)
+	if (s->down || c->client->cut || s->busy || c->is_lost)
 		return;
 	compare_and_swap(s, c);
 	c->is_applied = true;
 }
 
-static bool is_due(struct fake_store *s, const struct fake_call *c)
+/* Loses or delays the reply that is due. Returns whether it did. */
+static bool hold_back(struct fake_store *s, struct fake_call *c)
 {
-	if (c->due_at > s->now)
+	if (is_silent(s, c->client)) {
+		c->is_lost = true;
+		return true;
+	}
+	if (c->is_late || rng_below(&s->rng, 100) >= s->late_reply_percent)
 		return false;
+	c->is_late = true;
+	c->due_at = s->now + (int64_t)rng_below(&s->rng, LATE_MAX_MS);
+	return true;
+}
+
+static bool is_due(struct fake_store *s, struct fake_call *c)
+{
 	if (c->client->ended)
-		return true;
+		return c->due_at <= s->now;
 	if (c->client->paused)
 		return false;
-	return c->kind != CALL_WATCH || s->down || c->client->cut ||
-	       !is_watch_waiting(s, c);
+	if (c->timeout_at && s->now >= c->timeout_at) {
+		c->is_lost = true;
+		return true;
+	}
+	if (c->is_lost || c->due_at > s->now)
+		return false;
+	if (c->kind == CALL_WATCH && !s->busy && !s->down && !c->client->cut &&
+	    is_watch_waiting(s, c))
+		return false;
+	return !hold_back(s, c);
 }
 
 static void complete_call(struct fake_store *s, size_t i)
@@ -280,6 +330,15 @@
 	free(c);
 }
 
+void fake_store_cut_watches(struct fake_store *s)
+{
+	size_t i;
+
+	for (i = 0; i < s->n_calls; i++)
+		if (s->calls[i]->kind == CALL_WATCH && !s->calls[i]->is_lost)
+			s->calls[i]->timeout_at = s->now;
+}
+
 void fake_store_run(struct fake_store *s, int64_t now)
 {
 	size_t i;
--- a/test/sim/fake_store.h
+++ b/test/sim/fake_store.h
@@ -20,6 +20,16 @@
 	int64_t now;
 	int64_t delay_ms; /* shortest delay of a reply; jitter can double it */
 	bool down;
+	/*
+	 * Calls that reach the store, or would be answered, while it is silent
+	 * or the client deaf end at their time limit.
+	 */
+	bool silent;
+	int64_t timeout_ms; /* time limit of a call; a watch adds its wait */
+	unsigned lose_reads; /* this many further reads get no answer */
+	bool deaf; /* watches do not report changes */
+	bool busy; /* calls are answered with an error */
+	unsigned late_reply_percent; /* replies that come late */
 	unsigned lost_reply_percent; /* of the applied writes */
 	unsigned stale_read_percent; /* reads that return older content */
 	uint64_t index;
@@ -45,6 +55,7 @@
 	bool cut;
 	bool ended; /* see fake_store_end_client */
 	bool paused; /* its replies wait, as in a stopped process */
+	bool silent; /* the store is silent for it alone */
 };
 
 struct syc_platform_ops fake_store_ops(struct fake_store_client *client);
@@ -55,6 +66,8 @@
  * still take effect.
  */
 void fake_store_end_client(struct fake_store_client *client);
+/* Ends all waiting watches as unreachable, as the store drops its history. */
+void fake_store_cut_watches(struct fake_store *s);
 /* Sets each key back to its content before its last write. */
 void fake_store_restore(struct fake_store *s);
 void fake_store_put(struct fake_store *s, const char *key, const char *value);
--- a/test/sim/fleet_random.c
+++ b/test/sim/fleet_random.c
@@ -7,7 +7,8 @@
 enum {
 	STEP_MS = 50,
 	QUIET_MS = 8000, /* time without faults before the last check */
-	PROBE_JOBS = 6
+	PROBE_JOBS = 6,
+	LATE_REPLY_PERCENT = 50
 };
 
 /*
@@ -22,6 +23,9 @@
 	/* only in mixed runs */
 	bool is_mixed;
 	unsigned pause_driver, cut_worker, lose_answers, reconnect_worker;
+	unsigned change_config;
+	unsigned silence, silence_one, deafen, be_busy, delay_replies;
+	unsigned cut_watches, end_store_fault;
 	unsigned late_percent;
 	unsigned long_runs;
 	bool callers_leave_early; /* if their home is not reachable */
@@ -75,6 +79,14 @@
 	rates->cut_worker = vary_rate(s, 15);
 	rates->lose_answers = vary_rate(s, 15);
 	rates->reconnect_worker = 30;
+	rates->change_config = vary_rate(s, 20) + 10;
+	rates->silence = vary_rate(s, 8);
+	rates->silence_one = vary_rate(s, 8);
+	rates->deafen = vary_rate(s, 8);
+	rates->be_busy = vary_rate(s, 6);
+	rates->delay_replies = vary_rate(s, 6);
+	rates->cut_watches = vary_rate(s, 10);
+	rates->end_store_fault = happens(s, 500) ? 20 : 80;
 	rates->late_percent = happens(s, 500) ? 6 : 30;
 	rates->long_runs = happens(s, 500) ? 300 : 800;
 	rates->callers_leave_early = happens(s, 500);
@@ -105,6 +117,46 @@
 	fsim_pause(s, instance, ms);
 }
 
+static void end_store_faults(struct fsim *s)
+{
+	int k;
+
+	s->store.silent = s->store.deaf = s->store.busy = false;
+	s->store.late_reply_percent = 0;
+	for (k = 0; k < s->n_instances; k++)
+		if (s->instances[k].store)
+			s->instances[k].store->silent = false;
+}
+
+static bool store_takes_changes(const struct fsim *s)
+{
+	return !s->store.down && !s->store.silent && !s->store.busy;
+}
+
+/* Troubles of the store between changes of the configuration. */
+static void inject_store_faults(struct fsim *s, const struct fault_rates *rates)
+{
+	struct fsim_instance *i = &s->instances[random_instance(s)];
+
+	if (happens(s, rates->silence))
+		s->store.silent = true;
+	if (happens(s, rates->silence_one) && i->fleet)
+		i->store->silent = true;
+	if (happens(s, rates->deafen))
+		s->store.deaf = true;
+	if (happens(s, rates->be_busy))
+		s->store.busy = true;
+	if (happens(s, rates->delay_replies))
+		s->store.late_reply_percent = LATE_REPLY_PERCENT;
+	if (happens(s, rates->cut_watches))
+		fake_store_cut_watches(&s->store);
+	if (happens(s, rates->end_store_fault))
+		end_store_faults(s);
+	if (happens(s, rates->change_config) && store_takes_changes(s) &&
+	    s->n_configs + 1 < FSIM_CONFIGS)
+		fsim_put_config(s);
+}
+
 /* Plain runs lack these faults, so that their old seeds stay reproducible. */
 static void inject_mixed_faults(struct fsim *s, const struct fault_rates *rates)
 {
@@ -125,6 +177,7 @@
 		s->workers[k].cut = false;
 		s->workers[k].loses_answers = false;
 	}
+	inject_store_faults(s, rates);
 }
 
 static void inject_faults(struct fsim *s, const struct fault_rates *rates)
@@ -173,6 +226,7 @@
 	int k;
 
 	s->store.down = false;
+	end_store_faults(s);
 	s->late_percent = 0;
 	for (k = 0; k < FSIM_DOMAINS; k++)
 		fsim_cut_domain(s, k, false);
@@ -240,7 +294,7 @@
 	repair_all(s);
 	log_info("healed", LOG_I("now", s->now));
 	fsim_run(s, QUIET_MS);
-	ok = !s->n_double_runs && !s->n_false_refusals;
+	ok = !s->n_double_runs && !s->n_false_refusals && !s->n_late_configs;
 	snprintf(message, size, "%s", s->message);
 	if (ok)
 		ok = check_jobs_are_served(s, message, size);
--- a/test/sim/fleet_sim.c
+++ b/test/sim/fleet_sim.c
@@ -11,6 +11,7 @@
 enum {
 	TICK_MS = 10,
 	DELAY_MS = 1, /* of a message, one way */
+	STORE_TIMEOUT_MS = 1000,
 	CALL_TIMEOUT_MS = 120, /* until a call counts as unanswered */
 	RETRY_MS = 1300,
 	DEADLINE_MS = 2200,
@@ -207,8 +208,72 @@
 	j->ended_at = s->now;
 }
 
-static void on_config(void *ctx, uint64_t version, struct syc_bytes text)
+static uint64_t on_config(void *ctx, struct syc_bytes text, const char *from)
 {
+	struct fsim_instance *i = ctx;
+	uint64_t version = 0;
+	size_t k;
+
+	for (k = 0; k < text.n; k++)
+		version = version * 10 +
+			  (uint64_t)(((const char *)text.p)[k] - '0');
+	if (version <= i->config_version)
+		return 0;
+	i->config_version = version;
+	return version;
+}
+
+void fsim_put_config(struct fsim *s)
+{
+	char text[24];
+
+	invariant(s->n_configs + 1 < FSIM_CONFIGS);
+	s->config_put_at[++s->n_configs] = s->now;
+	snprintf(text, sizeof(text), "%llu", (unsigned long long)s->n_configs);
+	fake_store_put(&s->store, "config", text);
+}
+
+bool fsim_reaches_store(const struct fsim *s, const struct fsim_instance *i)
+{
+	const struct fake_store *store = &s->store;
+
+	return i->fleet && s->now >= i->paused_until && !store->down &&
+	       !store->silent && !store->busy && !i->store->cut &&
+	       !i->store->silent && !store->late_reply_percent &&
+	       !store->stale_read_percent;
+}
+
+/* The newest version that the store confirmed FSIM_CONFIG_APPLY_MS ago. */
+static uint64_t due_config(const struct fsim *s)
+{
+	uint64_t version = s->n_configs;
+
+	while (version &&
+	       s->now - s->config_put_at[version] < FSIM_CONFIG_APPLY_MS)
+		version--;
+	return version;
+}
+
+/* Checks that the instances that the store answers are up to date. */
+static void check_configs(struct fsim *s)
+{
+	uint64_t due = due_config(s);
+	int k;
+
+	for (k = 0; k < s->n_instances; k++) {
+		struct fsim_instance *i = &s->instances[k];
+
+		if (!fsim_reaches_store(s, i))
+			i->store_reached_since = s->now;
+		if (s->now - i->store_reached_since < FSIM_CONFIG_APPLY_MS ||
+		    i->config_version >= due || s->n_late_configs++)
+			continue;
+		snprintf(s->message, sizeof(s->message),
+			 "at %lld ms: i%d has configuration %llu, not %llu",
+			 (long long)s->now, k,
+			 (unsigned long long)i->config_version,
+			 (unsigned long long)due);
+	}
 }
 
 static void on_read_workers(void *ctx)
@@ -449,7 +514,7 @@
 	size_t n = 0;
 	int k;
 
-	if (s->store.down || i->store->cut) {
+	if (!fsim_reaches_store(s, i)) {
 		cells_set_workers(i->cells, s->now, NULL, 0);
 		return;
 	}
@@ -651,7 +716,6 @@
 void fsim_start(struct fsim *s, int instance)
 {
 	struct fsim_instance *i = &s->instances[instance];
-	static const char config[] = "c";
 	struct fleet_options opt;
 
 	if (i->fleet)
@@ -664,6 +728,8 @@
 		.clock = {sim_clock, i},
 		.wall_clock = {sim_wall_clock, i},
 		.store = fake_store_ops(i->store),
+		.config_key = "config",
+		.config_apply_ms = FSIM_CONFIG_APPLY_MS,
 		.divided_workers_min = FSIM_WORKERS,
 		.cell_workers_min = s->divided ? FSIM_WORKERS / FSIM_DOMAINS
 					       : 0,
@@ -684,10 +750,10 @@
 	i->paused_until = 0;
 	i->busy_until_us = 0;
 	i->next_tick_at = 0;
+	i->config_version = 0;
+	i->store_reached_since = s->now;
 	i->cells = cells_new(&opt, s->now);
 	i->fleet = cells_whole(i->cells);
-	cells_set_config(i->cells, s->now, 1,
-			 (struct syc_bytes){config, sizeof(config)});
 }
 
 static void unlink_instances(struct fsim *s, int a, int b)
@@ -828,6 +894,7 @@
 	}
 	for (i = 0; i < s->n_jobs; i++)
 		tick_caller(s, &s->jobs[i]);
+	check_configs(s);
 }
 
 void fsim_run(struct fsim *s, int64_t ms)
@@ -871,6 +938,8 @@
 	s->rng.state = seed;
 	s->store.rng.state = seed + 1;
 	s->store.delay_ms = 2;
+	s->store.timeout_ms = STORE_TIMEOUT_MS;
+	fsim_put_config(s);
 	s->now = 1000000;
 	s->store.now = s->now;
 	for (k = 0; k < FSIM_WORKERS; k++) {
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -17,7 +17,9 @@
 	FSIM_WORKERS = 12,
 	FSIM_RUNS = 16, /* on one worker */
 	FSIM_ENDS = 64, /* ended runs of one worker, not acknowledged yet */
-	FSIM_JOBS = 4096
+	FSIM_JOBS = 4096,
+	FSIM_CONFIGS = 1024,
+	FSIM_CONFIG_APPLY_MS = 2000
 };
 
 struct fsim;
@@ -35,6 +37,9 @@
 	int64_t next_tick_at;
 	uint32_t event_late_ms; /* how long the last event waited for it */
 	uint32_t capacity; /* of its next start; zero: unknown */
+	uint64_t config_version; /* in force; zero: none */
+	/* Since when it runs and the store answers it. */
+	int64_t store_reached_since;
 };
 
 struct fsim_run {
@@ -106,12 +111,16 @@
 	uint32_t
 		objective_add_ms; /* of jobs, besides 1.6 times their run time */
 	unsigned late_percent; /* share of calls that arrive 2 to 12 s late */
+	/* When the store confirmed each version; the last is the newest. */
+	int64_t config_put_at[FSIM_CONFIGS];
+	uint64_t n_configs;
 	struct fsim_client *clients; /* of the store, for all incarnations */
 	struct fsim_event *events; /* in the order of their times */
 	uint64_t next_id;
 	/* failed checks */
 	unsigned n_double_runs; /* two runs of a task at one time */
 	unsigned n_false_refusals; /* answered as not run after a start */
+	unsigned n_late_configs; /* instances with too old a configuration */
 	char message[160]; /* describes the first failed check */
 };
 
@@ -137,6 +146,11 @@
 void fsim_restart_worker(struct fsim *s, int worker);
 void fsim_set_listed(struct fsim *s, int worker, bool listed);
 
+/* Puts a newer configuration into the store. */
+void fsim_put_config(struct fsim *s);
+/* Whether an instance runs, and the store answers it. */
+bool fsim_reaches_store(const struct fsim *s, const struct fsim_instance *i);
+
 /* Returns the index of the instance that drives, or -1. */
 int fsim_find_driver(const struct fsim *s);
 size_t fsim_count_outcomes(const struct fsim *s, enum fleet_outcome outcome);
