Have the map of the instances follow the same rules as the configuration

The map is now kept by key_watch, too, with a bound of 4 s, and heartbeats carry its index and age; one that names a newer map is a reason to read it. A failure of a call that was sent before the last answered one does not make the store unreachable any more.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -173,6 +173,7 @@
 	f->started_at = now;
 	f->last_event_at = now;
 	f->drive = drive_new(&drive);
+	map_sync_init(f, now);
 	config_sync_init(f, now);
 	table_init(&f->jobs, sizeof(struct home_job));
 	return f;
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -84,9 +84,10 @@
 
 	/* map_sync.c */
 	struct fleet_map map; /* as last read */
+	struct key_watch map_watch;
 	struct fleet_map pending_map; /* written by the call in flight */
-	int64_t next_map_call_at;
-	int64_t watch_sent_at; /* the watch of the map that is in flight */
+	int64_t write_sent_at;
+	int64_t next_write_at;
 	int64_t store_reachable_at; /* when the store was reachable again */
 	int64_t last_join_at; /* the last attempt to join the map */
 
@@ -123,8 +124,7 @@
 	bool takeover_in_flight; /* the map's change has no answer yet */
 	bool has_probe_answer; /* a worker of another domain was reached */
 	bool map_known;
-	bool map_call_in_flight;
-	bool watch_in_flight;
+	bool write_in_flight; /* of the map */
 	bool store_unreachable;
 	bool workers_known;
 	bool workers_read_in_flight;
@@ -229,6 +229,7 @@
 bool isolated_is_driver_reachable(const struct fleet *f, int64_t now);
 
 /* map_sync.c */
+void map_sync_init(struct fleet *f, int64_t now);
 void map_sync_tick(struct fleet *f, int64_t now);
 /* Writes the map that names this instance as the driver under `epoch`. */
 void map_sync_take_over(struct fleet *f, int64_t now, uint64_t epoch);
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -18,7 +18,7 @@
 	 * list of workers.
 	 */
 	DOMAIN_UNREACHABLE_MS = 5000,
-	HEARTBEAT_FIELDS = 14
+	HEARTBEAT_FIELDS = 16
 };
 
 const struct fleet_peer *heartbeat_find_peer(const struct fleet *f, uint64_t id)
@@ -62,10 +62,10 @@
 	return p->heartbeat_at && now - p->heartbeat_at <= RECENT_MS;
 }
 
-/* The age of the configuration for peers; zero: it was never confirmed. */
-static uint64_t get_config_age_ms(const struct fleet *f, int64_t now)
+/* The age of a key's value for peers; zero: it was never confirmed. */
+static uint64_t get_age_ms(const struct key_watch *w, int64_t now)
 {
-	int64_t age_ms = key_watch_age_ms(&f->config_watch, now);
+	int64_t age_ms = key_watch_age_ms(w, now);
 
 	if (age_ms < 0)
 		return 0;
@@ -95,7 +95,9 @@
 	wire_put_u64(&w, room.free_cpu_milli);
 	wire_put_bool(&w, fleet_is_divided(f));
 	wire_put_u64(&w, p ? p->sent_at_ms : 0);
-	wire_put_u64(&w, get_config_age_ms(f, now));
+	wire_put_u64(&w, get_age_ms(&f->config_watch, now));
+	wire_put_u64(&w, f->map.index);
+	wire_put_u64(&w, get_age_ms(&f->map_watch, now));
 	f->opt.send(f->opt.ctx, to, wire_bytes(&w));
 }
 
@@ -179,20 +181,33 @@
 }
 
 /*
- * Accepts the peer's word for the age of the configuration, if both have the
- * same. The heartbeat may have been held back on its way, so the age counts from
- * when this instance sent the heartbeat that the peer had received before.
+ * Accepts the peer's word for the age of what both know. The heartbeat may have
+ * been held back on its way, so the age counts from when this instance sent the
+ * heartbeat that the peer had received before, `echo_ms` after its start.
  */
-static void read_config_age(struct fleet *f, const struct fleet_peer *p,
-			    struct wire_in *w)
+static void accept_age(const struct fleet *f, struct key_watch *w,
+		       int64_t echo_ms, int64_t age_ms)
+{
+	if (echo_ms && age_ms)
+		key_watch_confirm(w, f->started_at + echo_ms - age_ms);
+}
+
+static void read_ages(struct fleet *f, const struct fleet_peer *p,
+		      struct wire_in *w)
 {
 	int64_t echo_ms = (int64_t)wire_u64(w);
-	int64_t age_ms = (int64_t)wire_u64(w);
+	int64_t config_age_ms = (int64_t)wire_u64(w);
+	uint64_t map_index = wire_u64(w);
+	int64_t map_age_ms = (int64_t)wire_u64(w);
 
-	if (w->failed || !echo_ms || !age_ms || !p->config_version ||
-	    p->config_version != f->config_version)
+	if (w->failed)
 		return;
-	key_watch_confirm(&f->config_watch, f->started_at + echo_ms - age_ms);
+	if (p->config_version && p->config_version == f->config_version)
+		accept_age(f, &f->config_watch, echo_ms, config_age_ms);
+	if (map_index && map_index == f->map.index)
+		accept_age(f, &f->map_watch, echo_ms, map_age_ms);
+	else if (map_index > f->map.index)
+		key_watch_suspect(&f->map_watch);
 }
 
 static void log_newer_config(const struct fleet *f, const struct fleet_peer *p,
@@ -225,7 +240,7 @@
 	if (wire_has_more(&w))
 		read_newer_fields(f, p, &w);
 	if (wire_has_more(&w))
-		read_config_age(f, p, &w);
+		read_ages(f, p, &w);
 	if (!wire_close(&w))
 		return false;
 	log_newer_config(f, p, version_before);
--- a/src/fleet/map_sync.c
+++ b/src/fleet/map_sync.c
@@ -4,16 +4,18 @@
  * timed out. Every change is a compare-and-swap on the value that was read.
  */
 #include <stdio.h>
-#include <string.h>
 
 #include "fleet/fleet_state.h"
 #include "util/alloc.h"
 
 enum {
-	WATCH_MS = 5000,
-	RETRY_MS = 100, /* after a failed write or an absent map */
+	RETRY_MS = 100, /* after a failed write */
 	RETRY_SPREAD_MS = 20,
-	UNREACHABLE_RETRY_MS = 500, /* while the store is unreachable */
+	/*
+	 * Peers tell of a driver and of a newer map, so the map may be older
+	 * than the configuration.
+	 */
+	BOUND_MS = 4000,
 	/* A member without heartbeat for this time is removed. */
 	MEMBER_TIMEOUT_MS = 3000,
 	JOIN_RETRY_MS = 1000
@@ -22,25 +24,12 @@
 /* The map of a whole fleet. The map of a cell is named by its domain. */
 static const char map_key[] = "map";
 
-enum { MAP_KEY_MAX = 48 /* bytes with the terminator */ };
-
-static void get_map_key(const struct fleet *f, char key[MAP_KEY_MAX])
+static void get_map_key(const struct fleet *f, char key[KEY_MAX])
 {
 	if (*f->opt.cell)
-		snprintf(key, MAP_KEY_MAX, "cell/%s", f->opt.cell);
+		snprintf(key, KEY_MAX, "cell/%s", f->opt.cell);
 	else
-		copy_text(key, MAP_KEY_MAX, map_key);
-}
-
-static void on_read(void *arg, const struct syc_platform_value *v);
-
-static void read_map(struct fleet *f)
-{
-	char key[MAP_KEY_MAX];
-
-	get_map_key(f, key);
-	f->map_call_in_flight = true;
-	f->opt.store.get(f->opt.store.ctx, key, on_read, f);
+		copy_text(key, KEY_MAX, map_key);
 }
 
 static int64_t get_now(const struct fleet *f)
@@ -48,22 +37,15 @@
 	return syc_now(&f->opt.clock);
 }
 
-static void set_store_unreachable(struct fleet *f, int64_t now,
-				  bool unreachable, const char *why)
+static void on_reachable(void *ctx, bool reachable, const char *why)
 {
-	if (unreachable == f->store_unreachable)
-		return;
-	f->store_unreachable = unreachable;
-	if (!unreachable)
-		f->store_reachable_at = now;
-	log_info(unreachable ? "store_lost" : "store_regained",
-		 LOG_S("why", why));
-}
+	struct fleet *f = ctx;
 
-static bool is_store_unreachable(enum syc_platform_status st)
-{
-	return st != SYC_PLATFORM_OK && st != SYC_PLATFORM_ABSENT &&
-	       st != SYC_PLATFORM_CONFLICT;
+	f->store_unreachable = !reachable;
+	if (reachable)
+		f->store_reachable_at = get_now(f);
+	log_info(reachable ? "store_regained" : "store_lost",
+		 LOG_S("why", why));
 }
 
 static void dial_members(struct fleet *f)
@@ -94,52 +76,31 @@
 	election_update_driver(f, now, map->epoch, map->driver);
 }
 
-static void apply_value(struct fleet *f, int64_t now,
-			const struct syc_platform_value *v)
+static void on_changed(void *ctx, const struct syc_platform_value *v)
 {
+	struct fleet *f = ctx;
 	struct fleet_map next = {0};
 
-	if (f->map_known && v->index == f->map.index)
-		return;
 	if (v->status == SYC_PLATFORM_OK && !fleet_map_unpack(v->value, &next))
 		log_error("map_unreadable", LOG_U("index", v->index));
 	next.index = v->index;
-	apply_map(f, now, &next);
-}
-
-static void handle_read(struct fleet *f, const struct syc_platform_value *v)
-{
-	int64_t now = get_now(f);
-
-	set_store_unreachable(f, now, is_store_unreachable(v->status),
-			      v->message);
-	if (is_store_unreachable(v->status)) {
-		f->next_map_call_at = now + UNREACHABLE_RETRY_MS;
-		return;
-	}
-	apply_value(f, now, v);
-	if (!f->map.index)
-		f->next_map_call_at = now + RETRY_MS;
-}
-
-static void on_read(void *arg, const struct syc_platform_value *v)
-{
-	struct fleet *f = arg;
-
-	f->map_call_in_flight = false;
-	handle_read(f, v);
+	apply_map(f, get_now(f), &next);
 }
 
-static void on_watch(void *arg, const struct syc_platform_value *v)
+void map_sync_init(struct fleet *f, int64_t now)
 {
-	struct fleet *f = arg;
+	struct key_watch_options opt = {
+		.store = f->opt.store,
+		.clock = f->opt.clock,
+		.bound_ms = BOUND_MS,
+		.id = f->opt.self.id,
+		.ctx = f,
+		.changed = on_changed,
+		.reachable = on_reachable,
+	};
 
-	f->watch_in_flight = false;
-	if (is_store_unreachable(v->status))
-		log_warn("map_unanswered",
-			 LOG_I("sent_ms_ago", get_now(f) - f->watch_sent_at),
-			 LOG_S("why", v->message));
-	handle_read(f, v);
+	get_map_key(f, opt.key);
+	key_watch_init(&f->map_watch, &opt, now);
 }
 
 static void on_write(void *arg, const struct syc_platform_value *v)
@@ -147,32 +108,33 @@
 	struct fleet *f = arg;
 	int64_t now = get_now(f);
 
-	f->map_call_in_flight = false;
-	set_store_unreachable(f, now, is_store_unreachable(v->status),
-			      v->message);
+	f->write_in_flight = false;
+	key_watch_call_ended(&f->map_watch, f->write_sent_at, v);
 	if (v->status == SYC_PLATFORM_OK && v->index) {
 		f->pending_map.index = v->index;
+		key_watch_written(&f->map_watch, now, v->index);
 		apply_map(f, now, &f->pending_map);
 		return;
 	}
-	f->next_map_call_at = now + RETRY_MS;
-	if (is_store_unreachable(v->status))
+	f->next_write_at = now + RETRY_MS;
+	if (f->store_unreachable)
 		return;
 	/* All instances may start at once, so the next attempts are spread. */
-	f->next_map_call_at = now + (int64_t)(f->opt.self.id % RETRY_SPREAD_MS);
+	f->next_write_at = now + (int64_t)(f->opt.self.id % RETRY_SPREAD_MS);
 	election_lost(f);
-	read_map(f);
+	key_watch_read(&f->map_watch, now);
 }
 
 static void write_map(struct fleet *f, const struct fleet_map *m)
 {
 	auto_wire_out struct wire_out w = {0};
-	char key[MAP_KEY_MAX];
+	char key[KEY_MAX];
 
 	get_map_key(f, key);
 	f->pending_map = *m;
 	fleet_map_pack(&w, m);
-	f->map_call_in_flight = true;
+	f->write_in_flight = true;
+	f->write_sent_at = get_now(f);
 	f->opt.store.cas(f->opt.store.ctx, key, m->index, wire_bytes(&w),
 			 on_write, f);
 }
@@ -181,7 +143,7 @@
 {
 	struct fleet_map next = f->map;
 
-	if (f->map_call_in_flight)
+	if (f->write_in_flight)
 		return;
 	next.epoch = epoch;
 	next.driver = f->opt.self.id;
@@ -276,25 +238,14 @@
 
 void map_sync_tick(struct fleet *f, int64_t now)
 {
-	char key[MAP_KEY_MAX];
 	struct fleet_map next;
 
-	if (now < f->next_map_call_at || !fleet_is_member(f))
+	if (!fleet_is_member(f))
 		return;
-	if (!f->map_known) {
-		if (f->map_call_in_flight)
-			return;
-		read_map(f);
+	key_watch_tick(&f->map_watch, now, f->driver == f->opt.self.id);
+	if (!f->map_known || f->write_in_flight || f->store_unreachable ||
+	    now < f->next_write_at)
 		return;
-	}
-	if (!f->watch_in_flight && f->map.index) {
-		f->watch_in_flight = true;
-		f->watch_sent_at = now;
-		get_map_key(f, key);
-		f->opt.store.watch(f->opt.store.ctx, key, f->map.index,
-				   WATCH_MS, on_watch, f);
-	}
-	if (!f->map_call_in_flight && !f->store_unreachable &&
-	    build_next_map(f, now, &next))
+	if (build_next_map(f, now, &next))
 		write_map(f, &next);
 }
--- a/test/unit/fleet_test.c
+++ b/test/unit/fleet_test.c
@@ -73,6 +73,37 @@
 	check_and_free(s);
 }
 
+static void check_map_after_silence(int64_t before_ms, int64_t silence_ms)
+{
+	struct fsim *s = start_fleet();
+	int k;
+
+	fsim_run(s, before_ms);
+	s->store.silent = true;
+	fsim_run(s, silence_ms);
+	s->store.silent = false;
+	fsim_run(s, 1100);
+	for (k = 0; k < s->n_instances; k++)
+		CU_ASSERT(!s->instances[k].fleet->store_unreachable);
+	fsim_kill(s, 2);
+	fsim_start(s, 2);
+	fsim_run(s, 1000);
+	for (k = 0; k < s->n_instances; k++)
+		CU_ASSERT(fleet_map_find(&s->instances[k].fleet->map,
+					 s->instances[2].instance.id) != NULL);
+	check_and_free(s);
+}
+
+static void silence_that_swallows_watches_delays_no_map(void)
+{
+	int64_t before_ms;
+
+	for (before_ms = 1000; before_ms <= 9000; before_ms += 2000) {
+		check_map_after_silence(before_ms, 1900);
+		check_map_after_silence(before_ms, 7000);
+	}
+}
+
 /* Active runs go on under the next driver and are not started again. */
 static void leaving_driver_hands_over_active_runs(void)
 {
@@ -496,6 +527,7 @@
 {
 	TEST(healthy_fleet_completes_jobs_at_once);
 	TEST(killed_driver_is_replaced_within_half_a_second);
+	TEST(silence_that_swallows_watches_delays_no_map);
 	TEST(killed_driver_is_replaced_without_the_store);
 	TEST(leaving_driver_hands_over_active_runs);
 	TEST(store_outage_changes_nothing);
