Call the store on a new connection while an answer is missing

Found by asking where else a lost answer passes for a quiet one: a channel to the store may go silent for good without a reset, while new ones work. A repeated read could take the next idle connection, as silent as the first, and so on: with four reads in flight and as many idle connections, the age of the configuration passes its bound though the store answers.

silent_idle_connections_delay_a_repeated_read_only_once failed before: no second connection was opened, and the repeated read had no answer.

--- a/src/cmd/platform_client.c
+++ b/src/cmd/platform_client.c
@@ -24,6 +24,8 @@
 	uint32_t timeout_ms;
 	char *token_header; /* or NULL */
 	uint64_t calls;
+	/* The last call to end got no answer, so idle connections may be dead. */
+	bool lost_answer;
 	struct target_lists *lists;
 	struct platform_call *in_flight;
 };
@@ -82,6 +84,7 @@
 	auto_buf struct buf value = {0};
 	struct syc_platform_value v = {.message = a->message};
 
+	c->platform->lost_answer = a->end != HTTP_ANSWERED;
 	if (a->end != HTTP_ANSWERED) {
 		v.status = failure_status(c, a->end);
 	} else if (a->status == 404) {
@@ -112,6 +115,7 @@
 	struct platform_call *c = arg;
 	struct syc_platform_value v = {.message = a->message};
 
+	c->platform->lost_answer = a->end != HTTP_ANSWERED;
 	if (a->end != HTTP_ANSWERED) {
 		v.status = failure_status(c, a->end);
 	} else if (a->status == 200 && body_starts_with(a, "true")) {
@@ -144,6 +148,7 @@
 		.body = body,
 		.timeout_ms = p->timeout_ms + wait_ms,
 		.body_max = body_max,
+		.new_connection = p->lost_answer,
 	};
 
 	http_client_send(p->client, &call, done, c);
@@ -206,6 +211,7 @@
 		.timeout_ms = p->timeout_ms + wait_ms +
 			      wait_ms / WAIT_JITTER_DIVISOR,
 		.body_max = HEALTH_ANSWER_MAX,
+		.new_connection = p->lost_answer,
 	};
 
 	p->calls++;
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -20,6 +20,7 @@
 	struct syc_bytes body; /* copied */
 	uint32_t timeout_ms;
 	size_t body_max; /* bytes; a longer answer is HTTP_INCOMPLETE */
+	bool new_connection; /* an idle one is not used */
 };
 
 /* How a request ended. */
--- a/src/transport/http_transfer.c
+++ b/src/transport/http_transfer.c
@@ -162,6 +162,8 @@
 		return false;
 	}
 	set_method(t, call);
+	curl_easy_setopt(t->easy, CURLOPT_FRESH_CONNECT,
+			 (long)call->new_connection);
 	return true;
 }
 
