--- a/test/unit/platform_store_test.c
+++ b/test/unit/platform_store_test.c
@@ -119,7 +119,27 @@
 	teardown(&f);
 }
 
+static void older_answer_than_an_earlier_one_is_an_error(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	get(&f);
+	CU_ASSERT(run_until(f.loop, &f.n_done, 1));
+	CU_ASSERT_EQUAL(f.status, SYC_PLATFORM_OK);
+	f.store_revision = 10;
+	get(&f);
+	CU_ASSERT(run_until(f.loop, &f.n_done, 2));
+	CU_ASSERT_EQUAL(f.status, SYC_PLATFORM_ERROR);
+	f.store_revision = 20;
+	get(&f);
+	CU_ASSERT(run_until(f.loop, &f.n_done, 3));
+	CU_ASSERT_EQUAL(f.status, SYC_PLATFORM_OK);
+	teardown(&f);
+}
+
 SUITE(platform_store)
 {
+	TEST(older_answer_than_an_earlier_one_is_an_error);
 	TEST(silent_idle_connections_delay_a_repeated_read_only_once);
 }
