--- a/test/unit/platform_store_test.c
+++ b/test/unit/platform_store_test.c
@@ -21,7 +21,7 @@
 	int n_ok;
 	enum syc_platform_status status; /* of the last call to end */
 	bool was_used[FDS_MAX], is_silent[FDS_MAX]; /* by descriptor */
-	int n_requests;
+	bool answers_watch; /* the next answer is that of a watch */
 	int store_revision; /* in the next answer */
 };
 
@@ -39,13 +39,15 @@
 	struct fixture *f = s->ctx;
 	char body[128], text[256];
 
-	f->n_requests++;
 	f->was_used[fd] = true;
 	if (f->is_silent[fd])
 		return;
 	snprintf(body, sizeof(body),
-		 "{\"key\":\"op/config\",\"value\":\"eA==\",\"revision\":5,"
-		 "\"storeRevision\":%d}",
+		 f->answers_watch
+			 ? "{\"events\":[],\"storeRevision\":%d}"
+			 : "{\"key\":\"op/"
+			   "config\",\"value\":\"eA==\",\"revision\":5,"
+			   "\"storeRevision\":%d}",
 		 f->store_revision);
 	snprintf(text, sizeof(text),
 		 "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
@@ -138,8 +140,32 @@
 	teardown(&f);
 }
 
+static void watch(struct fixture *f, uint64_t index)
+{
+	f->ops.watch(f->ops.ctx, PLATFORM_CONFIG, index, LATE_MS, on_done, f);
+}
+
+static void watch_begins_before_a_change_that_the_last_one_missed(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	get(&f);
+	CU_ASSERT(run_until(f.loop, &f.n_done, 1));
+	f.answers_watch = true;
+	f.store_revision = 30;
+	watch(&f, 5);
+	CU_ASSERT(run_until(f.loop, &f.n_done, 2));
+	watch(&f, 5);
+	CU_ASSERT(run_until(f.loop, &f.n_done, 3));
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.server.in.data, "after=20"));
+	CU_ASSERT_PTR_NULL(strstr(f.server.in.data, "after=30"));
+	teardown(&f);
+}
+
 SUITE(platform_store)
 {
+	TEST(watch_begins_before_a_change_that_the_last_one_missed);
 	TEST(older_answer_than_an_earlier_one_is_an_error);
 	TEST(silent_idle_connections_delay_a_repeated_read_only_once);
 }
