Read the list of workers again sooner after a lost read

With the 500 ms between reads a worker that leaves was unknown to the driver for 2.0 s, all of the time in which it may still get tasks (2 s by default on the users' platform).

A read that has taken its time limit is now repeated after 100 ms; one that fails at once still after 500 ms, so that a busy store gets no more calls. The longest time is 1.6 s and an answer.

--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -104,6 +104,7 @@
 	/* workers.c */
 	struct drive_worker *workers;
 	size_t n_workers;
+	int64_t workers_read_at; /* when the last read was sent */
 	int64_t next_workers_read_at;
 	int64_t workers_failed_at; /* the last failed read */
 
--- a/src/fleet/workers.c
+++ b/src/fleet/workers.c
@@ -13,7 +13,8 @@
 enum {
 	DRIVER_READ_INTERVAL_MS = 500,
 	OTHER_READ_INTERVAL_MS = 10000,
-	FAILED_READ_RETRY_MS = 500,
+	FAILED_READ_RETRY_MS = 500, /* after it was sent, and... */
+	LOST_READ_RETRY_MS = 100, /* ...after it failed */
 	WORKER_FIELDS = 10,
 	LIST_MAX = 20000, /* workers in one message */
 	/* After a failed read, entries may be missing for this time. */
@@ -27,6 +28,7 @@
 	if (!fleet_is_member(f) || fleet_is_divided(f))
 		return;
 	f->workers_read_in_flight = true;
+	f->workers_read_at = now;
 	f->opt.read_workers(f->opt.ctx);
 }
 
@@ -227,6 +229,14 @@
 	return true;
 }
 
+/* A read that was lost has taken its time limit already. */
+static int64_t retry_at(const struct fleet *f, int64_t now)
+{
+	int64_t at = f->workers_read_at + FAILED_READ_RETRY_MS;
+
+	return at > now + LOST_READ_RETRY_MS ? at : now + LOST_READ_RETRY_MS;
+}
+
 void fleet_set_workers(struct fleet *f, int64_t now,
 		       const struct drive_worker *list, size_t n)
 {
@@ -236,7 +246,7 @@
 	f->workers_read_in_flight = false;
 	if (!list) {
 		f->workers_failed_at = now;
-		f->next_workers_read_at = now + FAILED_READ_RETRY_MS;
+		f->next_workers_read_at = retry_at(f, now);
 		return;
 	}
 	f->next_workers_read_at = now + (fleet_is_driver(f)
--- a/test/sim/fleet_sim.c
+++ b/test/sim/fleet_sim.c
@@ -57,7 +57,7 @@
 	int64_t lease_expires_at;
 	int64_t wait_until; /* a hold is answered then or at a run's end */
 	int64_t timeout_at; /* when the call counts as unanswered */
-	bool late; /* carried out late and never answered */
+	bool late; /* carried out late, or lost, and never answered */
 	struct drive_hold_answer lists;
 };
 
@@ -279,9 +279,15 @@
 static void on_read_workers(void *ctx)
 {
 	struct fsim_instance *i = ctx;
-	struct fsim_event *e = event_new(EVENT_LIST, i->sim->now + 5, i);
+	struct fsim *s = i->sim;
+	struct fsim_event *e = event_new(EVENT_LIST, s->now + 5, i);
 
-	push_event(i->sim, e);
+	if (s->store.silent || i->store->silent || s->lose_lists) {
+		s->lose_lists -= s->lose_lists > 0;
+		e->late = true;
+		e->at = s->now + STORE_TIMEOUT_MS;
+	}
+	push_event(s, e);
 }
 
 static int worker_index(const struct fsim *s, const char *name)
@@ -508,13 +514,13 @@
 		cells_hold_answered(i->cells, s->now, e->call, &e->lists);
 }
 
-static void deliver_list(struct fsim *s, struct fsim_instance *i)
+static void deliver_list(struct fsim *s, struct fsim_instance *i, bool lost)
 {
 	struct drive_worker list[FSIM_WORKERS];
 	size_t n = 0;
 	int k;
 
-	if (!fsim_reaches_store(s, i)) {
+	if (lost || !fsim_reaches_store(s, i)) {
 		cells_set_workers(i->cells, s->now, NULL, 0);
 		return;
 	}
@@ -563,7 +569,7 @@
 	} else if (e->kind == EVENT_CALLER_DISCONNECTED) {
 		cells_cancel(i->cells, s->now, e->sender_or_tag);
 	} else {
-		deliver_list(s, i);
+		deliver_list(s, i, e->late);
 	}
 	event_free(e);
 }
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -110,6 +110,7 @@
 	uint32_t event_us, start_us;
 	uint32_t
 		objective_add_ms; /* of jobs, besides 1.6 times their run time */
+	unsigned lose_lists; /* this many further reads of the list are lost */
 	unsigned late_percent; /* share of calls that arrive 2 to 12 s late */
 	/* When the store confirmed each version; the last is the newest. */
 	int64_t config_put_at[FSIM_CONFIGS];
--- a/test/unit/fleet_test.c
+++ b/test/unit/fleet_test.c
@@ -104,6 +104,36 @@
 	}
 }
 
+/* Whether the driver knows that the worker is leaving. */
+static bool knows_leaving(const struct fsim *s, int worker)
+{
+	const struct fleet *f = s->instances[fsim_find_driver(s)].fleet;
+	size_t i;
+
+	for (i = 0; i < f->n_workers; i++)
+		if (!strcmp(f->workers[i].name, s->workers[worker].info.name))
+			return f->workers[i].leaving;
+	return false;
+}
+
+/* The list says so just after a read; the read after that one is lost. */
+static void lost_list_hides_a_leaving_worker_for_less_than_two_seconds(void)
+{
+	struct fsim *s = start_fleet();
+	const struct fleet *f = s->instances[fsim_find_driver(s)].fleet;
+
+	while (f->workers_read_in_flight || f->next_workers_read_at < s->now)
+		fsim_run(s, 1);
+	while (!f->workers_read_in_flight)
+		fsim_run(s, 1);
+	fsim_run(s, 6);
+	s->workers[4].info.leaving = true;
+	s->lose_lists = 1;
+	fsim_run(s, 1900);
+	CU_ASSERT(knows_leaving(s, 4));
+	check_and_free(s);
+}
+
 /* Active runs go on under the next driver and are not started again. */
 static void leaving_driver_hands_over_active_runs(void)
 {
@@ -528,6 +558,7 @@
 	TEST(healthy_fleet_completes_jobs_at_once);
 	TEST(killed_driver_is_replaced_within_half_a_second);
 	TEST(silence_that_swallows_watches_delays_no_map);
+	TEST(lost_list_hides_a_leaving_worker_for_less_than_two_seconds);
 	TEST(killed_driver_is_replaced_without_the_store);
 	TEST(leaving_driver_hands_over_active_runs);
 	TEST(store_outage_changes_nothing);
