Bound how long a lost watch hides a bundle or a map from the entry

A bundle that was rolled after a silence of the store came into force up to some 32 s later; changes are to be in force everywhere within 17 s.

The wait is 8 s now, and a read follows a failure. The longest time for which a lost watch looks quiet is 8.5 s and the limit of a call (2 s).

lost_watches_delay_no_bundle_beyond_the_bound failed before. For the map no test failed before: an instance that misses a map reads it when it plans a change (cut_off_instance_learns_the_map_after_a_silence passes with both).

--- a/src/coordination/bundle_sync_internal.h
+++ b/src/coordination/bundle_sync_internal.h
@@ -12,7 +12,7 @@
 	SYNC_PEER_BACKOFF_MS = 10000, /* after an invalid bundle of a peer */
 	SYNC_REPLIES_PER_S = 64, /* answers to the pulls of peers */
 	SYNC_REPLY_BYTES_PER_S = 4 * 1024 * 1024,
-	SYNC_WATCH_WAIT_MS = 30000,
+	SYNC_WATCH_WAIT_MS = 8000, /* a lost one looks quiet for this time */
 	SYNC_WATCH_INTERVAL_MS = 50, /* least time between two watches */
 	SYNC_RETRY_MIN_MS = 250, /* backoff after a failure of the store */
 	SYNC_RETRY_MAX_MS = 4000,
--- a/src/coordination/bundle_sync_store.c
+++ b/src/coordination/bundle_sync_store.c
@@ -125,6 +125,7 @@
 
 	s->call = SYNC_STORE_IDLE;
 	if (v->status != SYC_PLATFORM_OK && v->status != SYC_PLATFORM_ABSENT) {
+		s->store_index = 0; /* a read comes next, which is short */
 		back_off_store(s);
 		return;
 	}
--- a/test/sim/coord_sim.h
+++ b/test/sim/coord_sim.h
@@ -80,6 +80,7 @@
 	size_t n_history; /* the last element is the content */
 	uint64_t index;
 	bool down;
+	bool silent; /* calls in flight meanwhile get no answer */
 	unsigned delay_max_ms;
 	unsigned lost_reply_percent; /* of the applied writes */
 	unsigned stale_read_percent;
--- a/test/sim/coord_sim_store.c
+++ b/test/sim/coord_sim_store.c
@@ -5,6 +5,8 @@
 #include "coord_sim_internal.h"
 #include "util/alloc.h"
 
+enum { STORE_TIMEOUT_MS = 2000 /* of a call; a watch adds its wait */ };
+
 static const char *content_before(const struct coord_sim *sim,
 				  size_t changes_ago)
 {
@@ -95,6 +97,19 @@
 	queue_call(n, call);
 }
 
+/* Ends the call at its time limit, without an answer. */
+static void lose_call(struct coord_sim *sim, struct coord_sim_event ev)
+{
+	struct coord_sim_call *call = &ev.call;
+
+	call->status = call->kind == CALL_CAS ? SYC_PLATFORM_UNCERTAIN
+					      : SYC_PLATFORM_UNREACHABLE;
+	ev.kind = EV_STORE_REPLY;
+	ev.at = STORE_TIMEOUT_MS +
+		(call->kind == CALL_WATCH ? call->wait_ends_at : sim->now);
+	coord_sim_push(sim, ev);
+}
+
 static void reply_later(struct coord_sim *sim, struct coord_sim_event ev)
 {
 	ev.kind = EV_STORE_REPLY;
@@ -140,6 +155,10 @@
 	struct coord_sim_node *n = &sim->nodes[ev.node];
 	struct coord_sim_call *call = &ev.call;
 
+	if (sim->store.silent) {
+		lose_call(sim, ev);
+		return;
+	}
 	if (sim->store.down || (n->instance.id == ev.id && n->store_cut)) {
 		call->status = SYC_PLATFORM_UNREACHABLE;
 	} else if (call->kind == CALL_CAS) {
--- a/test/unit/bundle_sync_sim.c
+++ b/test/unit/bundle_sync_sim.c
@@ -228,6 +228,14 @@
 	reply(c, SYC_PLATFORM_OK, NULL, 0);
 }
 
+static void lose(const struct bundle_sim *sim, struct bundle_sim_call *c)
+{
+	int64_t from = c->kind == CALL_WATCH ? c->wait_ends_at : sim->now;
+
+	if (!c->lost_until)
+		c->lost_until = from + BUNDLE_SIM_TIMEOUT_MS;
+}
+
 static void run_store(struct bundle_sim *sim)
 {
 	size_t i;
@@ -237,7 +245,11 @@
 
 		if (c->kind == CALL_NONE)
 			continue;
-		if (c->node->store_cut)
+		if (sim->silent)
+			lose(sim, c);
+		if (c->lost_until > sim->now)
+			continue;
+		if (c->node->store_cut || c->lost_until)
 			reply(c, SYC_PLATFORM_UNREACHABLE, NULL, 0);
 		else if (c->kind == CALL_CAS)
 			process_cas(sim, c);
--- a/test/unit/bundle_sync_sim.h
+++ b/test/unit/bundle_sync_sim.h
@@ -13,7 +13,8 @@
 	BUNDLE_SIM_CALLS_MAX = 64,
 	BUNDLE_SIM_QUEUE_MAX = 256,
 	BUNDLE_SIM_STEP_MS = 50, /* of the virtual clock */
-	BUNDLE_SIM_DELAY_MS = 1
+	BUNDLE_SIM_DELAY_MS = 1,
+	BUNDLE_SIM_TIMEOUT_MS = 2000 /* of a call; a watch adds its wait */
 };
 
 struct bundle_sim;
@@ -37,6 +38,7 @@
 	struct bundle_sim_node *node;
 	uint64_t index;
 	int64_t wait_ends_at; /* ms; of a watch */
+	int64_t lost_until; /* ms; it gets no answer before; zero: not lost */
 	struct buf value;
 	void (*done)(void *arg, const struct syc_platform_value *v);
 	void *arg;
@@ -61,6 +63,7 @@
 	struct buf old_value;
 	uint64_t old_index;
 	bool has_stale_reads; /* reads return `old_value` */
+	bool silent; /* calls in flight meanwhile get no answer */
 	int replies_to_lose; /* number of next writes that get no reply */
 	int writes, conflicts;
 };
--- a/test/unit/bundle_sync_test.c
+++ b/test/unit/bundle_sync_test.c
@@ -12,6 +12,7 @@
 enum {
 	SPREAD_MS = 5000, /* time until all have adopted a new bundle */
 	STALE_REPAIRS_MAX = 12, /* repairs by one watcher per minute */
+	BOUND_MS = 17000, /* until a change is in force everywhere */
 	RECOVERY_MS = 5000 /* until no watcher is in a backoff */
 };
 
@@ -43,6 +44,26 @@
 	bundle_sim_free(&sim);
 }
 
+/* Longer than the wait of a watch with its time limit, and shorter. */
+static void lost_watches_delay_no_bundle_beyond_the_bound(void)
+{
+	int64_t silence_ms, before_ms;
+
+	for (silence_ms = 500; silence_ms < 40000; silence_ms += 11000) {
+		for (before_ms = 0; before_ms < 30000; before_ms += 9000) {
+			start_sim(8, 2);
+			bundle_sim_run(&sim, before_ms);
+			sim.silent = true;
+			bundle_sim_run(&sim, silence_ms);
+			sim.silent = false;
+			publish(2, "ab");
+			bundle_sim_run(&sim, BOUND_MS);
+			CU_ASSERT_EQUAL(bundle_sim_count_adopted(&sim, 2), 8);
+			bundle_sim_free(&sim);
+		}
+	}
+}
+
 static void frequent_changes_converge(void)
 {
 	unsigned long version;
@@ -483,6 +504,7 @@
 {
 	fixture_init();
 	TEST(new_bundle_reaches_all_instances);
+	TEST(lost_watches_delay_no_bundle_beyond_the_bound);
 	TEST(frequent_changes_converge);
 	TEST(badly_signed_bundle_is_refused_once_and_not_overwritten);
 	TEST(unparsable_text_is_refused);
--- a/test/unit/coord_faults_test.c
+++ b/test/unit/coord_faults_test.c
@@ -8,7 +8,7 @@
 #include "unit.h"
 #include "util/log.h"
 
-enum { KEYS = 200 };
+enum { KEYS = 200, MAP_BOUND_MS = 17000 };
 
 static struct coord_sim sim;
 
@@ -256,6 +256,26 @@
 	check_and_free();
 }
 
+/* Its peers cannot tell the instance of the map that they write without it. */
+static void cut_off_instance_learns_the_map_after_a_silence(void)
+{
+	int64_t silence_ms;
+
+	for (silence_ms = 500; silence_ms < 40000; silence_ms += 13000) {
+		start_instances(4);
+		sim.store.silent = true;
+		coord_sim_run(&sim, silence_ms);
+		sim.store.silent = false;
+		coord_sim_isolate(&sim, 0);
+		sim.nodes[0].store_cut = false;
+		coord_sim_run(&sim, MAP_BOUND_MS);
+		CU_ASSERT_EQUAL(syc_coord_epoch(sim.nodes[0].coord),
+				coord_sim_store_epoch(&sim));
+		coord_sim_heal(&sim);
+		check_and_free();
+	}
+}
+
 static void serving_continues_without_the_store(void)
 {
 	start_instances(4);
@@ -575,6 +595,7 @@
 	TEST(one_way_cut_causes_few_map_changes);
 	TEST(instance_without_contact_stays_out);
 	TEST(isolated_instance_rejoins_afterwards);
+	TEST(cut_off_instance_learns_the_map_after_a_silence);
 	TEST(serving_continues_without_the_store);
 	TEST(crash_during_a_store_outage_stalls_only_its_slices);
 	TEST(lost_replies_and_stale_reads_are_tolerated);
