Change the configuration in the soak of real processes

It now changes it, up to four times in a row, and submits a job by a route of the newest version alone to each instance that was undisturbed for 3 s, 2 s after the confirmation.

--- a/test/fleet_soak/faults.c
+++ b/test/fleet_soak/faults.c
@@ -7,6 +7,7 @@
 
 enum {
 	INTERVAL_MAX_MS = 250, /* between two faults */
+	STORE_INTERVAL_MAX_MS = 6000, /* the same, of the store alone */
 	RESTART_MAX_MS = 2500,
 	PAUSE_MAX_MS = 2500,
 	DISTURB_MAX_MS = 3000,
@@ -81,12 +82,32 @@
 			      random_ms(s, DISTURB_MAX_MS));
 }
 
-static void set_knob(struct soak *s, const char *name, long val)
+static void set_store_down(struct soak *s, bool down)
 {
-	char path[64];
+	s->store_is_down = down;
+	soak_set_knob(s, "down", down);
+}
 
-	snprintf(path, sizeof(path), "/standin/knobs?%s=%ld", name, val);
-	soak_ask(s, "PUT", path, NULL);
+static void set_store_silent(struct soak *s, bool silent)
+{
+	s->store_is_silent = silent;
+	soak_set_knob(s, "silent", silent);
+}
+
+/* Troubles of the store alone leave the instances to be checked. */
+static void inject_store_fault(struct soak *s)
+{
+	uint64_t k = rng_below(&s->rng, 100);
+
+	s->n_faults++;
+	if (k < 45)
+		set_store_silent(s, !s->store_is_silent);
+	else if (k < 60)
+		set_store_down(s, !s->store_is_down);
+	else if (k < 75)
+		soak_set_knob(s, "deaf", (long)rng_below(&s->rng, 2));
+	else
+		disturb(s, &random_instance(s)->store);
 }
 
 static void inject_one(struct soak *s)
@@ -110,11 +131,16 @@
 	else if (k < 90)
 		disturb(s, &s->workers[rng_below(&s->rng,
 						 (uint64_t)s->n_workers)]);
+	else if (k < 92)
+		set_store_down(s, rng_below(&s->rng, 2));
 	else if (k < 94)
-		set_knob(s, "down", (long)rng_below(&s->rng, 2));
+		set_store_silent(s, !s->store_is_silent);
+	else if (k < 95)
+		soak_set_knob(s, "deaf", (long)rng_below(&s->rng, 2));
 	else if (k < 97)
-		set_knob(s, "run_ms",
-			 rng_below(&s->rng, 2) ? LONG_RUN_MS : USUAL_RUN_MS);
+		soak_set_knob(s, "run_ms",
+			      rng_below(&s->rng, 2) ? LONG_RUN_MS
+						    : USUAL_RUN_MS);
 	else if (k < 99)
 		roll_all(s);
 	else
@@ -141,8 +167,13 @@
 		tick_instance(s, &s->instances[k], now);
 	if (s->calm || now < s->next_fault_at)
 		return;
-	s->next_fault_at = now + random_ms(s, INTERVAL_MAX_MS);
-	inject_one(s);
+	s->next_fault_at = now + random_ms(s, s->only_store
+						      ? STORE_INTERVAL_MAX_MS
+						      : INTERVAL_MAX_MS);
+	if (s->only_store)
+		inject_store_fault(s);
+	else
+		inject_one(s);
 }
 
 void soak_heal(struct soak *s)
@@ -151,8 +182,10 @@
 	int k;
 
 	s->calm = true;
-	set_knob(s, "down", 0);
-	set_knob(s, "run_ms", USUAL_RUN_MS);
+	set_store_down(s, false);
+	set_store_silent(s, false);
+	soak_set_knob(s, "deaf", 0);
+	soak_set_knob(s, "run_ms", USUAL_RUN_MS);
 	for (k = 0; k < s->n_workers; k++)
 		s->workers[k].mode = PROXY_PASS;
 	for (k = 0; k < s->n_instances; k++) {
--- a/test/fleet_soak/main.c
+++ b/test/fleet_soak/main.c
@@ -81,6 +81,7 @@
 	while (proxy_now_ms() < until) {
 		soak_callers_tick(s, proxy_now_ms());
 		soak_faults_tick(s, proxy_now_ms());
+		soak_config_tick(s, proxy_now_ms());
 		soak_run(s, TICK_MS);
 	}
 }
@@ -190,6 +191,7 @@
 	opt.loop = s->loop;
 	s->client = http_client_new(&opt);
 	s->divided = seed % 2;
+	s->only_store = seed % 3 == 0;
 	s->n_instances = n_instances;
 	s->n_workers = n_instances * WORKERS_PER_INSTANCE;
 	if (s->n_workers > SOAK_WORKERS_MAX)
@@ -204,11 +206,14 @@
 	play(s, (int64_t)seconds * 1000);
 	check_end(s);
 	stop_all(s);
-	printf("seed %llu: %d instances%s, %u faults, %u jobs: %u completed, "
-	       "%u refused, %u unknown; %u violations\n",
+	printf("seed %llu: %d instances%s%s, %u faults, %u jobs: %u completed, "
+	       "%u refused, %u unknown; %u configurations checked; "
+	       "%u violations\n",
 	       (unsigned long long)seed, n_instances,
-	       s->divided ? " in cells" : "", s->n_faults, s->n_jobs,
-	       s->n_completed, s->n_refused, s->n_unknown, s->n_violations);
+	       s->divided ? " in cells" : "",
+	       s->only_store ? ", troubles of the store" : "", s->n_faults,
+	       s->n_jobs, s->n_completed, s->n_refused, s->n_unknown,
+	       s->n_config_checks, s->n_violations);
 	if (s->n_violations)
 		printf("  logs in %s; repeat: build/fleet_soak build %llu %llu "
 		       "%d %d\n",
--- a/test/fleet_soak/process.c
+++ b/test/fleet_soak/process.c
@@ -248,3 +248,11 @@
 		ev_run(s->loop, EVRUN_ONCE);
 	return ask.val;
 }
+
+void soak_set_knob(struct soak *s, const char *name, long val)
+{
+	char path[64];
+
+	snprintf(path, sizeof(path), "/standin/knobs?%s=%ld", name, val);
+	soak_ask(s, "PUT", path, NULL);
+}
--- a/test/fleet_soak/soak.h
+++ b/test/fleet_soak/soak.h
@@ -44,6 +44,7 @@
 	int64_t start_at; /* when it is started again; zero: it is not */
 	int64_t continue_at; /* when its pause ends; zero: it is not paused */
 	unsigned settings_version;
+	long checked_version; /* of the configuration */
 };
 
 /* A caller with one job at a time. */
@@ -70,12 +71,19 @@
 	uint16_t store_port;
 	int n_instances, n_workers, n_callers;
 	bool divided;
+	bool only_store; /* only the store has faults */
 	struct soak_instance instances[SOAK_INSTANCES_MAX];
 	struct proxy workers[SOAK_WORKERS_MAX];
 	struct soak_caller callers[SOAK_CALLERS_MAX];
 	struct http_client *client;
 	int64_t faults_until, next_fault_at;
 	bool calm; /* no further faults or load */
+	bool store_is_down, store_is_silent;
+	int64_t store_disturbed_at;
+	long config_version; /* the newest; zero: not changed yet */
+	int64_t config_changed_at;
+	int64_t next_change_at;
+	unsigned n_config_checks;
 	uint64_t next_job;
 	unsigned n_jobs, n_completed, n_refused, n_unknown, n_faults;
 	unsigned n_violations;
@@ -96,6 +104,12 @@
 long soak_ask(struct soak *s, const char *method, const char *path,
 	      const char *member);
 
+/* Sets a knob of the stand-in. */
+void soak_set_knob(struct soak *s, const char *name, long val);
+
+/* config.c */
+void soak_config_tick(struct soak *s, int64_t now);
+
 /* callers.c */
 void soak_callers_tick(struct soak *s, int64_t now);
 /* Submits a job to each instance; returns how many are not served. */
