--- a/src/fleet/key_watch.c
+++ b/src/fleet/key_watch.c
@@ -115,8 +115,8 @@
 {
 	int64_t now = get_now(w);
 
-	log_warn("unanswered", LOG_S("key", w->opt.key), LOG_S("call", call),
-		 LOG_I("sent_ms_ago", now - c->sent_at),
+	log_warn("key_unanswered", LOG_S("key", w->opt.key),
+		 LOG_S("call", call), LOG_I("sent_ms_ago", now - c->sent_at),
 		 LOG_I("age_ms", key_watch_age_ms(w, now)),
 		 LOG_U("index", w->index), LOG_S("why", v->message));
 }
@@ -157,7 +157,7 @@
 	if (!is_answer(v) || is_overtaken(w, c, v))
 		return;
 	if (is_stale(w, v)) {
-		log_warn("stale_read", LOG_S("key", w->opt.key),
+		log_warn("key_stale", LOG_S("key", w->opt.key),
 			 LOG_U("index", v->index), LOG_U("known", w->index));
 		return;
 	}
@@ -240,11 +240,11 @@
 		return;
 	w->is_overdue = is_overdue;
 	if (is_overdue)
-		log_warn("unconfirmed", LOG_S("key", w->opt.key),
+		log_warn("key_unconfirmed", LOG_S("key", w->opt.key),
 			 LOG_U("index", w->index), LOG_I("age_ms", age_ms),
 			 LOG_U("store_lost", w->is_unreachable));
 	else
-		log_info("confirmed", LOG_S("key", w->opt.key),
+		log_info("key_confirmed", LOG_S("key", w->opt.key),
 			 LOG_U("index", w->index), LOG_I("age_ms", age_ms));
 }
 
--- /dev/null
+++ b/test/sim/fleet_sim_callers.c
@@ -0,0 +1,159 @@
+/* Callers, who submit jobs to the simulated instances and submit them again. */
+#include <stdio.h>
+
+#include "fleet_sim_internal.h"
+#include "util/invariant.h"
+#include "util/log.h"
+
+void fsim_on_answer(void *ctx, uint64_t tag, const struct fleet_answer *answer)
+{
+	struct fsim_instance *i = ctx;
+	struct fsim *s = i->sim;
+	struct fsim_job *j = &s->jobs[tag - 1];
+
+	if (j->home != i - s->instances ||
+	    j->home_incarnation != i->instance.id)
+		return;
+	j->home = -1;
+	if (answer->outcome == FLEET_NOT_RUN && j->started &&
+	    !j->may_have_run) {
+		if (!s->n_false_refusals++ && !s->n_double_runs)
+			snprintf(s->message, sizeof(s->message),
+				 "at %lld ms: %.20s refused as not run (%.40s)",
+				 (long long)s->now, j->id, answer->reason);
+	}
+	if (answer->outcome == FLEET_UNKNOWN) {
+		j->may_have_run = true;
+		j->retry_at = s->now + RETRY_MS;
+		return;
+	}
+	j->answered = true;
+	j->outcome = answer->outcome;
+	j->ended_at = s->now;
+}
+
+static int pick_home(struct fsim *s, int domain)
+{
+	int k, at = (int)rng_below(&s->rng, s->n_instances);
+	const char *why;
+
+	for (k = 0; k < s->n_instances; k++, at = (at + 1) % s->n_instances) {
+		const struct fsim_instance *i = &s->instances[at];
+
+		if (i->fleet && i->domain == domain &&
+		    s->now >= i->paused_until)
+			return at;
+	}
+	for (k = 0; k < s->n_instances; k++, at = (at + 1) % s->n_instances) {
+		const struct fsim_instance *i = &s->instances[at];
+
+		if (i->fleet && s->now >= i->paused_until &&
+		    cells_is_ready(i->cells, &why))
+			return at;
+	}
+	return -1;
+}
+
+static void submit_job(struct fsim *s, struct fsim_job *j)
+{
+	int home = pick_home(s, j->domain);
+	struct drive_job spec = {
+		.id = j->id,
+		.service = "s",
+		.route = "r",
+		.label = "",
+		.attempts_max = 3,
+		.n_tasks = j->n_tasks,
+		.cpu_milli = 8000,
+		.memory_mb = 64,
+		.estimate_ms = j->run_ms,
+		.objective_percent = 160,
+		.objective_add_ms = s->objective_add_ms,
+		.deadline_ms = DEADLINE_MS,
+		.body = {"x", 1},
+	};
+
+	if (home < 0) {
+		j->retry_at = s->now + RETRY_MS;
+		return;
+	}
+	j->home = home;
+	j->home_incarnation = s->instances[home].instance.id;
+	j->sent_at = s->now;
+	j->deadline_at = s->now + DEADLINE_MS;
+	j->retry_at = 0;
+	log_context_set(s->instances[home].instance.name);
+	cells_submit(s->instances[home].cells, s->now,
+		     (uint64_t)(j - s->jobs) + 1, &spec);
+}
+
+/*
+ * Returns whether the caller of an unreachable home tries another instance
+ * before its deadline.
+ */
+static bool leaves_early(const struct fsim *s, const struct fsim_job *j)
+{
+	const struct fsim_instance *i = &s->instances[j->home];
+
+	return s->callers_leave_early &&
+	       s->now >= j->sent_at + EARLY_LEAVE_MS &&
+	       (i->cut || s->now < i->paused_until);
+}
+
+/*
+ * Cancels the job at its home `i`. A paused home learns that the caller has
+ * disconnected when it resumes.
+ */
+static void cancel_at_home(struct fsim *s, struct fsim_instance *i,
+			   const struct fsim_job *j)
+{
+	uint64_t tag = (uint64_t)(j - s->jobs) + 1;
+	struct fsim_event *e;
+
+	if (s->now >= i->paused_until) {
+		log_context_set(i->instance.name);
+		cells_cancel(i->cells, s->now, tag);
+		return;
+	}
+	e = fsim_event_new(EVENT_CALLER_DISCONNECTED, i->paused_until, i);
+	e->sender_or_tag = tag;
+	fsim_event_push(s, e);
+}
+
+void fsim_tick_caller(struct fsim *s, struct fsim_job *j)
+{
+	struct fsim_instance *i;
+
+	if (j->answered)
+		return;
+	if (j->retry_at && s->now >= j->retry_at) {
+		submit_job(s, j);
+		return;
+	}
+	if (j->home < 0)
+		return;
+	i = &s->instances[j->home];
+	if (i->fleet && i->instance.id == j->home_incarnation &&
+	    s->now < j->deadline_at && !leaves_early(s, j))
+		return;
+	if (i->fleet && i->instance.id == j->home_incarnation)
+		cancel_at_home(s, i, j);
+	j->home = -1;
+	j->may_have_run = true;
+	j->retry_at = s->now + RETRY_MS;
+}
+
+void fsim_submit(struct fsim *s, int domain, uint32_t n_tasks, uint32_t run_ms)
+{
+	struct fsim_job *j;
+
+	invariant(s->n_jobs < FSIM_JOBS);
+	j = &s->jobs[s->n_jobs++];
+	snprintf(j->id, sizeof(j->id), "%016llx",
+		 (unsigned long long)rng_next(&s->rng));
+	j->domain = domain;
+	j->n_tasks = n_tasks;
+	j->run_ms = run_ms;
+	j->began_at = s->now;
+	submit_job(s, j);
+}
