Hold signals back until a daemon has its handlers

Between main and the handlers an instance reads its settings and loads a library for backtraces, and a signal ends it by default; beside load that takes long.

fleet and entry now block SIGTERM, SIGINT, SIGHUP and SIGUSR1 first and take them when the handlers are there.

33-signal-during-start failed before (b ended by SIGUSR1 while it read its settings).

--- a/src/cmd/cmd_entry.c
+++ b/src/cmd/cmd_entry.c
@@ -12,6 +12,7 @@
 #include "cmd/cmd.h"
 #include "cmd/daemon_options.h"
 #include "cmd/entry.h"
+#include "cmd/held_signals.h"
 #include "util/cleanup.h"
 
 enum {
@@ -144,8 +145,8 @@
 	if (fd < 0)
 		return EXIT_FAILED;
 	e->loop = ev_default_loop(EVFLAG_AUTO);
-	/* A signal during the start is handled by the loop. */
 	watch_signals(e);
+	held_signals_deliver();
 	if (entry_open(e, err, sizeof(err))) {
 		run_loop(e);
 	} else {
@@ -179,6 +180,8 @@
 	struct daemon_options o = {0};
 	int rc;
 
+	held_signals_block();
+
 	if (!daemon_options_read(&o, "sycamoreshore entry", argc, argv))
 		return EXIT_USAGE;
 	if (o.reference) {
--- a/src/cmd/cmd_fleet.c
+++ b/src/cmd/cmd_fleet.c
@@ -8,6 +8,7 @@
 #include "cmd/daemon_options.h"
 #include "cmd/crash.h"
 #include "cmd/fleet_daemon.h"
+#include "cmd/held_signals.h"
 
 enum { MESSAGE_MAX = 512 /* bytes of an error message */ };
 
@@ -33,6 +34,7 @@
 	open_log(&d->settings);
 	d->loop = ev_default_loop(EVFLAG_AUTO);
 	fleet_daemon_watch_signals(d);
+	held_signals_deliver();
 	if (fleet_daemon_open(d, err, sizeof(err))) {
 		fleet_daemon_run(d);
 	} else {
@@ -65,6 +67,8 @@
 	struct daemon_options o = {0};
 	int rc;
 
+	held_signals_block();
+
 	if (!daemon_options_read(&o, "sycamoreshore fleet", argc, argv))
 		return EXIT_USAGE;
 	if (o.reference) {
--- a/test/measure/rules-out.sh
+++ b/test/measure/rules-out.sh
@@ -1,8 +1,8 @@
 #!/bin/sh
 # In a copy of the source, removes the rules that prevent a task from running
-# twice, or a configuration from being late, one rule at a time, and runs the fleet model with the seeds 1 to
-# LAST_SEED each time. If no seed finds a fault without a rule, the rule is
-# unnecessary or the model does not exercise it.
+# twice, or a configuration from being late, one rule at a time, and runs the
+# fleet model with the seeds 1 to LAST_SEED each time. If no seed finds a fault
+# without a rule, the rule is unnecessary or the model does not exercise it.
 #
 #	rules-out.sh [LAST_SEED]
 set -e
