--- a/src/fleet/key_watch.c
+++ b/src/fleet/key_watch.c
@@ -173,12 +173,15 @@
 {
 	struct key_call *c = arg;
 	struct key_watch *w = c->watch;
+	int64_t now = get_now(w);
 
 	c->in_flight = false;
-	if (!is_answer(v)) {
+	if (!is_answer(v))
 		log_unanswered(w, "watch", c, v);
-		w->next_watch_at = get_now(w) + retry_ms(w, false);
-	}
+	/* The store refuses watches, or cuts them: it gets them one by one. */
+	if (!c->is_lost && v->index <= w->index &&
+	    now - c->sent_at < WATCH_WAIT_MS)
+		w->next_watch_at = now + retry_ms(w, false);
 	key_watch_call_ended(w, c->sent_at, v);
 	if (v->status == SYC_PLATFORM_ABSENT)
 		w->wants_read = true;
--- a/test/sim/fake_store.c
+++ b/test/sim/fake_store.c
@@ -244,7 +244,7 @@
 {
 	struct fake_key *k = find_key(s, c->key);
 
-	if (s->now >= c->wait_ends_at)
+	if (s->now >= c->wait_ends_at || s->ends_watches)
 		return false;
 	return s->deaf || (k ? k->index : 0) == c->index;
 }
--- a/test/sim/fake_store.h
+++ b/test/sim/fake_store.h
@@ -28,6 +28,7 @@
 	int64_t timeout_ms; /* time limit of a call; a watch adds its wait */
 	unsigned lose_reads; /* this many further reads get no answer */
 	bool deaf; /* watches do not report changes */
+	bool ends_watches; /* at once, without a change */
 	bool busy; /* calls are answered with an error */
 	unsigned late_reply_percent; /* replies that come late */
 	unsigned lost_reply_percent; /* of the applied writes */
--- a/test/unit/fleet_config_test.c
+++ b/test/unit/fleet_config_test.c
@@ -191,8 +191,24 @@
 	check_and_free(s);
 }
 
+static void watches_that_end_at_once_are_not_repeated_at_once(void)
+{
+	struct fsim *s = start_fleet(false);
+	uint64_t reads;
+
+	s->store.ends_watches = true;
+	fsim_run(s, 1000);
+	reads = s->store.reads;
+	fsim_run(s, 1000);
+	/* Two watched keys, each at most once in an eighth of its bound. */
+	CU_ASSERT(s->store.reads - reads <= FSIM_INSTANCES * 8 * 2);
+	CU_ASSERT_EQUAL(count_without_change(s, APPLY_MS / 2), 0);
+	check_and_free(s);
+}
+
 SUITE(fleet_config)
 {
+	TEST(watches_that_end_at_once_are_not_repeated_at_once);
 	TEST(change_is_in_force_at_once_in_calm);
 	TEST(silence_that_swallows_watches_delays_no_change);
 	TEST(deaf_watches_hide_no_change);
