--- a/src/fleet/config_sync.c
+++ b/src/fleet/config_sync.c
@@ -34,9 +34,13 @@
 		log_warn("config_absent", LOG_U("version", f->config_version));
 }
 
-/* map_sync.c logs it. */
+/* The store answers again, so the map need not wait for its next read. */
 static void on_reachable(void *ctx, bool reachable, const char *why)
 {
+	struct fleet *f = ctx;
+
+	if (reachable && f->store_unreachable)
+		key_watch_read(&f->map_watch, syc_now(&f->opt.clock));
 }
 
 void config_sync_init(struct fleet *f, int64_t now)
