Name what a peer's newer map does, and let the metric start with the process

Reading the diff: key_watch_suspect only makes a read due; an age that was never confirmed was 2^64 - 1 in the metric, so an alert on it could not tell a start from an outage; config_apply_ms may be 100 ms. No decision changes.

--- a/src/cmd/fleet_metrics.c
+++ b/src/cmd/fleet_metrics.c
@@ -127,8 +127,8 @@
 		   "Version of the configuration in force; zero for none.",
 		   NULL, d->routes.version);
 	set_metric(d, METRIC_GAUGE, "sycamoreshore_config_age_ms",
-		   "Time since the store last confirmed the configuration; "
-		   "the largest value: never.",
+		   "Time since the store last confirmed the configuration, or "
+		   "since the start.",
 		   NULL, (uint64_t)cells_config_age_ms(d->fleet));
 	set_metric(d, METRIC_GAUGE, "sycamoreshore_epoch",
 		   "Epoch of the driver that is followed; zero for none.", NULL,
--- a/src/cmd/fleet_settings.c
+++ b/src/cmd/fleet_settings.c
@@ -61,7 +61,7 @@
 	 "1000",
 	 "Time limit of a call, at most half of config_apply_ms; a watch adds "
 	 "its wait time."},
-	{"config_apply_ms", FIELD_U32, OFFSET_OF(config_apply_ms), 400, 600000,
+	{"config_apply_ms", FIELD_U32, OFFSET_OF(config_apply_ms), 100, 600000,
 	 "ms", "2000",
 	 "Time within which a change of the configuration is in force after "
 	 "the store has confirmed it; an older confirmation is logged."},
--- a/src/fleet/config_sync.c
+++ b/src/fleet/config_sync.c
@@ -74,7 +74,10 @@
 
 int64_t fleet_config_age_ms(const struct fleet *f)
 {
-	return key_watch_age_ms(&f->config_watch, syc_now(&f->opt.clock));
+	int64_t now = syc_now(&f->opt.clock);
+	int64_t age_ms = key_watch_age_ms(&f->config_watch, now);
+
+	return age_ms < 0 ? now - f->started_at : age_ms;
 }
 
 void config_sync_send(struct fleet *f, int64_t now, struct fleet_peer *p)
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -112,7 +112,7 @@
 
 /*
  * The time in ms since the store confirmed the configuration in force, to this
- * instance or to a peer; -1: never.
+ * instance or to a peer; if it never did, since the start of this instance.
  */
 int64_t fleet_config_age_ms(const struct fleet *f);
 
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -207,7 +207,7 @@
 	if (map_index && map_index == f->map.index)
 		accept_age(f, &f->map_watch, echo_ms, map_age_ms);
 	else if (map_index > f->map.index)
-		key_watch_suspect(&f->map_watch);
+		key_watch_note_newer(&f->map_watch);
 }
 
 static void log_newer_config(const struct fleet *f, const struct fleet_peer *p,
--- a/src/fleet/key_watch.c
+++ b/src/fleet/key_watch.c
@@ -267,7 +267,7 @@
 		w->confirmed_at = at;
 }
 
-void key_watch_suspect(struct key_watch *w)
+void key_watch_note_newer(struct key_watch *w)
 {
 	w->wants_read = true;
 }
--- a/src/fleet/key_watch.h
+++ b/src/fleet/key_watch.h
@@ -75,8 +75,8 @@
 /* A peer knows the same value, and a read of it sent at `at` was answered. */
 void key_watch_confirm(struct key_watch *w, int64_t at);
 
-/* A peer knows a newer value. */
-void key_watch_suspect(struct key_watch *w);
+/* A peer knows a newer value, so a read is due. */
+void key_watch_note_newer(struct key_watch *w);
 
 /* The caller's own write has set the key's value. */
 void key_watch_written(struct key_watch *w, int64_t now, uint64_t index);
