--- a/src/coordination/map_store.c
+++ b/src/coordination/map_store.c
@@ -20,7 +20,7 @@
 	DEFERRED_CHANGE_INTERVAL_MS = 1000,
 	BACKOFF_MS = 100, /* after a failed call; doubled each time */
 	BACKOFF_DOUBLINGS = 4,
-	WATCH_WAIT_MS = 8000, /* a lost watch looks quiet for this time */
+	WATCH_WAIT_MS = 30000,
 	WATCH_INTERVAL_MS = 100, /* between two watches */
 	/* Heartbeat intervals until the first call, which may write a map. */
 	FIRST_CALL_HEARTBEATS = 2
@@ -307,7 +307,6 @@
 		return;
 	c->store.watch_call = NULL;
 	if (!is_read_success(v)) {
-		c->store.needs_read = true;
 		back_off(c);
 		return;
 	}
@@ -362,8 +361,7 @@
 
 	schedule_change(c);
 	if (!store->watch_call && c->now >= store->next_watch_at &&
-	    !store->needs_read && store->op != STORE_GET && c->map.epoch &&
-	    membership_rank(c) < DELEGATES)
+	    c->map.epoch && membership_rank(c) < DELEGATES)
 		start_watch(c);
 	if (store->op != STORE_IDLE || c->now < store->next_call_at)
 		return;
