--- a/src/fleet/key_watch.h
+++ b/src/fleet/key_watch.h
@@ -28,7 +28,7 @@
 	uint64_t index; /* that a watch was sent with */
 	int64_t sent_at;
 	bool in_flight;
-	bool is_lost; /* a watch: another one has replaced it */
+	bool is_lost; /* a watch that another one has replaced */
 };
 
 struct key_watch_options {
--- a/test/fleet_soak/config.c
+++ b/test/fleet_soak/config.c
@@ -10,10 +10,10 @@
 #include "util/alloc.h"
 
 enum {
-	FIRST_VERSION = 3, /* that the stand-in starts with */
+	FIRST_VERSION = 3, /* in the stand-in when it starts */
 	APPLY_MS = 2000, /* from its confirmation until it is in force */
 	UNDISTURBED_MS = 3000, /* until the check applies after a fault */
-	CHANGE_MAX_MS = 4000, /* in which the instances are checked */
+	CHANGE_MAX_MS = 4000, /* until the next change, for the checks */
 	SERIES_MAX = 4, /* changes in quick succession */
 	ANSWER_MS = 2500
 };
--- a/test/unit/fleet_config_test.c
+++ b/test/unit/fleet_config_test.c
@@ -200,7 +200,7 @@
 	fsim_run(s, 1000);
 	reads = s->store.reads;
 	fsim_run(s, 1000);
-	/* Two watched keys, each at most once in an eighth of its bound. */
+	/* Two keys; a watch of each at most once in an eighth of its bound. */
 	CU_ASSERT(s->store.reads - reads <= FSIM_INSTANCES * 8 * 2);
 	CU_ASSERT_EQUAL(count_without_change(s, APPLY_MS / 2), 0);
 	check_and_free(s);
