--- a/src/cmd/fleet_components.c
+++ b/src/cmd/fleet_components.c
@@ -23,6 +23,13 @@
 	peer_links_dial(d->peers, addr);
 }
 
+static void fleet_hang_up_cb(void *ctx, const struct syc_addr *addr)
+{
+	struct fleet_daemon *d = ctx;
+
+	peer_links_stop_dialling(d->peers, addr);
+}
+
 static bool fleet_send_cb(void *ctx, uint64_t to, struct syc_bytes msg)
 {
 	struct fleet_daemon *d = ctx;
@@ -102,6 +109,7 @@
 		.hold_wait_ms = d->settings.hold_wait_ms,
 		.ctx = d,
 		.dial = fleet_dial_cb,
+		.hang_up = fleet_hang_up_cb,
 		.send = fleet_send_cb,
 		.answer = fleet_answer_cb,
 		.config = fleet_config_cb,
--- a/src/fleet/cell_fleet.c
+++ b/src/fleet/cell_fleet.c
@@ -21,6 +21,14 @@
 	opt->dial(opt->ctx, addr);
 }
 
+static void on_hang_up(void *ctx, const struct syc_addr *addr)
+{
+	const struct cell *cell = ctx;
+	const struct fleet_options *opt = &cell->cells->opt;
+
+	opt->hang_up(opt->ctx, addr);
+}
+
 static bool on_send(void *ctx, uint64_t to, struct syc_bytes msg)
 {
 	const struct cell *cell = ctx;
@@ -119,6 +127,7 @@
 	opt.epoch_floor = epoch_floor;
 	opt.ctx = cell;
 	opt.dial = on_dial;
+	opt.hang_up = on_hang_up;
 	opt.send = on_send;
 	opt.answer = on_answer;
 	opt.config = on_config;
--- a/src/fleet/cell_jobs.c
+++ b/src/fleet/cell_jobs.c
@@ -42,23 +42,13 @@
 static void get_report(const struct cell *cell, struct cell_view *v,
 		       int64_t *reported_at, int64_t now)
 {
-	const struct fleet *f = cell->fleet;
-	const struct fleet_peer *p;
 	struct drive_room room;
 
 	*reported_at = now;
-	if (f->driver == f->opt.self.id) {
-		drive_get_room(f->drive, now, &room);
-		v->cpu_milli = room.cpu_milli;
-		v->free_cpu_milli = room.free_cpu_milli;
-		return;
-	}
-	p = heartbeat_find_peer(f, f->driver);
-	if (!p)
+	if (!election_get_room(cell->fleet, now, &room, reported_at))
 		return;
-	v->cpu_milli = p->room.cpu_milli;
-	v->free_cpu_milli = p->room.free_cpu_milli;
-	*reported_at = p->heartbeat_at;
+	v->cpu_milli = room.cpu_milli;
+	v->free_cpu_milli = room.free_cpu_milli;
 }
 
 static void view_cell(struct cell *cell, struct cell_view *v, bool tried,
@@ -70,7 +60,7 @@
 	*v = (struct cell_view){
 		.reachable = election_is_driver_reachable(f, now),
 		.tried = tried,
-		.is_own = fleet_is_member(f),
+		.is_own = fleet_is_eligible(f),
 	};
 	get_report(cell, v, &reported_at, now);
 	if (reported_at != cell->reported_at)
@@ -107,6 +97,8 @@
 	j->tried |= 1U << number;
 	j->n_tries++;
 	cell->taken_cpu_milli += job_cpu_milli(job);
+	cell->used_at = now;
+	election_dial_driver(cell->fleet, now);
 	fleet_submit(cell->fleet, now, j->tag, job);
 }
 
--- a/src/fleet/cells.c
+++ b/src/fleet/cells.c
@@ -33,7 +33,7 @@
 
 static void open_cell(struct cells *c, size_t number, int64_t now)
 {
-	const struct fleet *whole = c->whole.fleet;
+	struct fleet *whole = c->whole.fleet;
 	struct cell *cell = &c->cells[number];
 	size_t i;
 
@@ -41,6 +41,7 @@
 	cell->number = number;
 	/* Its workers may have seen the fence of the whole fleet's driver. */
 	cell_create_fleet(cell, whole->map.cells[number], whole->epoch, now);
+	cell->fleet->whole = whole;
 	for (i = 0; i < whole->n_peers; i++)
 		if (whole->peers[i].link_up)
 			fleet_peer_up(cell->fleet, now,
@@ -53,18 +54,45 @@
 {
 	size_t i;
 
-	for (i = 0; i < c->whole.fleet->map.n_cells; i++)
+	for (i = c->n; i < c->whole.fleet->map.n_cells; i++)
 		open_cell(c, i, now);
 	c->n = i;
 }
 
+/* The driver of the own cell reads for its members. */
+static void choose_readers(struct cells *c)
+{
+	const struct fleet *own = cells_own(c);
+	bool drives = own->driver == own->opt.self.id;
+	size_t i;
+
+	if (!c->n)
+		return;
+	c->whole.fleet->leads = drives;
+	for (i = 0; i < c->n; i++)
+		c->cells[i].fleet->leads = drives;
+}
+
+/* The whole fleet has the configuration, and its cells the heartbeats. */
+static void announce_config(struct cells *c, int64_t now)
+{
+	uint64_t version = c->whole.fleet->config_version;
+
+	if (!c->n || version == c->config_version)
+		return;
+	c->config_version = version;
+	heartbeat_send_all(cells_own(c), now);
+}
+
 void cells_tick(struct cells *c, int64_t now)
 {
 	size_t i;
 
+	choose_readers(c);
 	fleet_tick(c->whole.fleet, now);
-	if (!c->n && fleet_is_divided(c->whole.fleet))
-		open_cells(c, now);
+	open_cells(c, now);
+	announce_config(c, now);
+	cell_reports_tick(c, now);
 	for (i = 0; i < c->n; i++)
 		fleet_tick(c->cells[i].fleet, now);
 }
@@ -111,6 +139,8 @@
 {
 	if (wire_type(msg) == SYC_PEER_CELL)
 		return receive_for_cell(c, now, from, msg);
+	if (wire_type(msg) == SYC_PEER_CELL_REPORTS)
+		return cell_reports_receive(c, now, msg);
 	return fleet_receive(c->whole.fleet, now, from, msg);
 }
 
@@ -142,7 +172,7 @@
 	size_t i;
 
 	for (i = 0; i < c->n; i++)
-		if (fleet_is_member(c->cells[i].fleet))
+		if (fleet_is_eligible(c->cells[i].fleet))
 			return c->cells[i].fleet;
 	return c->whole.fleet;
 }
--- a/src/fleet/cells_state.h
+++ b/src/fleet/cells_state.h
@@ -14,6 +14,10 @@
 	/* Capacity that this home's jobs took since the driver's report. */
 	uint64_t taken_cpu_milli;
 	int64_t reported_at; /* of that report */
+	int64_t used_at; /* when a job was last submitted to it */
+	/* The driver that was last described to the members, and when. */
+	uint64_t described_driver;
+	int64_t described_at;
 };
 
 /* A caller's job in a divided fleet. */
@@ -34,6 +38,8 @@
 	struct index tags;
 	struct rng rng;
 	bool workers_read_in_flight;
+	int64_t next_reports_at;
+	uint64_t config_version; /* that heartbeats were last sent for */
 };
 
 /* cell_fleet.c */
@@ -44,6 +50,14 @@
 void cell_create_fleet(struct cell *cell, const char *domain,
 		       uint64_t epoch_floor, int64_t now);
 
+/* cell_reports.c */
+/*
+ * Lets an instance that drives its cell know the drivers of the others, and
+ * closes links to drivers that are not used.
+ */
+void cell_reports_tick(struct cells *c, int64_t now);
+bool cell_reports_receive(struct cells *c, int64_t now, struct syc_bytes msg);
+
 /* cell_jobs.c */
 /* Handles a cell's answer to a job: the caller's, or another cell is tried. */
 void cell_jobs_answered(struct cell *cell, uint64_t tag,
--- a/src/fleet/config_sync.c
+++ b/src/fleet/config_sync.c
@@ -68,8 +68,7 @@
 void config_sync_tick(struct fleet *f, int64_t now)
 {
 	if (has_config(f))
-		key_watch_tick(&f->config_watch, now,
-			       f->driver == f->opt.self.id);
+		key_watch_tick(&f->config_watch, now, f->leads);
 }
 
 int64_t fleet_config_age_ms(const struct fleet *f)
@@ -83,14 +82,16 @@
 void config_sync_send(struct fleet *f, int64_t now, struct fleet_peer *p)
 {
 	auto_wire_out struct wire_out w = {0};
+	const struct fleet *whole = f->whole;
 
-	if (!f->config_version || p->config_version >= f->config_version ||
+	if (!whole->config_version ||
+	    p->config_version >= whole->config_version ||
 	    now - p->config_sent_at < SEND_RETRY_MS)
 		return;
 	p->config_sent_at = now;
 	wire_begin(&w, SYC_PEER_CONFIG, 2);
-	wire_put_u64(&w, f->config_version);
-	wire_put_bytes(&w, f->config, f->config_len);
+	wire_put_u64(&w, whole->config_version);
+	wire_put_bytes(&w, whole->config, whole->config_len);
 	f->opt.send(f->opt.ctx, p->instance.id, wire_bytes(&w));
 }
 
@@ -103,7 +104,7 @@
 	wire_open(&w, msg);
 	version = wire_u64(&w);
 	text = wire_view(&w);
-	if (!w.failed && version > f->config_version)
-		adopt(f, now, text, "peer");
+	if (!w.failed && version > f->whole->config_version)
+		adopt(f->whole, now, text, "peer");
 	return wire_close(&w);
 }
--- a/src/fleet/division.c
+++ b/src/fleet/division.c
@@ -57,8 +57,8 @@
 	return division->n_cells > 1;
 }
 
-/* Whether all members run a version that knows cells. */
-static bool all_members_know_cells(const struct fleet *f)
+/* Whether all members, and all homes, run a version that knows cells. */
+static bool all_instances_know_cells(const struct fleet *f)
 {
 	const struct fleet_peer *p;
 	size_t i;
@@ -70,6 +70,9 @@
 		if (!p || !p->knows_cells)
 			return false;
 	}
+	for (i = 0; i < f->n_peers; i++)
+		if (f->peers[i].heartbeat_at && !f->peers[i].knows_cells)
+			return false;
 	return true;
 }
 
@@ -80,6 +83,6 @@
 	if (*f->opt.cell || fleet_is_divided(f) || !f->opt.cell_workers_min ||
 	    f->driver != f->opt.self.id || n < f->opt.divided_workers_min)
 		return;
-	if (all_members_know_cells(f) && divide(f, list, n, &division))
+	if (all_instances_know_cells(f) && divide(f, list, n, &division))
 		fleet_map_copy_cells(&f->wanted_cells, &division);
 }
--- a/src/fleet/election.c
+++ b/src/fleet/election.c
@@ -17,12 +17,22 @@
 	UPTIME_PREFERRED_MS = 1500,
 	/* A new driver counts as reachable for this time without heartbeat. */
 	FIRST_HEARTBEAT_MS = 350,
+	/* Two heartbeats and two reports on the way may be lost. */
+	REPORT_FRESH_MS = 600,
+	/* A link to a driver that is not up by then waits for... */
+	DIAL_TIMEOUT_MS = 300,
+	DIAL_RETRY_MS = 2000, /* ...the next attempt */
 	STORE_TIMEOUT_MS = 250, /* of a takeover's change of the map */
 	/*
 	 * Without a driver for this time, an instance may take over without a
 	 * majority if the store has been reachable for the same time.
 	 */
 	MINORITY_TAKEOVER_MS = 4500,
+	/*
+	 * A driver that runs has read the map in this time, and removed a
+	 * member that it does not hear.
+	 */
+	MEMBER_SETTLED_MS = 2000,
 	/* Time for the instance that raised a fence to announce itself. */
 	FENCED_TIMEOUT_MS = 2000
 };
@@ -53,6 +63,19 @@
 	return p && (p->leaving || p->yields);
 }
 
+/* Whether the driver is reported to run, and nothing shows that we miss it. */
+static bool is_reported(const struct fleet *f, int64_t now)
+{
+	const struct fleet_peer *p = heartbeat_find_peer(f, f->driver);
+
+	if (f->report.driver.id != f->driver || is_known_to_end(f, f->driver) ||
+	    now - f->report.heard_at > REPORT_FRESH_MS)
+		return false;
+	if (p && p->link_up)
+		return !p->heartbeat_at;
+	return !f->dialled_at || now - f->dialled_at <= DIAL_TIMEOUT_MS;
+}
+
 /* Whether the driver of the whole fleet, as the map names it, is reachable. */
 static bool is_fleet_driver_reachable(const struct fleet *f, int64_t now)
 {
@@ -60,7 +83,7 @@
 		return false;
 	if (f->driver == f->opt.self.id)
 		return !f->leaving && !f->yielding;
-	if (is_peer_reachable(f, f->driver, now))
+	if (is_peer_reachable(f, f->driver, now) || is_reported(f, now))
 		return true;
 	/* The driver's first heartbeat may still be in flight. */
 	return now - f->driver_learned_at < FIRST_HEARTBEAT_MS &&
@@ -124,7 +147,8 @@
 				  const struct fleet_peer *p, int64_t now)
 {
 	return heartbeat_is_reachable(p, now) &&
-	       fleet_is_member_domain(f, p->instance.domain);
+	       fleet_is_eligible_domain(f, p->instance.domain) &&
+	       fleet_is_member(f, p->instance.id);
 }
 
 static struct candidate peer_candidate(const struct fleet_peer *p)
@@ -193,6 +217,7 @@
 	if (is_majority_without_driver(f, now) || is_driver_removed(f))
 		return true;
 	return !f->store_unreachable &&
+	       now - f->member_since > MEMBER_SETTLED_MS &&
 	       now - f->driver_lost_at > MINORITY_TAKEOVER_MS &&
 	       now - f->store_reachable_at > MINORITY_TAKEOVER_MS;
 }
@@ -289,24 +314,96 @@
 			 LOG_U("epoch", f->epoch));
 		heartbeat_send_all(f, now);
 	}
-	if (!fleet_is_member(f) || fleet_misses_division(f))
+	if (!fleet_is_eligible(f) || fleet_misses_division(f))
 		return;
 	if (f->takeover_in_flight) {
 		if (now > f->takeover_deadline_at)
 			take_over_without_store(f, now);
 		return;
 	}
-	if (f->map.n_members < 2 && get_uptime_ms(f, now) < SINGLE_START_MS)
+	if ((f->map.n_members < 2 || !f->map.epoch) &&
+	    get_uptime_ms(f, now) < SINGLE_START_MS)
 		return;
 	if (get_uptime_ms(f, now) < START_MIN_MS ||
 	    !election_is_best_candidate(f, now))
 		return;
 	if (may_take_over(f, now))
 		take_over(f, now);
-	else if (!*f->opt.cell && !fleet_is_divided(f))
+	else if (!*f->opt.cell && fleet_is_member(f, f->opt.self.id))
 		isolated_tick(f, now);
 }
 
+static const struct syc_instance *find_driver(const struct fleet *f)
+{
+	if (f->driver && f->report.driver.id == f->driver)
+		return &f->report.driver;
+	return fleet_map_find(&f->map, f->driver);
+}
+
+/* Closes the link to the driver of another cell. */
+static void hang_up_driver(struct fleet *f)
+{
+	const struct syc_instance *driver = find_driver(f);
+
+	if (driver && !fleet_is_eligible(f))
+		f->opt.hang_up(f->opt.ctx, &driver->peer_addr);
+}
+
+void election_dial_driver(struct fleet *f, int64_t now)
+{
+	const struct fleet_peer *p = heartbeat_find_peer(f, f->driver);
+	const struct syc_instance *driver = find_driver(f);
+
+	if (!driver || f->driver == f->opt.self.id || (p && p->link_up))
+		return;
+	if (!f->dialled_at || now - f->dialled_at > DIAL_RETRY_MS)
+		f->dialled_at = now;
+	f->opt.dial(f->opt.ctx, &driver->peer_addr);
+}
+
+void election_hang_up(struct fleet *f)
+{
+	hang_up_driver(f);
+	f->dialled_at = 0;
+}
+
+void election_update_report(struct fleet *f, int64_t now, uint64_t epoch,
+			    const struct driver_report *report)
+{
+	election_update_driver(f, now, epoch, report->driver.id);
+	if (report->driver.id != f->driver || epoch != f->epoch)
+		return;
+	if (f->report.driver.id == f->driver &&
+	    f->report.heard_at >= report->heard_at)
+		return;
+	if (*report->driver.name)
+		f->report.driver = report->driver;
+	f->report.room = report->room;
+	f->report.heard_at = report->heard_at;
+}
+
+bool election_get_room(const struct fleet *f, int64_t now,
+		       struct drive_room *room, int64_t *reported_at)
+{
+	const struct fleet_peer *p = heartbeat_find_peer(f, f->driver);
+
+	if (f->driver == f->opt.self.id) {
+		drive_get_room(f->drive, now, room);
+		*reported_at = now;
+		return true;
+	}
+	if (p && heartbeat_is_reachable(p, now)) {
+		*room = p->room;
+		*reported_at = p->heartbeat_at;
+		return true;
+	}
+	if (!f->driver || f->report.driver.id != f->driver)
+		return false;
+	*room = f->report.room;
+	*reported_at = f->report.heard_at;
+	return true;
+}
+
 void election_update_driver(struct fleet *f, int64_t now, uint64_t epoch,
 			    uint64_t driver)
 {
@@ -324,8 +421,10 @@
 	}
 	log_info("driver_changed", LOG_U("driver", driver),
 		 LOG_U("epoch", epoch), LOG_U("old_driver", f->driver));
+	hang_up_driver(f);
 	f->epoch = epoch;
 	f->driver = driver;
+	f->dialled_at = 0;
 	if (f->yielding)
 		f->n_yields = 0;
 	f->yielding = false;
@@ -337,6 +436,6 @@
 	drive_end(f->drive, now);
 	home_submit_all(f, now);
 	/* The new driver starts nothing for a home without a heartbeat. */
-	if (!fleet_is_member(f))
+	if (!fleet_is_member(f, f->opt.self.id))
 		heartbeat_send_all(f, now);
 }
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -77,14 +77,19 @@
 	return home == f->opt.self.id || (p && heartbeat_is_recent(p, now));
 }
 
-bool fleet_is_member_domain(const struct fleet *f, const char *domain)
+bool fleet_is_eligible_domain(const struct fleet *f, const char *domain)
 {
 	return !*f->opt.cell || !strcmp(f->opt.cell, domain);
 }
 
-bool fleet_is_member(const struct fleet *f)
+bool fleet_is_eligible(const struct fleet *f)
 {
-	return fleet_is_member_domain(f, f->opt.self.domain);
+	return fleet_is_eligible_domain(f, f->opt.self.domain);
+}
+
+bool fleet_is_member(const struct fleet *f, uint64_t id)
+{
+	return !f->map_known || fleet_map_find(&f->map, id);
 }
 
 bool fleet_is_divided(const struct fleet *f)
@@ -170,7 +175,9 @@
 	};
 
 	f->opt = *opt;
+	f->whole = f;
 	f->started_at = now;
+	f->outside_since = now;
 	f->last_event_at = now;
 	f->drive = drive_new(&drive);
 	map_sync_init(f, now);
@@ -186,6 +193,7 @@
 	home_free(f);
 	drive_free(f->drive);
 	free(f->workers);
+	free(f->peers);
 	free(f->config);
 	free(f);
 }
@@ -193,10 +201,13 @@
 void fleet_tick(struct fleet *f, int64_t now)
 {
 	fleet_detect_pause(f, now);
+	if (!fleet_is_divided(f))
+		f->leads = f->driver == f->opt.self.id;
 	map_sync_tick(f, now);
 	config_sync_tick(f, now);
 	heartbeat_tick(f, now);
-	election_tick(f, now);
+	if (!fleet_is_divided(f))
+		election_tick(f, now);
 	workers_tick(f, now);
 	drive_tick(f->drive, now);
 	home_tick(f, now);
@@ -258,7 +269,7 @@
 		return true;
 	for (i = 0; i < f->n_peers; i++)
 		if (f->peers[i].link_up && !f->peers[i].leaving &&
-		    fleet_is_member_domain(f, f->peers[i].instance.domain))
+		    fleet_is_eligible_domain(f, f->peers[i].instance.domain))
 			return false;
 	return true;
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -60,6 +60,8 @@
 	void *ctx;
 	/* Opens a link to the instance at this address and keeps it open. */
 	void (*dial)(void *ctx, const struct syc_addr *addr);
+	/* Closes it, and tries it no longer. */
+	void (*hang_up)(void *ctx, const struct syc_addr *addr);
 	/* Sends one message to a peer; returns false if no link is up. */
 	bool (*send)(void *ctx, uint64_t to, struct syc_bytes msg);
 	/* Gives the final answer to the job with this tag; called once. */
--- a/src/fleet/fleet_dump.c
+++ b/src/fleet/fleet_dump.c
@@ -27,18 +27,18 @@
 				  "uptime_ms", (json_int_t)p->uptime_ms,
 				  "leaving", p->leaving));
 	}
-	root = json_pack("{s:I, s:I, s:I, s:b, s:i, s:i, s:I, s:I, s:I, s:o, "
-			 "s:o}",
-			 "id", (json_int_t)f->opt.self.id, "driver",
-			 (json_int_t)f->driver, "epoch", (json_int_t)f->epoch,
-			 "store_away", f->store_unreachable, "members",
-			 (int)f->map.n_members, "jobs", (int)fleet_open_jobs(f),
-			 "config_version", (json_int_t)f->config_version,
-			 "config_age_ms",
-			 (json_int_t)key_watch_age_ms(&f->config_watch, now),
-			 "map_age_ms",
-			 (json_int_t)key_watch_age_ms(&f->map_watch, now),
-			 "peers", peers, "drive", drive);
+	root = json_pack(
+		"{s:I, s:I, s:I, s:b, s:i, s:i, s:I, s:I, s:I, s:o, "
+		"s:o}",
+		"id", (json_int_t)f->opt.self.id, "driver",
+		(json_int_t)f->driver, "epoch", (json_int_t)f->epoch,
+		"store_away", f->store_unreachable, "members",
+		(int)f->map.n_members, "jobs", (int)fleet_open_jobs(f),
+		"config_version", (json_int_t)f->whole->config_version,
+		"config_age_ms",
+		(json_int_t)key_watch_age_ms(&f->whole->config_watch, now),
+		"map_age_ms", (json_int_t)key_watch_age_ms(&f->map_watch, now),
+		"peers", peers, "drive", drive);
 	text = json_dumps(root, JSON_INDENT(1));
 	json_decref(root);
 	return text;
--- a/src/fleet/fleet_map.h
+++ b/src/fleet/fleet_map.h
@@ -9,7 +9,11 @@
 #include "protocol/wire.h"
 #include "sycamoreshore/types.h"
 
-enum { FLEET_MEMBERS_MAX = 64, FLEET_CELLS_MAX = 16 };
+enum {
+	FLEET_MEMBERS_MAX = 64, /* that an earlier version may have written */
+	FLEET_VOTERS_MAX = 32, /* members that are added up to */
+	FLEET_CELLS_MAX = 16
+};
 
 struct fleet_map {
 	uint64_t index; /* in the store; zero: absent */
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -30,6 +30,8 @@
 	bool yields; /* it drives until a stronger instance does */
 	struct drive_room room; /* of the workers that it drives */
 	bool knows_cells; /* its version does */
+	bool is_divided; /* it knows that the fleet is divided */
+	bool knows_division; /* it was told that this instance does */
 	int64_t config_sent_at;
 	/* Its `uptime_ms` as it sent it, which it gets back as an echo. */
 	uint64_t sent_at_ms;
@@ -48,13 +50,23 @@
 	bool is_cancelled;
 	uint32_t generation;
 	int64_t arrived_at;
+	int64_t taken_at; /* by this fleet */
 	int64_t deadline_at;
 	struct drive_job spec; /* its pointers point into `text` */
 	char *text;
 };
 
+/* What the driver of another cell passed on about this cell's driver. */
+struct driver_report {
+	struct syc_instance driver; /* its id is zero: there is no report */
+	struct drive_room room;
+	int64_t heard_at; /* when that driver was last heard */
+};
+
 struct fleet {
 	struct fleet_options opt;
+	/* The fleet that keeps the configuration: the whole one. */
+	struct fleet *whole;
 	struct drive *drive;
 	int64_t started_at;
 	int64_t last_event_at;
@@ -65,14 +77,13 @@
 	uint64_t driver; /* of the whole fleet; zero: unknown */
 	int64_t driver_lost_at; /* zero: the fleet's driver is reachable */
 	int64_t driver_learned_at;
+	struct driver_report report;
+	int64_t dialled_at; /* the driver, on demand; zero: not yet */
 	int64_t drive_began_at; /* when this instance began to drive */
 
 	/* yield.c */
-	/* This instance drives and lets a stronger one take over. */
-	bool yielding;
 	int64_t yield_began_at;
 	int64_t next_yield_at; /* not before */
-	uint32_t n_yields; /* that no instance took up, in a row */
 	/* The driver of our failure domain while it is cut off; zero: none. */
 	uint64_t domain_driver;
 	/* When the takeover goes on without the store if it does not answer. */
@@ -89,11 +100,13 @@
 	int64_t write_sent_at;
 	int64_t next_write_at;
 	int64_t store_reachable_at; /* when the store was reachable again */
-	int64_t last_join_at; /* the last attempt to join the map */
+	int64_t member_since; /* in the map; zero: not */
+	int64_t outside_since; /* not in the map; zero: in it */
+	int64_t next_admit_at; /* when joiners may be added to the map */
 
 	/* heartbeat.c */
-	struct fleet_peer peers[FLEET_MEMBERS_MAX];
-	size_t n_peers;
+	struct fleet_peer *peers;
+	size_t n_peers, peers_size;
 	int64_t next_heartbeat_at;
 
 	/* home.c */
@@ -109,10 +122,7 @@
 	int64_t workers_failed_at; /* the last failed read */
 
 	/* division.c */
-	/* A peer works in a division that this instance has not read yet. */
-	bool missed_division;
 	struct fleet_map wanted_cells; /* its cells; none: no division */
-	bool lost_cells; /* the map in the store lacks them */
 
 	/* config_sync.c */
 	struct key_watch config_watch;
@@ -121,6 +131,14 @@
 	size_t config_len;
 
 	int probes_in_flight; /* calls to workers of other domains */
+	uint32_t n_yields; /* that no instance took up, in a row */
+	/* This instance drives and lets a stronger one take over. */
+	bool yielding;
+	/* A peer works in a division that this instance has not read yet. */
+	bool missed_division;
+	bool lost_cells; /* the map in the store lacks them */
+	/* This instance reads the store for the others; set at each tick. */
+	bool leads;
 	bool leaving; /* a planned stop has begun */
 	bool takeover_in_flight; /* the map's change has no answer yet */
 	bool has_probe_answer; /* a worker of another domain was reached */
@@ -143,10 +161,15 @@
 bool fleet_is_resuming(const struct fleet *f, int64_t now);
 
 /* fleet.c, of a fleet that drives one cell */
-/* Whether an instance of this failure domain is a member of the fleet. */
-bool fleet_is_member_domain(const struct fleet *f, const char *domain);
-/* Whether this instance is a member and may drive. */
-bool fleet_is_member(const struct fleet *f);
+/* Whether an instance of this failure domain may be a member of the fleet. */
+bool fleet_is_eligible_domain(const struct fleet *f, const char *domain);
+/* Whether this instance may be a member. */
+bool fleet_is_eligible(const struct fleet *f);
+/*
+ * Whether this instance is a member: the map lists it, so it elects the driver
+ * and may drive. While no map is known, each instance counts as one.
+ */
+bool fleet_is_member(const struct fleet *f, uint64_t id);
 /* Whether the fleet is divided into cells, so that this one drives nothing. */
 bool fleet_is_divided(const struct fleet *f);
 /*
@@ -211,6 +234,20 @@
 bool election_is_reachable_member(const struct fleet *f,
 				  const struct fleet_peer *p, int64_t now);
 
+/*
+ * Handles the driver of a cell as the driver of this instance's own cell knows
+ * it.
+ */
+void election_update_report(struct fleet *f, int64_t now, uint64_t epoch,
+			    const struct driver_report *report);
+/* Opens a link to the driver, which is needed to submit jobs to it. */
+void election_dial_driver(struct fleet *f, int64_t now);
+/* Closes the link to the driver of another cell. */
+void election_hang_up(struct fleet *f);
+/* The capacity that the driver last reported, and when; false: none. */
+bool election_get_room(const struct fleet *f, int64_t now,
+		       struct drive_room *room, int64_t *reported_at);
+
 /* yield.c */
 /* Called while this instance drives its whole fleet. */
 void yield_tick(struct fleet *f, int64_t now);
@@ -229,6 +266,10 @@
 /* Whether the peer that drives our cut-off domain is reachable. */
 bool isolated_is_driver_reachable(const struct fleet *f, int64_t now);
 
+/* map_join.c */
+/* Adds this instance, or joiners that it admits; returns whether it did. */
+bool map_join_update(struct fleet *f, int64_t now, struct fleet_map *next);
+
 /* map_sync.c */
 void map_sync_init(struct fleet *f, int64_t now);
 void map_sync_tick(struct fleet *f, int64_t now);
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -18,7 +18,9 @@
 	 * list of workers.
 	 */
 	DOMAIN_UNREACHABLE_MS = 5000,
-	HEARTBEAT_FIELDS = 16
+	HEARTBEAT_FIELDS = 18,
+	/* A limit on memory only; an instance has a descriptor for each. */
+	PEERS_MAX = 8192
 };
 
 const struct fleet_peer *heartbeat_find_peer(const struct fleet *f, uint64_t id)
@@ -74,7 +76,7 @@
 
 static void send_heartbeat(struct fleet *f, int64_t now, uint64_t to)
 {
-	const struct fleet_peer *p = heartbeat_find_peer(f, to);
+	struct fleet_peer *p = heartbeat_get_peer(f, to);
 	auto_wire_out struct wire_out w = {0};
 	struct drive_room room = {0};
 
@@ -85,7 +87,7 @@
 	wire_put_u64(&w, (uint64_t)(now - f->started_at));
 	wire_put_u64(&w, f->epoch);
 	wire_put_u64(&w, f->driver);
-	wire_put_u64(&w, f->config_version);
+	wire_put_u64(&w, f->whole->config_version);
 	wire_put_bool(&w, f->leaving);
 	wire_put_bool(&w, !f->driver_lost_at);
 	wire_put_bool(&w, f->domain_driver == f->opt.self.id);
@@ -95,22 +97,47 @@
 	wire_put_u64(&w, room.free_cpu_milli);
 	wire_put_bool(&w, fleet_is_divided(f));
 	wire_put_u64(&w, p ? p->sent_at_ms : 0);
-	wire_put_u64(&w, get_age_ms(&f->config_watch, now));
+	wire_put_u64(&w, get_age_ms(&f->whole->config_watch, now));
 	wire_put_u64(&w, f->map.index);
 	wire_put_u64(&w, get_age_ms(&f->map_watch, now));
-	f->opt.send(f->opt.ctx, to, wire_bytes(&w));
+	wire_put_u64(&w, f->whole->map.index);
+	wire_put_u64(&w, get_age_ms(&f->whole->map_watch, now));
+	if (f->opt.send(f->opt.ctx, to, wire_bytes(&w)) && p)
+		p->knows_division = fleet_is_divided(f);
+}
+
+/* Whether one of the two drives workers for the other. */
+static bool is_driver_of_either(const struct fleet *f, uint64_t peer)
+{
+	uint64_t self = f->opt.self.id;
+
+	return f->driver == self || f->driver == peer ||
+	       (f->domain_driver &&
+		(f->domain_driver == self || f->domain_driver == peer));
 }
 
 /*
  * Whether this instance and the peer exchange heartbeats: members of the fleet
- * do to elect a driver, and the driver and all homes do.
+ * do to elect a driver, the driver and all homes do, and before there is one
+ * each member does with the instances that join. A whole fleet that is divided
+ * has none, except to tell it to a peer that has missed it.
  */
 static bool exchanges_heartbeats(const struct fleet *f,
-				 const struct syc_instance *peer)
+				 const struct fleet_peer *p)
 {
-	if (fleet_is_member(f) && fleet_is_member_domain(f, peer->domain))
+	bool is_self_member = fleet_is_member(f, f->opt.self.id);
+	bool is_peer_member = fleet_is_member(f, p->instance.id);
+
+	if (fleet_is_divided(f))
+		return p->heartbeat_at && !(p->is_divided && p->knows_division);
+	if (is_driver_of_either(f, p->instance.id))
 		return true;
-	return f->driver == f->opt.self.id || f->driver == peer->id;
+	if (!fleet_is_eligible(f) ||
+	    !fleet_is_eligible_domain(f, p->instance.domain))
+		return false;
+	if (!f->driver)
+		return is_self_member || is_peer_member;
+	return is_self_member && is_peer_member;
 }
 
 void heartbeat_send_all(struct fleet *f, int64_t now)
@@ -119,7 +146,7 @@
 
 	for (i = 0; i < f->n_peers; i++)
 		if (f->peers[i].link_up &&
-		    exchanges_heartbeats(f, &f->peers[i].instance))
+		    exchanges_heartbeats(f, &f->peers[i]))
 			send_heartbeat(f, now, f->peers[i].instance.id);
 	f->next_heartbeat_at = now + HEARTBEAT_MS;
 }
@@ -129,7 +156,7 @@
 	if (p->has_timed_out || !p->heartbeat_at ||
 	    now - p->heartbeat_at < DRIVE_HOME_TIMEOUT_MS)
 		return;
-	if (!exchanges_heartbeats(f, &p->instance)) {
+	if (!exchanges_heartbeats(f, p)) {
 		p->heartbeat_at = 0;
 		return;
 	}
@@ -177,7 +204,8 @@
 	p->yields = wire_bool(w);
 	p->room.cpu_milli = wire_u64(w);
 	p->room.free_cpu_milli = wire_u64(w);
-	f->missed_division |= wire_bool(w);
+	p->is_divided = wire_bool(w);
+	f->missed_division |= p->is_divided;
 }
 
 /*
@@ -192,6 +220,16 @@
 		key_watch_confirm(w, f->started_at + echo_ms - age_ms);
 }
 
+/* The peer's word for the map of `g`, in a heartbeat of the fleet `f`. */
+static void read_map_age(const struct fleet *f, struct fleet *g,
+			 int64_t echo_ms, uint64_t index, int64_t age_ms)
+{
+	if (index && index == g->map.index)
+		accept_age(f, &g->map_watch, echo_ms, age_ms);
+	else if (index > g->map.index)
+		key_watch_note_newer(&g->map_watch);
+}
+
 static void read_ages(struct fleet *f, const struct fleet_peer *p,
 		      struct wire_in *w)
 {
@@ -202,23 +240,26 @@
 
 	if (w->failed)
 		return;
-	if (p->config_version && p->config_version == f->config_version)
-		accept_age(f, &f->config_watch, echo_ms, config_age_ms);
-	if (map_index && map_index == f->map.index)
-		accept_age(f, &f->map_watch, echo_ms, map_age_ms);
-	else if (map_index > f->map.index)
-		key_watch_note_newer(&f->map_watch);
+	if (p->config_version && p->config_version == f->whole->config_version)
+		accept_age(f, &f->whole->config_watch, echo_ms, config_age_ms);
+	read_map_age(f, f, echo_ms, map_index, map_age_ms);
+	if (!wire_has_more(w))
+		return;
+	map_index = wire_u64(w);
+	map_age_ms = (int64_t)wire_u64(w);
+	if (!w->failed)
+		read_map_age(f, f->whole, echo_ms, map_index, map_age_ms);
 }
 
 static void log_newer_config(const struct fleet *f, const struct fleet_peer *p,
 			     uint64_t version_before)
 {
-	if (p->config_version <= f->config_version ||
+	if (p->config_version <= f->whole->config_version ||
 	    p->config_version == version_before)
 		return;
 	log_info("peer_config_newer", LOG_S("peer", p->instance.name),
 		 LOG_U("peer_version", p->config_version),
-		 LOG_U("version", f->config_version));
+		 LOG_U("version", f->whole->config_version));
 }
 
 bool heartbeat_receive(struct fleet *f, int64_t now, struct fleet_peer *p,
@@ -267,14 +308,22 @@
 	return true;
 }
 
+static void grow_peers(struct fleet *f)
+{
+	f->peers_size = f->peers_size ? 2 * f->peers_size : FLEET_MEMBERS_MAX;
+	f->peers = xrealloc(f->peers, f->peers_size * sizeof(*f->peers));
+}
+
 static void add_peer(struct fleet *f, const struct syc_instance *inst)
 {
 	struct fleet_peer *p = heartbeat_get_peer(f, inst->id);
 
-	if (!p && f->n_peers == FLEET_MEMBERS_MAX) {
-		log_warn("too_many_peers", LOG_S("peer", inst->name));
+	if (!p && f->n_peers == PEERS_MAX) {
+		log_error("too_many_peers", LOG_S("peer", inst->name));
 		return;
 	}
+	if (!p && f->n_peers == f->peers_size)
+		grow_peers(f);
 	if (!p) {
 		p = &f->peers[f->n_peers++];
 		memset(p, 0, sizeof(*p));
@@ -303,6 +352,8 @@
 void fleet_peer_up(struct fleet *f, int64_t now,
 		   const struct syc_instance *peer)
 {
+	const struct fleet_peer *p;
+
 	if (!is_domain_reachable(f, peer->domain, now))
 		drive_domain_reachable(f->drive, now, peer->domain);
 	add_peer(f, peer);
@@ -312,9 +363,12 @@
 	 */
 	if (peer->id == election_get_driver(f))
 		home_submit_all(f, now);
-	if (exchanges_heartbeats(f, peer))
+	if (peer->id == f->driver)
+		f->dialled_at = 0;
+	p = heartbeat_find_peer(f, peer->id);
+	if (p && exchanges_heartbeats(f, p))
 		send_heartbeat(f, now, peer->id);
-	if (fleet_is_driver(f) && fleet_is_member_domain(f, peer->domain))
+	if (fleet_is_driver(f) && fleet_is_eligible_domain(f, peer->domain))
 		workers_send(f, peer->id);
 }
 
--- a/src/fleet/home.c
+++ b/src/fleet/home.c
@@ -11,6 +11,8 @@
 #include "util/alloc.h"
 
 enum {
+	/* A link to the driver of another cell is up sooner. */
+	LINK_TIMEOUT_MS = 40,
 	/* A takeover takes less, so after this time no instance can drive. */
 	NO_DRIVER_TIMEOUT_MS = 600,
 	NO_DRIVER_RETRY_MS = 1000,
@@ -133,6 +135,7 @@
 	j->handle = handle;
 	j->tag = tag;
 	j->arrived_at = now - job->age_ms;
+	j->taken_at = now;
 	j->deadline_at = now + job->deadline_ms;
 	copy_spec(f, j, job);
 	index_put(&f->tags, index_hash_number(tag), handle);
@@ -279,6 +282,12 @@
 	}
 	if (j->resubmit_at && now >= j->resubmit_at)
 		submit_job(f, j, now);
+	if (!j->submitted && !fleet_is_eligible(f) &&
+	    now - j->taken_at > LINK_TIMEOUT_MS) {
+		answer_job(f, j, FLEET_NOT_RUN, NO_DRIVER_RETRY_MS, "no_link",
+			   now);
+		return;
+	}
 	if (!j->submitted && (is_takeover_overdue ||
 			      now - j->arrived_at > NO_DRIVER_TIMEOUT_MS)) {
 		answer_job(f, j, FLEET_NOT_RUN, NO_DRIVER_RETRY_MS, "no_driver",
--- a/src/fleet/map_sync.c
+++ b/src/fleet/map_sync.c
@@ -4,6 +4,7 @@
  * timed out. Every change is a compare-and-swap on the value that was read.
  */
 #include <stdio.h>
+#include <string.h>
 
 #include "fleet/fleet_state.h"
 #include "util/alloc.h"
@@ -17,8 +18,7 @@
 	 */
 	BOUND_MS = 4000,
 	/* A member without heartbeat for this time is removed. */
-	MEMBER_TIMEOUT_MS = 3000,
-	JOIN_RETRY_MS = 1000
+	MEMBER_TIMEOUT_MS = 3000
 };
 
 /* The map of a whole fleet. The map of a cell is named by its domain. */
@@ -48,15 +48,31 @@
 		 LOG_S("why", why));
 }
 
+/* A home submits to the driver alone; members exchange heartbeats. */
 static void dial_members(struct fleet *f)
 {
 	size_t i;
 
+	if (fleet_is_divided(f) || !fleet_is_eligible(f))
+		return;
 	for (i = 0; i < f->map.n_members; i++)
 		if (f->map.members[i].id != f->opt.self.id)
 			f->opt.dial(f->opt.ctx, &f->map.members[i].peer_addr);
 }
 
+/* The links of a whole fleet that its cells do not use. */
+static void hang_up_members(struct fleet *f)
+{
+	const struct syc_instance *inst;
+	size_t i;
+
+	for (i = 0; i < f->map.n_members; i++) {
+		inst = &f->map.members[i];
+		if (strcmp(inst->domain, f->opt.self.domain))
+			f->opt.hang_up(f->opt.ctx, &inst->peer_addr);
+	}
+}
+
 static void apply_map(struct fleet *f, int64_t now, const struct fleet_map *map)
 {
 	struct fleet_map old = f->map;
@@ -64,6 +80,10 @@
 
 	f->map = *map;
 	f->map_known = true;
+	if (!fleet_map_find(map, f->opt.self.id))
+		f->member_since = 0;
+	else if (!f->member_since)
+		f->member_since = now;
 	/* A map that was lost, or written by an earlier version, lacks them. */
 	if (was_divided && !fleet_is_divided(f)) {
 		log_warn("cells_kept", LOG_U("index", map->index));
@@ -71,8 +91,10 @@
 		f->lost_cells = true;
 	}
 	dial_members(f);
-	if (fleet_is_divided(f) && !was_divided)
+	if (fleet_is_divided(f) && !was_divided) {
+		hang_up_members(f);
 		fleet_retire(f, now);
+	}
 	election_update_driver(f, now, map->epoch, map->driver);
 }
 
@@ -199,33 +221,17 @@
 	return true;
 }
 
-/*
- * A removed instance joins again at once when the driver is reachable. While
- * the driver is unreachable, it may remove the instance again, as it receives
- * no heartbeats, so the instance joins only at intervals. The instance must
- * join, as no driver can be elected from an empty map once the last driver is
- * gone. A new instance joins at once, as the others learn of it from the map.
- */
-static bool may_join(const struct fleet *f, int64_t now)
-{
-	return !f->driver_lost_at || !f->driver ||
-	       now - f->started_at < MEMBER_TIMEOUT_MS ||
-	       now - f->last_join_at >= JOIN_RETRY_MS;
-}
-
 /* Builds the map that this instance would write; false: no change. */
 static bool build_next_map(struct fleet *f, int64_t now, struct fleet_map *next)
 {
-	bool in_map = fleet_map_find(&f->map, f->opt.self.id) != NULL;
 	bool drives = f->driver == f->opt.self.id;
-	bool changed = false;
+	bool changed;
 
 	*next = f->map;
-	if (!f->leaving && !in_map && may_join(f, now)) {
-		fleet_map_add(next, &f->opt.self);
-		f->last_join_at = now;
-		changed = true;
-	} else if (f->leaving && in_map && !drives) {
+	if (fleet_is_divided(f))
+		return f->leads && update_cells(f, next);
+	changed = map_join_update(f, now, next);
+	if (f->leaving && !drives && fleet_map_find(next, f->opt.self.id)) {
 		fleet_map_remove(next, f->opt.self.id);
 		changed = true;
 	}
@@ -240,11 +246,11 @@
 {
 	struct fleet_map next;
 
-	if (!fleet_is_member(f))
+	if (!fleet_is_eligible(f) && !f->leads)
 		return;
-	key_watch_tick(&f->map_watch, now, f->driver == f->opt.self.id);
+	key_watch_tick(&f->map_watch, now, f->leads);
 	if (!f->map_known || f->write_in_flight || f->store_unreachable ||
-	    now < f->next_write_at)
+	    now < f->next_write_at || !fleet_is_eligible(f))
 		return;
 	if (build_next_map(f, now, &next))
 		write_map(f, &next);
--- a/src/fleet/workers.c
+++ b/src/fleet/workers.c
@@ -15,17 +15,33 @@
 	OTHER_READ_INTERVAL_MS = 10000,
 	FAILED_READ_RETRY_MS = 500, /* after it was sent, and... */
 	LOST_READ_RETRY_MS = 100, /* ...after it failed */
+	/* An instance without a list waits for the driver's first. */
+	FIRST_READ_AFTER_MS = 2000,
 	WORKER_FIELDS = 10,
 	LIST_MAX = 20000, /* workers in one message */
 	/* After a failed read, entries may be missing for this time. */
 	KEEP_MISSING_MS = 2500
 };
 
+/*
+ * Whether the driver's list arrives by itself: the driver sends it when a link
+ * comes up and at each change.
+ */
+static bool is_sent_by_driver(const struct fleet *f, int64_t now)
+{
+	if (f->driver == f->opt.self.id)
+		return false;
+	if (f->workers_known)
+		return election_is_driver_reachable(f, now);
+	return now - f->started_at < FIRST_READ_AFTER_MS;
+}
+
 void workers_tick(struct fleet *f, int64_t now)
 {
 	if (f->workers_read_in_flight || now < f->next_workers_read_at)
 		return;
-	if (!fleet_is_member(f) || fleet_is_divided(f))
+	if (!fleet_is_eligible(f) || fleet_is_divided(f) ||
+	    is_sent_by_driver(f, now))
 		return;
 	f->workers_read_in_flight = true;
 	f->workers_read_at = now;
@@ -131,7 +147,7 @@
 
 	for (i = 0; i < f->n_peers; i++)
 		if (f->peers[i].link_up &&
-		    fleet_is_member_domain(f, f->peers[i].instance.domain))
+		    fleet_is_eligible_domain(f, f->peers[i].instance.domain))
 			workers_send(f, f->peers[i].instance.id);
 }
 
@@ -191,7 +207,7 @@
 	size_t i, n_own = 0;
 
 	for (i = 0; i < n; i++)
-		if (fleet_is_member_domain(f, list[i].domain))
+		if (fleet_is_eligible_domain(f, list[i].domain))
 			next[n_own++] = list[i];
 	return n_own;
 }
--- a/src/transport/peer_dial.c
+++ b/src/transport/peer_dial.c
@@ -5,7 +5,9 @@
 
 enum {
 	DIAL_BACKOFF_MIN_MS = 100,
-	LEARNED_TIMEOUT_S = 60 /* without a connection in or out */
+	LEARNED_TIMEOUT_S = 60, /* without a connection in or out */
+	/* A peer that hung up, unlike one that dials again. */
+	HUNG_UP_AFTER_S = 2
 };
 
 static const double ms_per_s = 1000;
@@ -58,11 +60,32 @@
 	return now - d->connected_at_s > LEARNED_TIMEOUT_S;
 }
 
+/*
+ * A peer without a connection of its own cannot send. A learned connection ends
+ * with the one that it was learned from; a wanted one is made anew, as the peer
+ * then learns of it again.
+ */
+static void check_inbound(struct peer_dial *d)
+{
+	struct peer_dials *ds = d->dials;
+
+	if (ds->has_inbound(ds->ctx, &d->addr))
+		return;
+	if (d->learned)
+		remove_dial(d);
+	else
+		peer_conn_close(d->conn, NULL);
+}
+
 static void on_retry(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	struct peer_dial *d = w->data;
 	struct peer_dials *ds = d->dials;
 
+	if (d->conn) {
+		check_inbound(d);
+		return;
+	}
 	if (is_expired(d)) {
 		remove_dial(d);
 		return;
@@ -118,6 +141,18 @@
 		remove_dial(d);
 }
 
+void peer_dials_inbound_closed(struct peer_dials *ds,
+			       const struct syc_addr *addr)
+{
+	struct peer_dial *d = find_dial(ds, addr);
+
+	if (!d || !d->conn)
+		return;
+	ev_timer_stop(ds->conns->loop, &d->retry_timer);
+	ev_timer_set(&d->retry_timer, HUNG_UP_AFTER_S, 0);
+	ev_timer_start(ds->conns->loop, &d->retry_timer);
+}
+
 struct peer_dial *peer_dials_find(const struct peer_dials *ds,
 				  const struct peer_conn *c)
 {
--- a/src/transport/peer_dial.h
+++ b/src/transport/peer_dial.h
@@ -40,6 +40,9 @@
 void peer_dials_add(struct peer_dials *ds, const struct syc_addr *addr,
 		    bool learned);
 void peer_dials_remove(struct peer_dials *ds, const struct syc_addr *addr);
+/* Notes that the connection which the instance at `addr` dialled has ended. */
+void peer_dials_inbound_closed(struct peer_dials *ds,
+			       const struct syc_addr *addr);
 /* Returns the entry whose connection is `c`, or NULL. */
 struct peer_dial *peer_dials_find(const struct peer_dials *ds,
 				  const struct peer_conn *c);
--- a/src/transport/peer_link.c
+++ b/src/transport/peer_link.c
@@ -165,10 +165,13 @@
 
 	if (!c->is_authenticated || !peer || (peer->in != c && peer->out != c))
 		return;
-	if (peer->in == c)
+	if (peer->in == c) {
 		peer->in = NULL;
-	else
+		peer_dials_inbound_closed(&links->dials,
+					  &peer->instance.peer_addr);
+	} else {
 		peer->out = NULL;
+	}
 	if (!peer->in && !peer->out)
 		remove_peer(links, peer);
 }
--- a/test/sim/fake_store.h
+++ b/test/sim/fake_store.h
@@ -10,7 +10,7 @@
 
 enum {
 	FAKE_STORE_KEYS_MAX = 64,
-	FAKE_STORE_CALLS_MAX = 512 /* in flight */
+	FAKE_STORE_CALLS_MAX = 16384 /* in flight */
 };
 
 struct fake_call;
--- a/test/sim/fleet_sim.c
+++ b/test/sim/fleet_sim.c
@@ -78,9 +78,19 @@
 	return i->sim->now + 1700000000000LL;
 }
 
-/* open_links links all instances that reach each other, without dialling. */
+/* The port of an instance is its number. */
 static void on_dial(void *ctx, const struct syc_addr *addr)
 {
+	struct fsim_instance *i = ctx;
+
+	i->sim->dialled[i - i->sim->instances][addr->port] = true;
+}
+
+static void on_hang_up(void *ctx, const struct syc_addr *addr)
+{
+	struct fsim_instance *i = ctx;
+
+	i->sim->dialled[i - i->sim->instances][addr->port] = false;
 }
 
 /* Repacks a heartbeat with the fields that the first version had. */
@@ -113,6 +123,7 @@
 
 	if (!peer || !s->linked[a][peer - s->instances])
 		return false;
+	s->n_messages++;
 	e = fsim_event_new(EVENT_MESSAGE, s->now + DELAY_MS, peer);
 	e->sender_or_tag = i->instance.id;
 	e->bytes = xmemdup(msg.p, msg.n);
@@ -241,6 +252,7 @@
 	if (i->fleet)
 		return;
 	i->instance.id = ++s->next_id;
+	i->instance.peer_addr.port = (uint16_t)instance;
 	snprintf(i->instance.name, sizeof(i->instance.name), "i%d", instance);
 	i->store = client_new(s);
 	opt = (struct fleet_options){
@@ -258,6 +270,7 @@
 		.hold_wait_ms = HOLD_WAIT_MS,
 		.ctx = i,
 		.dial = on_dial,
+		.hang_up = on_hang_up,
 		.send = on_send,
 		.answer = fsim_on_answer,
 		.config = fsim_on_config,
@@ -297,6 +310,7 @@
 	i->fleet = NULL;
 	for (k = 0; k < s->n_instances; k++) {
 		s->linked[instance][k] = false;
+		s->dialled[instance][k] = false;
 		if (k != instance && s->linked[k][instance])
 			unlink_instances(s, k, instance);
 	}
@@ -355,6 +369,8 @@
 		for (b = 0; b < s->n_instances; b++) {
 			bool can_link = a != b && s->instances[a].fleet &&
 					s->instances[b].fleet &&
+					(s->dialled[a][b] ||
+					 s->dialled[b][a]) &&
 					instances_reach(s, a, b);
 
 			if (can_link && !s->linked[a][b]) {
@@ -445,7 +461,8 @@
 	return n;
 }
 
-static struct fsim *sim_new(uint64_t seed, bool divided, bool first_is_old)
+static struct fsim *sim_new(uint64_t seed, bool divided, bool first_is_old,
+			    int n_instances)
 {
 	struct fsim *s = xcalloc(1, sizeof(*s));
 	int k;
@@ -453,7 +470,7 @@
 	s->divided = divided;
 	s->first_is_old = first_is_old;
 	s->objective_add_ms = 1000;
-	s->n_instances = divided ? FSIM_INSTANCES_MAX : FSIM_INSTANCES;
+	s->n_instances = n_instances;
 
 	s->rng.state = seed;
 	s->store.rng.state = seed + 1;
@@ -468,6 +485,8 @@
 	}
 	for (k = 0; k < s->n_instances; k++) {
 		s->instances[k].sim = s;
+		/* The earlier version is not to decide on the division. */
+		s->instances[k].capacity = first_is_old && k;
 		s->instances[k].domain = k % FSIM_DOMAINS;
 		snprintf(s->instances[k].instance.domain, SYC_NAME_MAX, "d%d",
 			 k % FSIM_DOMAINS);
@@ -479,17 +498,22 @@
 
 struct fsim *fsim_new(uint64_t seed)
 {
-	return sim_new(seed, false, false);
+	return sim_new(seed, false, false, FSIM_INSTANCES);
 }
 
 struct fsim *fsim_new_divided(uint64_t seed)
 {
-	return sim_new(seed, true, false);
+	return sim_new(seed, true, false, FSIM_INSTANCES_DIVIDED);
 }
 
 struct fsim *fsim_new_divided_with_old(uint64_t seed)
 {
-	return sim_new(seed, true, true);
+	return sim_new(seed, true, true, FSIM_INSTANCES_DIVIDED);
+}
+
+struct fsim *fsim_new_large(uint64_t seed, int n)
+{
+	return sim_new(seed, true, false, n);
 }
 
 void fsim_free(struct fsim *s)
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -12,7 +12,8 @@
 
 enum {
 	FSIM_INSTANCES = 6, /* of an undivided fleet */
-	FSIM_INSTANCES_MAX = 9, /* of a divided one */
+	FSIM_INSTANCES_DIVIDED = 9,
+	FSIM_INSTANCES_MAX = 160,
 	FSIM_DOMAINS = 3,
 	FSIM_WORKERS = 12,
 	FSIM_RUNS = 16, /* on one worker */
@@ -105,7 +106,10 @@
 	struct fsim_worker workers[FSIM_WORKERS];
 	struct fsim_job jobs[FSIM_JOBS];
 	size_t n_jobs;
+	/* The first dials the second, and is linked to it. */
+	bool dialled[FSIM_INSTANCES_MAX][FSIM_INSTANCES_MAX];
 	bool linked[FSIM_INSTANCES_MAX][FSIM_INSTANCES_MAX];
+	unsigned long n_messages; /* sent between instances */
 	bool domain_cut[FSIM_DOMAINS]; /* cut off from the others */
 	bool callers_leave_early; /* if their home is not reachable */
 	/* Processor time of an instance; zero: it is always in time. */
@@ -133,6 +137,8 @@
 struct fsim *fsim_new_divided(uint64_t seed);
 /* The same, but instance 0 runs an earlier version, as its heartbeats show. */
 struct fsim *fsim_new_divided_with_old(uint64_t seed);
+/* `n` instances, of which each domain has the same part. */
+struct fsim *fsim_new_large(uint64_t seed, int n);
 void fsim_free(struct fsim *s);
 void fsim_run(struct fsim *s, int64_t ms);
 
--- a/test/unit/fleet_test.c
+++ b/test/unit/fleet_test.c
@@ -509,6 +509,7 @@
 	s->start_us = 4000;
 	s->objective_add_ms = 100;
 	before = submit_load(s, 60, 1000);
+	fsim_run(s, 150); /* its last jobs end before the overload */
 	driver = fsim_find_driver(s);
 	during = submit_load(s, 400, 3000);
 	after = submit_load(s, 60, 1000);
--- /dev/null
+++ b/test/unit/large_fleet_test.c
@@ -0,0 +1,274 @@
+/*
+ * Tests of fleets with far more instances than a map has members: what they
+ * cost the store and each other, and that their callers are served.
+ */
+#include <stdlib.h>
+
+#include "fleet/fleet_state.h"
+#include "sim/fleet_sim.h"
+#include "unit.h"
+#include "util/log.h"
+
+enum {
+	SEED = 11,
+	LARGE = 150,
+	DOMAINS = FSIM_DOMAINS,
+	/* The users' target for 147 instances, after the start. */
+	STORE_CALLS_PER_S_MAX = 150,
+	LINKS_MAX = 200,
+	SETTLE_MS = 6000,
+	SECONDS = 10
+};
+
+static struct fsim *start_fleet(int n)
+{
+	struct fsim *s;
+
+	log_level_set(getenv("FLEET_LOG") ? LOG_INFO : LOG_ERROR);
+	s = fsim_new_large(SEED, n);
+	fsim_run(s, SETTLE_MS);
+	return s;
+}
+
+static void check_and_free(struct fsim *s)
+{
+	CU_ASSERT_EQUAL(s->n_double_runs, 0);
+	CU_ASSERT_EQUAL(s->n_false_refusals, 0);
+	fsim_free(s);
+}
+
+static int count_drivers(const struct fsim *s)
+{
+	int k, n = 0;
+
+	for (k = 0; k < s->n_instances; k++)
+		n += s->instances[k].cells &&
+		     fleet_is_driver(cells_own(s->instances[k].cells));
+	return n;
+}
+
+static int find_driver_of(const struct fsim *s, int domain)
+{
+	int k;
+
+	for (k = domain; k < s->n_instances; k += DOMAINS)
+		if (s->instances[k].cells &&
+		    fleet_is_driver(cells_own(s->instances[k].cells)))
+			return k;
+	return -1;
+}
+
+static int count_links(const struct fsim *s, int k)
+{
+	int i, n = 0;
+
+	for (i = 0; i < s->n_instances; i++)
+		n += s->linked[k][i];
+	return n;
+}
+
+static int most_links(const struct fsim *s)
+{
+	int k, n, most = 0;
+
+	for (k = 0; k < s->n_instances; k++) {
+		n = count_links(s, k);
+		most = n > most ? n : most;
+	}
+	return most;
+}
+
+/* Submits one job a domain at a time; returns how many completed. */
+static size_t serve(struct fsim *s, int n)
+{
+	size_t before = fsim_count_outcomes(s, FLEET_COMPLETED);
+	int i;
+
+	for (i = 0; i < n; i++) {
+		fsim_submit(s, i % DOMAINS, 2, 40);
+		fsim_run(s, 50);
+	}
+	fsim_run(s, 200);
+	return fsim_count_outcomes(s, FLEET_COMPLETED) - before;
+}
+
+static uint64_t store_calls(const struct fsim *s)
+{
+	return s->store.reads + s->store.writes;
+}
+
+static void large_fleet_divides_and_serves(void)
+{
+	struct fsim *s = start_fleet(LARGE);
+	int k;
+
+	for (k = 0; k < LARGE; k++)
+		CU_ASSERT_EQUAL(cells_count(s->instances[k].cells), DOMAINS);
+	CU_ASSERT_EQUAL(count_drivers(s), DOMAINS);
+	CU_ASSERT_EQUAL(serve(s, 60), 60);
+	check_and_free(s);
+}
+
+/* Instances beyond the map's room kept writing it, 18,000 times a second. */
+static void calls_to_the_store_are_bounded(void)
+{
+	struct fsim *s = start_fleet(LARGE);
+	uint64_t calls, writes = s->store.writes;
+
+	/* A few for each instance, from its start until it is settled. */
+	CU_ASSERT(store_calls(s) < 40 * LARGE);
+	CU_ASSERT(writes < LARGE);
+	calls = store_calls(s);
+	writes = s->store.writes;
+	fsim_run(s, SECONDS * 1000);
+	CU_ASSERT(store_calls(s) - calls < SECONDS * STORE_CALLS_PER_S_MAX);
+	CU_ASSERT_EQUAL(s->store.writes, writes);
+	check_and_free(s);
+}
+
+static void links_and_messages_do_not_grow_with_the_fleet(void)
+{
+	struct fsim *s = start_fleet(LARGE);
+	unsigned long sent = s->n_messages;
+	unsigned long members = FLEET_VOTERS_MAX * (FLEET_VOTERS_MAX - 1);
+	unsigned long homes = LARGE / DOMAINS;
+	unsigned long per_cell = 10 * (members + 3 * homes);
+
+	CU_ASSERT(most_links(s) < LINKS_MAX);
+	fsim_run(s, SECONDS * 1000);
+	sent = s->n_messages - sent;
+	/* A tenth more for what is not a heartbeat or report. */
+	CU_ASSERT(sent < SECONDS * DOMAINS * per_cell * 11 / 10);
+	check_and_free(s);
+}
+
+/* Its own cell is full, so a home opens a link to another one's driver. */
+static void load_of_one_domain_spreads_over_new_links(void)
+{
+	struct fsim *s = start_fleet(LARGE);
+	size_t i, before = fsim_count_outcomes(s, FLEET_COMPLETED);
+
+	for (i = 0; i < 6; i++)
+		fsim_submit(s, 0, 2, 80);
+	fsim_run(s, 500);
+	CU_ASSERT_EQUAL(fsim_count_outcomes(s, FLEET_COMPLETED) - before, 6);
+	check_and_free(s);
+}
+
+static void lost_drivers_are_replaced(void)
+{
+	struct fsim *s = start_fleet(LARGE);
+	int k;
+
+	for (k = 0; k < DOMAINS; k++)
+		fsim_kill(s, find_driver_of(s, k));
+	fsim_run(s, 1000);
+	CU_ASSERT_EQUAL(count_drivers(s), DOMAINS);
+	CU_ASSERT_EQUAL(serve(s, 30), 30);
+	check_and_free(s);
+}
+
+/* The places of members that are lost go to instances that had none. */
+static void lost_members_are_replaced(void)
+{
+	struct fsim *s = start_fleet(LARGE);
+	struct fleet *own = cells_own(s->instances[LARGE - 1].cells);
+	size_t i, n = 0;
+	int k;
+
+	CU_ASSERT_EQUAL(own->map.n_members, FLEET_VOTERS_MAX);
+	for (k = 0; k < LARGE - DOMAINS && n < 14; k += DOMAINS) {
+		own = cells_own(s->instances[k].cells);
+		if (!fleet_is_member(own, own->opt.self.id))
+			continue;
+		fsim_kill(s, k);
+		n++;
+	}
+	fsim_run(s, 8000);
+	for (k = 0; !s->instances[k].cells; k += DOMAINS)
+		;
+	own = cells_own(s->instances[k].cells);
+	CU_ASSERT_EQUAL(own->map.n_members, FLEET_VOTERS_MAX);
+	for (i = 0; i < own->map.n_members; i++)
+		CU_ASSERT(own->map.members[i].id == own->opt.self.id ||
+			  heartbeat_find_peer(own, own->map.members[i].id) ||
+			  !fleet_is_member(own, own->opt.self.id));
+	CU_ASSERT_EQUAL(serve(s, 30), 30);
+	check_and_free(s);
+}
+
+/* All stop and start again: the map is full of earlier incarnations. */
+static void large_fleet_returns_after_a_full_stop(void)
+{
+	struct fsim *s = start_fleet(LARGE);
+	int k;
+
+	for (k = 0; k < LARGE; k++)
+		fsim_kill(s, k);
+	fsim_run(s, 3000);
+	for (k = 0; k < LARGE; k++)
+		fsim_start(s, k);
+	fsim_run(s, SETTLE_MS);
+	CU_ASSERT_EQUAL(count_drivers(s), DOMAINS);
+	CU_ASSERT_EQUAL(serve(s, 30), 30);
+	check_and_free(s);
+}
+
+/* From 9 instances, which are all members, to 150. */
+static void fleet_grows_while_it_serves(void)
+{
+	struct fsim *s = start_fleet(LARGE);
+	int k, step = 30;
+
+	for (k = 9; k < LARGE; k++)
+		fsim_kill(s, k);
+	fsim_run(s, 8000);
+	CU_ASSERT_EQUAL(count_drivers(s), DOMAINS);
+	for (k = 9; k < LARGE; k++) {
+		fsim_start(s, k);
+		if (k % step)
+			continue;
+		fsim_run(s, 1500); /* until the new ones are ready */
+		CU_ASSERT_EQUAL(serve(s, 12), 12);
+	}
+	fsim_run(s, SETTLE_MS);
+	CU_ASSERT_EQUAL(count_drivers(s), DOMAINS);
+	CU_ASSERT_EQUAL(serve(s, 30), 30);
+	CU_ASSERT(most_links(s) < LINKS_MAX);
+	check_and_free(s);
+}
+
+static void cut_off_domain_serves_its_callers(void)
+{
+	struct fsim *s = start_fleet(LARGE);
+	size_t i, before;
+
+	fsim_cut_domain(s, 1, true);
+	fsim_run(s, 1500);
+	before = fsim_count_outcomes(s, FLEET_COMPLETED);
+	for (i = 0; i < 10; i++) {
+		fsim_submit(s, 1, 2, 40);
+		fsim_submit(s, 0, 2, 40);
+		fsim_run(s, 100);
+	}
+	fsim_run(s, 200);
+	CU_ASSERT_EQUAL(fsim_count_outcomes(s, FLEET_COMPLETED) - before, 20);
+	fsim_cut_domain(s, 1, false);
+	fsim_run(s, 3000);
+	CU_ASSERT_EQUAL(count_drivers(s), DOMAINS);
+	CU_ASSERT_EQUAL(serve(s, 30), 30);
+	check_and_free(s);
+}
+
+SUITE(large_fleet)
+{
+	TEST(large_fleet_divides_and_serves);
+	TEST(calls_to_the_store_are_bounded);
+	TEST(links_and_messages_do_not_grow_with_the_fleet);
+	TEST(load_of_one_domain_spreads_over_new_links);
+	TEST(lost_drivers_are_replaced);
+	TEST(lost_members_are_replaced);
+	TEST(large_fleet_returns_after_a_full_stop);
+	TEST(fleet_grows_while_it_serves);
+	TEST(cut_off_domain_serves_its_callers);
+}
