Divide by what the driver can carry, and let another member read the list

Cause: a driver with 2 Mbit/s had all 120 workers of the small twin, as a number of workers alone decided on the division. Its list of workers, 54 KB read twice a second by each driver, filled 0.2 s of the link each time, and was sent to 17 peers at each change.

Change: the fleet is divided when the driver's machine cannot carry 25 starts a second for each worker; cells may have 16 workers if it cannot carry half of that. After a full stop the first member that returns admits the others.

--- a/src/fleet/division.c
+++ b/src/fleet/division.c
@@ -1,8 +1,9 @@
 /*
  * Decides whether a fleet is divided into cells: one for each failure domain
- * that has workers. One driver carries the load of some 200 workers; above
- * that each domain gets a driver of its own, if it has enough workers to absorb
- * wide jobs, and enough instances to elect a driver after losing one.
+ * that has workers. One driver carries the load of some 200 workers, or fewer
+ * if its machine or link is weak; above that each domain gets a driver of its
+ * own, if it has enough workers to absorb wide jobs, and enough instances to
+ * elect a driver after losing one.
  *
  * The division is written into the map and never taken back, so that a worker
  * never has drivers of both kinds. A fleet with an instance of a version without
@@ -14,7 +15,35 @@
 #include "fleet/fleet_state.h"
 #include "util/alloc.h"
 
-enum { CELL_MEMBERS_MIN = 3 /* two are a majority if one is lost */ };
+enum {
+	CELL_MEMBERS_MIN = 3, /* two are a majority if one is lost */
+	/* Starts a second that a worker may need when its fleet is busy. */
+	STARTS_PER_WORKER = 25,
+	/* Workers of a cell that absorb a job of 32 tasks, two on each. */
+	WIDE_JOB_WORKERS_MIN = 16,
+	OVERLOAD_FACTOR = 2
+};
+
+/* Whether `n` workers need more starts than `factor` times what is driven. */
+static bool is_beyond_capacity(const struct fleet *f, size_t n, size_t factor)
+{
+	return f->opt.capacity &&
+	       n * STARTS_PER_WORKER > factor * f->opt.capacity;
+}
+
+/*
+ * The least number of workers of a cell. Small cells serve wide jobs worse, so
+ * they are for a driver that cannot carry half of the load.
+ */
+static size_t cell_workers_min(const struct fleet *f, size_t n)
+{
+	uint32_t min = f->opt.cell_workers_min;
+
+	if (min > WIDE_JOB_WORKERS_MIN &&
+	    is_beyond_capacity(f, n, OVERLOAD_FACTOR))
+		return WIDE_JOB_WORKERS_MIN;
+	return min;
+}
 
 /* The number of the cell of that name, which is added if it is missing. */
 static size_t find_or_add(struct fleet_map *m, const char *name)
@@ -50,7 +79,7 @@
 	if (n_workers[FLEET_CELLS_MAX])
 		return false;
 	for (i = 0; i < division->n_cells; i++)
-		if (n_workers[i] < f->opt.cell_workers_min ||
+		if (n_workers[i] < cell_workers_min(f, n) ||
 		    count_members(&f->map, division->cells[i]) <
 			    CELL_MEMBERS_MIN)
 			return false;
@@ -81,7 +110,9 @@
 	struct fleet_map division = {0};
 
 	if (*f->opt.cell || fleet_is_divided(f) || !f->opt.cell_workers_min ||
-	    f->driver != f->opt.self.id || n < f->opt.divided_workers_min)
+	    f->driver != f->opt.self.id)
+		return;
+	if (n < f->opt.divided_workers_min && !is_beyond_capacity(f, n, 1))
 		return;
 	if (all_instances_know_cells(f) && divide(f, list, n, &division))
 		fleet_map_copy_cells(&f->wanted_cells, &division);
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -121,6 +121,15 @@
 	int64_t next_workers_read_at;
 	int64_t workers_failed_at; /* the last failed read */
 
+	/* workers_reader.c, at the driver */
+	uint64_t read_number; /* of the last request to a reader */
+	int64_t reader_answer_due_at; /* zero: no request is open */
+	int64_t next_reader_at; /* no reader is asked before */
+	/* at the reader */
+	uint64_t read_for; /* the driver that waits; zero: none */
+	uint64_t read_for_number;
+	int64_t read_requested_at;
+
 	/* division.c */
 	struct fleet_map wanted_cells; /* its cells; none: no division */
 
@@ -306,6 +315,27 @@
 void workers_send(struct fleet *f, uint64_t to);
 bool workers_receive(struct fleet *f, int64_t now, struct syc_bytes msg);
 
+/* Copies the workers that this fleet drives; returns their number. */
+size_t workers_copy_own(const struct fleet *f, struct drive_worker *next,
+			const struct drive_worker *list, size_t n);
+
+/* workers_msgs.c */
+void workers_pack_list(struct wire_out *w, const struct drive_worker *list,
+		       size_t n);
+/* The caller frees the list. */
+struct drive_worker *workers_unpack_list(struct wire_in *w, uint32_t *n);
+
+/* workers_reader.c */
+/* Asks another member to read the list; false: this instance must read. */
+bool reader_request(struct fleet *f, int64_t now);
+void reader_tick(struct fleet *f, int64_t now);
+bool reader_receive_request(struct fleet *f, int64_t now, uint64_t from,
+			    struct syc_bytes msg);
+bool reader_receive_list(struct fleet *f, int64_t now, struct syc_bytes msg);
+/* Passes a list that was read, or NULL, on to the driver that waits for it. */
+void reader_answer(struct fleet *f, int64_t now,
+		   const struct drive_worker *list, size_t n);
+
 /* fleet_msgs.c */
 void msg_job_pack(struct wire_out *w, uint64_t tag,
 		  const struct drive_job *job);
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -135,7 +135,7 @@
 	if (!fleet_is_eligible(f) ||
 	    !fleet_is_eligible_domain(f, p->instance.domain))
 		return false;
-	if (!f->driver)
+	if (f->driver_lost_at)
 		return is_self_member || is_peer_member;
 	return is_self_member && is_peer_member;
 }
--- a/src/fleet/map_join.c
+++ b/src/fleet/map_join.c
@@ -14,8 +14,10 @@
 #include "fleet/fleet_state.h"
 
 enum {
-	/* Most instances that start together have links by then. */
+	/* Most instances that start together have links by then... */
 	ADMIT_AFTER_MS = 400,
+	/* ...and those that return know each other from the map. */
+	ADMIT_RETURNED_AFTER_MS = 150,
 	ADMIT_INTERVAL_MS = 200,
 	JOIN_AFTER_MS = 1000, /* and up to JOIN_SPREAD_MS more */
 	JOIN_SPREAD_MS = 1000,
@@ -44,16 +46,38 @@
 	return false;
 }
 
-/* Admission by the driver, or without any by the map's first member. */
+/* Whether this is the first of the map's members that are up. */
+static bool is_first_member(const struct fleet *f, const struct fleet_map *m,
+			    int64_t now)
+{
+	const struct fleet_peer *p;
+	size_t i;
+
+	for (i = 0; i < m->n_members; i++) {
+		if (m->members[i].id == f->opt.self.id)
+			return true;
+		p = heartbeat_find_peer(f, m->members[i].id);
+		if (p && heartbeat_is_reachable(p, now))
+			return false;
+	}
+	return false;
+}
+
+static int64_t admit_after_ms(const struct fleet_map *m)
+{
+	return m->epoch ? ADMIT_RETURNED_AFTER_MS : ADMIT_AFTER_MS;
+}
+
+/* The driver admits, or without any the first member that is up. */
 static bool may_admit(const struct fleet *f, const struct fleet_map *m,
 		      int64_t now)
 {
 	if (f->leaving || f->takeover_in_flight || now < f->next_admit_at ||
-	    now - f->started_at < ADMIT_AFTER_MS)
+	    now - f->started_at < admit_after_ms(m))
 		return false;
-	if (f->driver)
+	if (f->driver && !f->driver_lost_at)
 		return f->driver == f->opt.self.id;
-	return m->n_members && m->members[0].id == f->opt.self.id;
+	return is_first_member(f, m, now);
 }
 
 static bool may_be_admitted(const struct fleet *f, const struct fleet_map *m,
--- a/src/fleet/receive.c
+++ b/src/fleet/receive.c
@@ -95,6 +95,10 @@
 		return receive_cancel(f, now, from, msg);
 	case SYC_PEER_CONFIG:
 		return config_sync_receive(f, now, msg);
+	case SYC_PEER_WORKERS_REQUEST:
+		return reader_receive_request(f, now, from, msg);
+	case SYC_PEER_WORKERS_READ:
+		return reader_receive_list(f, now, msg);
 	case SYC_PEER_WORKERS:
 		return workers_receive(f, now, msg);
 	default:
--- a/src/fleet/workers.c
+++ b/src/fleet/workers.c
@@ -17,8 +17,6 @@
 	LOST_READ_RETRY_MS = 100, /* ...after it failed */
 	/* An instance without a list waits for the driver's first. */
 	FIRST_READ_AFTER_MS = 2000,
-	WORKER_FIELDS = 10,
-	LIST_MAX = 20000, /* workers in one message */
 	/* After a failed read, entries may be missing for this time. */
 	KEEP_MISSING_MS = 2500
 };
@@ -38,6 +36,7 @@
 
 void workers_tick(struct fleet *f, int64_t now)
 {
+	reader_tick(f, now);
 	if (f->workers_read_in_flight || now < f->next_workers_read_at)
 		return;
 	if (!fleet_is_eligible(f) || fleet_is_divided(f) ||
@@ -45,7 +44,8 @@
 		return;
 	f->workers_read_in_flight = true;
 	f->workers_read_at = now;
-	f->opt.read_workers(f->opt.ctx);
+	if (!reader_request(f, now))
+		f->opt.read_workers(f->opt.ctx);
 }
 
 static bool has_worker(const struct drive_worker *list, size_t n,
@@ -74,57 +74,6 @@
 	return all;
 }
 
-static void pack_worker(struct wire_out *w, const struct drive_worker *info)
-{
-	size_t i;
-
-	wire_put_array(w, WORKER_FIELDS);
-	wire_put_str(w, info->name);
-	wire_put_str(w, info->service);
-	wire_put_str(w, info->domain);
-	wire_put_str(w, info->addr.ip);
-	wire_put_u64(w, info->addr.port);
-	wire_put_u64(w, info->cpu_milli);
-	wire_put_u64(w, info->memory_mb);
-	wire_put_u64(w, info->accelerators);
-	wire_put_bool(w, info->leaving);
-	wire_put_array(w, info->n_labels);
-	for (i = 0; i < info->n_labels; i++)
-		wire_put_str(w, info->labels[i]);
-}
-
-static void unpack_worker(struct wire_in *w, struct drive_worker *info)
-{
-	size_t i;
-
-	wire_enter(w, WORKER_FIELDS);
-	wire_str(w, info->name, sizeof(info->name));
-	wire_str(w, info->service, sizeof(info->service));
-	wire_str(w, info->domain, sizeof(info->domain));
-	wire_str(w, info->addr.ip, sizeof(info->addr.ip));
-	info->addr.port = (uint16_t)wire_u64(w);
-	info->cpu_milli = (uint32_t)wire_u64(w);
-	info->memory_mb = (uint32_t)wire_u64(w);
-	info->accelerators = (uint32_t)wire_u64(w);
-	info->leaving = wire_bool(w);
-	info->n_labels = wire_enter(w, DRIVE_LABELS_MAX);
-	for (i = 0; i < info->n_labels; i++)
-		wire_str(w, info->labels[i], SYC_NAME_MAX);
-	wire_leave(w);
-	wire_leave(w);
-	memcpy(info->kind, info->labels[0], sizeof(info->kind));
-}
-
-static void pack_list(struct wire_out *w, const struct drive_worker *list,
-		      size_t n)
-{
-	size_t i;
-
-	wire_put_array(w, n);
-	for (i = 0; i < n; i++)
-		pack_worker(w, &list[i]);
-}
-
 void workers_send(struct fleet *f, uint64_t to)
 {
 	auto_wire_out struct wire_out w = {0};
@@ -136,8 +85,8 @@
 				       unlisted, n);
 
 	wire_begin(&w, SYC_PEER_WORKERS, 2);
-	pack_list(&w, f->workers, f->n_workers);
-	pack_list(&w, unlisted, n);
+	workers_pack_list(&w, f->workers, f->n_workers);
+	workers_pack_list(&w, unlisted, n);
 	f->opt.send(f->opt.ctx, to, wire_bytes(&w));
 }
 
@@ -200,9 +149,8 @@
 	drive_set_workers(f->drive, now, next, n);
 }
 
-/* Copies the workers that this fleet drives; returns their number. */
-static size_t copy_own_workers(const struct fleet *f, struct drive_worker *next,
-			       const struct drive_worker *list, size_t n)
+size_t workers_copy_own(const struct fleet *f, struct drive_worker *next,
+			const struct drive_worker *list, size_t n)
 {
 	size_t i, n_own = 0;
 
@@ -212,19 +160,6 @@
 	return n_own;
 }
 
-static struct drive_worker *unpack_list(struct wire_in *w, uint32_t *n)
-{
-	struct drive_worker *list;
-	uint32_t i;
-
-	*n = wire_enter(w, LIST_MAX);
-	list = xcalloc(*n + 1, sizeof(*list));
-	for (i = 0; i < *n && !w->failed; i++)
-		unpack_worker(w, &list[i]);
-	wire_leave(w);
-	return list;
-}
-
 bool workers_receive(struct fleet *f, int64_t now, struct syc_bytes msg)
 {
 	auto_free struct drive_worker *listed = NULL;
@@ -233,8 +168,8 @@
 	struct wire_in w;
 
 	wire_open(&w, msg);
-	listed = unpack_list(&w, &n);
-	unlisted = unpack_list(&w, &n_unlisted);
+	listed = workers_unpack_list(&w, &n);
+	unlisted = workers_unpack_list(&w, &n_unlisted);
 	if (!wire_close(&w))
 		return false;
 	if (fleet_is_driver(f))
@@ -260,6 +195,7 @@
 	bool changed;
 
 	f->workers_read_in_flight = false;
+	reader_answer(f, now, list, n);
 	if (!list) {
 		f->workers_failed_at = now;
 		f->next_workers_read_at = retry_at(f, now);
@@ -270,12 +206,13 @@
 						 : OTHER_READ_INTERVAL_MS);
 	next = xcalloc(n + f->n_workers + 1, sizeof(*next));
 	division_check(f, list, n);
-	n = copy_own_workers(f, next, list, n);
+	n = workers_copy_own(f, next, list, n);
 	if (f->workers_failed_at &&
 	    now - f->workers_failed_at < KEEP_MISSING_MS)
 		n = keep_missing_workers(f, next, n);
 	changed = !is_same_list(f, next, n);
 	replace_list(f, now, next, n);
-	if (changed && fleet_is_driver(f))
+	/* A fleet that is about to be divided has no use for the list. */
+	if (changed && fleet_is_driver(f) && !f->wanted_cells.n_cells)
 		send_to_all_peers(f);
 }
