--- a/src/cmd/fleet_metrics.c
+++ b/src/cmd/fleet_metrics.c
@@ -33,6 +33,25 @@
 			   rows[i].labels, rows[i].val);
 }
 
+static void set_member_metrics(struct fleet_daemon *d)
+{
+	struct fleet_counts c;
+
+	fleet_get_counts(cells_own(d->fleet), &c);
+	set_metric(d, METRIC_GAUGE, "sycamoreshore_members",
+		   "Instances that elect the driver of this instance's cell.",
+		   NULL, c.members);
+	set_metric(d, METRIC_GAUGE, "sycamoreshore_is_member",
+		   "Whether this instance is one of them.", NULL, c.is_member);
+	set_metric(d, METRIC_GAUGE, "sycamoreshore_peer_links",
+		   "Other instances that this one has a link to.", NULL,
+		   c.links);
+	set_metric(d, METRIC_GAUGE, "sycamoreshore_capacity_starts",
+		   "Starts a second that this machine can drive; zero: "
+		   "unknown.",
+		   NULL, c.capacity);
+}
+
 static void set_drive_metrics(struct fleet_daemon *d)
 {
 	struct drive_counts c;
@@ -140,6 +159,7 @@
 		   "Cells that the fleet is divided into; zero: it is not.",
 		   NULL, cells_count(d->fleet));
 	set_answer_metrics(d);
+	set_member_metrics(d);
 	set_drive_metrics(d);
 }
 
--- a/src/cmd/fleet_settings.c
+++ b/src/cmd/fleet_settings.c
@@ -81,11 +81,13 @@
 static const struct field cells_fields[] = {
 	{"fleet_workers_min", FIELD_U32, OFFSET_OF(divided_workers_min), 1,
 	 1000000, "workers", "200",
-	 "Workers of the whole fleet from which on it is divided."},
+	 "Workers of the whole fleet from which on it is divided; fewer if "
+	 "the driver's machine cannot carry them."},
 	{"workers_min", FIELD_U32, OFFSET_OF(cell_workers_min), 0, 1000000,
 	 "workers", "48",
-	 "Least workers of each failure domain in a divided fleet; 0: the "
-	 "fleet is never divided."},
+	 "Least workers of each failure domain in a divided fleet, at most 16 "
+	 "if the driver's machine cannot carry half of the fleet; 0: the fleet "
+	 "is never divided."},
 	{0},
 };
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -141,6 +141,16 @@
 uint64_t fleet_epoch(const struct fleet *f);
 bool fleet_is_driver(const struct fleet *f);
 
+/* For operators: the map, this instance's part in it, and its links. */
+struct fleet_counts {
+	size_t members; /* of the map */
+	bool is_member;
+	size_t links; /* to other instances */
+	uint32_t capacity; /* starts a second; zero: unknown */
+};
+
+void fleet_get_counts(const struct fleet *f, struct fleet_counts *counts);
+
 /* Returns the state as JSON text; to be freed with free(). */
 char *fleet_dump(const struct fleet *f, int64_t now);
 
--- a/src/fleet/fleet_dump.c
+++ b/src/fleet/fleet_dump.c
@@ -1,9 +1,22 @@
-/* Writes the state of a fleet as JSON, for operators. */
+/* Shows the state of a fleet to operators, as counts and as JSON. */
 #include <jansson.h>
 #include <stdlib.h>
 
 #include "fleet/fleet_state.h"
 
+void fleet_get_counts(const struct fleet *f, struct fleet_counts *counts)
+{
+	size_t i;
+
+	*counts = (struct fleet_counts){
+		.members = f->map.n_members,
+		.is_member = fleet_map_find(&f->map, f->opt.self.id) != NULL,
+		.capacity = f->opt.capacity,
+	};
+	for (i = 0; i < f->n_peers; i++)
+		counts->links += f->peers[i].link_up;
+}
+
 char *fleet_dump(const struct fleet *f, int64_t now)
 {
 	json_t *root, *peers = json_array(), *drive;
@@ -28,14 +41,15 @@
 				  "leaving", p->leaving));
 	}
 	root = json_pack(
-		"{s:I, s:I, s:I, s:b, s:i, s:i, s:I, s:I, s:I, s:o, "
-		"s:o}",
+		"{s:I, s:I, s:I, s:b, s:i, s:b, s:i, s:I, s:I, s:I, "
+		"s:o, s:o}",
 		"id", (json_int_t)f->opt.self.id, "driver",
 		(json_int_t)f->driver, "epoch", (json_int_t)f->epoch,
 		"store_away", f->store_unreachable, "members",
-		(int)f->map.n_members, "jobs", (int)fleet_open_jobs(f),
-		"config_version", (json_int_t)f->whole->config_version,
-		"config_age_ms",
+		(int)f->map.n_members, "is_member",
+		fleet_map_find(&f->map, f->opt.self.id) != NULL, "jobs",
+		(int)fleet_open_jobs(f), "config_version",
+		(json_int_t)f->whole->config_version, "config_age_ms",
 		(json_int_t)key_watch_age_ms(&f->whole->config_watch, now),
 		"map_age_ms", (json_int_t)key_watch_age_ms(&f->map_watch, now),
 		"peers", peers, "drive", drive);
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -312,10 +312,18 @@
 	return true;
 }
 
-static void grow_peers(struct fleet *f)
+static struct fleet_peer *new_peer(struct fleet *f)
 {
-	f->peers_size = f->peers_size ? 2 * f->peers_size : FLEET_MEMBERS_MAX;
-	f->peers = xrealloc(f->peers, f->peers_size * sizeof(*f->peers));
+	struct fleet_peer *p;
+
+	if (!f->peers || f->n_peers == f->peers_size) {
+		f->peers_size = 2 * f->peers_size + FLEET_VOTERS_MAX;
+		f->peers = xrealloc(f->peers,
+				    f->peers_size * sizeof(*f->peers));
+	}
+	p = &f->peers[f->n_peers++];
+	*p = (struct fleet_peer){0};
+	return p;
 }
 
 static void add_peer(struct fleet *f, const struct syc_instance *inst)
@@ -326,12 +334,8 @@
 		log_error("too_many_peers", LOG_S("peer", inst->name));
 		return;
 	}
-	if (!p && f->n_peers == f->peers_size)
-		grow_peers(f);
-	if (!p) {
-		p = &f->peers[f->n_peers++];
-		memset(p, 0, sizeof(*p));
-	}
+	if (!p)
+		p = new_peer(f);
 	p->instance = *inst;
 	p->link_up = true;
 }
