Let instances of a domain without workers find the cells' drivers

Cause: an instance whose failure domain is no cell has no driver that reports to it, and since the links of all with all are gone it knew no driver at all, so its callers were refused.

Change: it reads the cells' maps itself and keeps links to their drivers, whose heartbeats then confirm the maps.

Test: domain_without_workers_serves_its_callers failed (0 of 10 served).

--- a/src/fleet/cell_reports.c
+++ b/src/fleet/cell_reports.c
@@ -127,12 +127,14 @@
 	if (!c->n || now < c->next_reports_at)
 		return;
 	c->next_reports_at = now + REPORT_INTERVAL_MS;
-	if (!fleet_is_driver(own)) {
+	if (own == c->whole.fleet) {
+		dial_drivers(c, now); /* no driver reports to it */
+	} else if (fleet_is_driver(own)) {
+		dial_drivers(c, now);
+		send_reports(c, own, now);
+	} else {
 		close_idle_links(c, now);
-		return;
 	}
-	dial_drivers(c, now);
-	send_reports(c, own, now);
 }
 
 static void unpack_report(struct wire_in *w, uint64_t *number, uint64_t *epoch,
--- a/src/fleet/cells.c
+++ b/src/fleet/cells.c
@@ -59,20 +59,29 @@
 	c->n = i;
 }
 
-/* What the members of the own cell read, they read for all of them. */
+/*
+ * What the members of the own cell read, they read for all of them. The driver
+ * alone reads the maps of the other cells, as it reports to its members, but an
+ * instance without a cell gets no reports.
+ */
 static void choose_readers(struct cells *c, int64_t now)
 {
 	const struct fleet *own = cells_own(c);
-	enum key_watch_role role = KEY_WATCH_WATCHES;
+	enum key_watch_role role, others;
 	size_t i;
 
 	if (!c->n)
 		return;
-	if (own != c->whole.fleet)
+	if (own == c->whole.fleet) {
+		role = others = KEY_WATCH_WATCHES;
+	} else {
 		role = fleet_role(own, now);
+		others = role == KEY_WATCH_LEADS ? role : KEY_WATCH_FOLLOWS;
+	}
 	c->whole.fleet->role = role;
 	for (i = 0; i < c->n; i++)
-		c->cells[i].fleet->role = role;
+		c->cells[i].fleet->role = c->cells[i].fleet == own ? role
+								   : others;
 }
 
 /* The whole fleet has the configuration, and its cells the heartbeats. */
--- a/src/fleet/map_sync.c
+++ b/src/fleet/map_sync.c
@@ -246,8 +246,8 @@
 {
 	struct fleet_map next;
 
-	if (!fleet_is_eligible(f) && f->role != KEY_WATCH_LEADS)
-		return;
+	if (!fleet_is_eligible(f) && f->role == KEY_WATCH_FOLLOWS)
+		return; /* it gets reports */
 	key_watch_tick(&f->map_watch, now, f->role);
 	if (!f->map_known || f->write_in_flight || f->store_unreachable ||
 	    now < f->next_write_at || !fleet_is_eligible(f))
--- a/test/sim/fleet_sim.c
+++ b/test/sim/fleet_sim.c
@@ -265,7 +265,8 @@
 		.store = fake_store_ops(i->store),
 		.config_key = "config",
 		.config_apply_ms = FSIM_CONFIG_APPLY_MS,
-		.divided_workers_min = FSIM_WORKERS,
+		.divided_workers_min = FSIM_WORKERS -
+				       FSIM_WORKERS / FSIM_DOMAINS,
 		.cell_workers_min = s->divided ? FSIM_WORKERS / FSIM_DOMAINS
 					       : 0,
 		.capacity = i->capacity,
@@ -464,8 +465,8 @@
 	return n;
 }
 
-static struct fsim *sim_new(uint64_t seed, bool divided, bool first_is_old,
-			    int n_instances)
+static struct fsim *sim_create(uint64_t seed, bool divided, bool first_is_old,
+			       int n_instances)
 {
 	struct fsim *s = xcalloc(1, sizeof(*s));
 	int k;
@@ -495,7 +496,15 @@
 			 k % FSIM_DOMAINS);
 		fsim_start(s, k);
 	}
-	fsim_run(s, 3000);
+	return s;
+}
+
+static struct fsim *sim_new(uint64_t seed, bool divided, bool first_is_old,
+			    int n_instances)
+{
+	struct fsim *s = sim_create(seed, divided, first_is_old, n_instances);
+
+	fsim_run(s, START_MS);
 	return s;
 }
 
@@ -519,6 +528,17 @@
 	return sim_new(seed, true, false, n);
 }
 
+struct fsim *fsim_new_without_workers(uint64_t seed, int n)
+{
+	struct fsim *s = sim_create(seed, true, false, n);
+	int k;
+
+	for (k = FSIM_DOMAINS - 1; k < FSIM_WORKERS; k += FSIM_DOMAINS)
+		s->workers[k].listed = false;
+	fsim_run(s, START_MS);
+	return s;
+}
+
 void fsim_free(struct fsim *s)
 {
 	struct fsim_client *c;
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -140,6 +140,8 @@
 struct fsim *fsim_new_divided_with_old(uint64_t seed);
 /* `n` instances, of which each domain has the same part. */
 struct fsim *fsim_new_large(uint64_t seed, int n);
+/* The same, but no workers of the last domain are listed. */
+struct fsim *fsim_new_without_workers(uint64_t seed, int n);
 void fsim_free(struct fsim *s);
 void fsim_run(struct fsim *s, int64_t ms);
 
--- a/test/unit/large_fleet_test.c
+++ b/test/unit/large_fleet_test.c
@@ -254,6 +254,29 @@
 	check_and_free(s);
 }
 
+/* Its instances belong to no cell, and no driver reports to them. */
+static void domain_without_workers_serves_its_callers(void)
+{
+	struct fsim *s;
+	size_t i, before;
+
+	log_level_set(getenv("FLEET_LOG") ? LOG_INFO : LOG_ERROR);
+	s = fsim_new_without_workers(SEED, 30);
+	fsim_run(s, SETTLE_MS);
+	CU_ASSERT_EQUAL(cells_count(s->instances[0].cells), DOMAINS - 1);
+	CU_ASSERT_EQUAL(serve(s, 30), 30);
+	fsim_kill(s, find_driver_of(s, 0));
+	fsim_run(s, 1500);
+	before = fsim_count_outcomes(s, FLEET_COMPLETED);
+	for (i = 0; i < 10; i++) {
+		fsim_submit(s, DOMAINS - 1, 2, 40);
+		fsim_run(s, 100);
+	}
+	fsim_run(s, 200);
+	CU_ASSERT_EQUAL(fsim_count_outcomes(s, FLEET_COMPLETED) - before, 10);
+	check_and_free(s);
+}
+
 static void cut_off_domain_serves_its_callers(void)
 {
 	struct fsim *s = start_fleet(LARGE);
@@ -286,5 +309,6 @@
 	TEST(lost_members_are_replaced);
 	TEST(large_fleet_returns_after_a_full_stop);
 	TEST(fleet_grows_while_it_serves);
+	TEST(domain_without_workers_serves_its_callers);
 	TEST(cut_off_domain_serves_its_callers);
 }
