--- a/test/sim/fleet_sim.c
+++ b/test/sim/fleet_sim.c
@@ -116,6 +116,37 @@
 	e->bytes = xmemdup(wire_bytes(&out).p, e->len);
 }
 
+/* Whether it is a job, whose damaged name would be that of another job. */
+static bool carries_job(struct syc_bytes msg)
+{
+	int type = wire_type(msg);
+	struct wire_in w;
+
+	if (type == SYC_PEER_CELL) {
+		wire_open(&w, msg);
+		wire_u64(&w);
+		type = wire_type(wire_view(&w));
+		wire_close(&w);
+	}
+	return type == SYC_PEER_JOB;
+}
+
+static void send_damaged(struct fsim *s, struct fsim_instance *peer,
+			 uint64_t from, struct syc_bytes msg)
+{
+	struct fsim_event *e = fsim_event_new(EVENT_MESSAGE, s->now + DELAY_MS,
+					      peer);
+	unsigned char *p = xmemdup(msg.p, msg.n);
+	size_t i, n = rng_below(&s->rng, DAMAGED_BYTES_MAX);
+
+	for (i = 0; i < n; i++)
+		p[rng_below(&s->rng, msg.n)] = (unsigned char)rng_next(&s->rng);
+	e->sender_or_tag = from;
+	e->bytes = p;
+	e->len = n ? msg.n : rng_below(&s->rng, msg.n);
+	fsim_event_push(s, e);
+}
+
 static bool on_send(void *ctx, uint64_t to, struct syc_bytes msg)
 {
 	struct fsim_instance *i = ctx;
@@ -127,6 +158,8 @@
 	if (!peer || !s->linked[a][peer - s->instances])
 		return false;
 	s->n_messages++;
+	if (peer - s->instances == s->damaged && !carries_job(msg))
+		send_damaged(s, peer, i->instance.id, msg);
 	e = fsim_event_new(EVENT_MESSAGE, s->now + DELAY_MS, peer);
 	e->sender_or_tag = i->instance.id;
 	e->bytes = xmemdup(msg.p, msg.n);
@@ -472,6 +505,7 @@
 	int k;
 
 	s->divided = divided;
+	s->damaged = -1;
 	s->first_is_old = first_is_old;
 	s->objective_add_ms = 1000;
 	s->n_instances = n_instances;
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -109,6 +109,8 @@
 	/* The first dials the second, and is linked to it. */
 	bool dialled[FSIM_INSTANCES_MAX][FSIM_INSTANCES_MAX];
 	bool linked[FSIM_INSTANCES_MAX][FSIM_INSTANCES_MAX];
+	/* Gets a damaged copy of each message besides it; -1: none does. */
+	int damaged;
 	int64_t links_due_at; /* those dialled last are opened then */
 	unsigned long n_messages; /* sent between instances */
 	bool domain_cut[FSIM_DOMAINS]; /* cut off from the others */
--- a/test/sim/fleet_sim_internal.h
+++ b/test/sim/fleet_sim_internal.h
@@ -14,6 +14,7 @@
 	EARLY_LEAVE_MS = 300,
 	LINK_INTERVAL_MS = 200, /* between attempts to open links */
 	START_MS = 3000, /* for the election of a driver */
+	DAMAGED_BYTES_MAX = 4,
 	DIAL_MS = 4, /* until a link is up */
 	LEASE_MS = 1000,
 	HOLD_WAIT_MS = 200,
--- a/test/unit/large_fleet_test.c
+++ b/test/unit/large_fleet_test.c
@@ -277,6 +277,34 @@
 	check_and_free(s);
 }
 
+/*
+ * One instance gets a damaged or cut copy of each message, which may name any
+ * driver, epoch or run. It may lose its callers, but goes on, and the others
+ * serve theirs.
+ */
+static void damaged_messages_stop_no_process(void)
+{
+	struct fsim *s;
+	uint64_t seed;
+	int driver;
+
+	log_level_set(LOG_ERROR + 1);
+	for (seed = 1; seed <= 20; seed++) {
+		s = fsim_new_large(seed, 12);
+		fsim_run(s, SETTLE_MS);
+		driver = find_driver_of(s, 0);
+		/* The next instance of that domain, or its driver. */
+		s->damaged = seed % 2 ? driver : (driver + DOMAINS) % 12;
+		serve(s, 30);
+		s->damaged = -1;
+		fsim_run(s, 5000);
+		CU_ASSERT_EQUAL(s->n_double_runs, 0);
+		CU_ASSERT_EQUAL(count_drivers(s), DOMAINS);
+		CU_ASSERT_EQUAL(serve(s, 12), 12);
+		fsim_free(s);
+	}
+}
+
 static void cut_off_domain_serves_its_callers(void)
 {
 	struct fsim *s = start_fleet(LARGE);
@@ -310,5 +338,6 @@
 	TEST(large_fleet_returns_after_a_full_stop);
 	TEST(fleet_grows_while_it_serves);
 	TEST(domain_without_workers_serves_its_callers);
+	TEST(damaged_messages_stop_no_process);
 	TEST(cut_off_domain_serves_its_callers);
 }
