--- a/src/fleet/map_join.c
+++ b/src/fleet/map_join.c
@@ -22,6 +22,8 @@
 	JOIN_AFTER_MS = 1000, /* and up to JOIN_SPREAD_MS more */
 	JOIN_SPREAD_MS = 1000,
 	CREATE_SPREAD_MS = 1000,
+	/* After a full stop, most of the writes of so many members succeed. */
+	REJOIN_SPREAD_MS = 5, /* for each member */
 	/* Without a driver for this time, a silent member loses its place. */
 	REPLACE_AFTER_MS = 5000
 };
@@ -134,8 +136,10 @@
 {
 	uint64_t spread = index_hash_number(f->opt.self.id).lo;
 
-	if (!m->n_members || has_earlier_incarnation(f, m))
+	if (!m->n_members)
 		return (int64_t)(spread % CREATE_SPREAD_MS);
+	if (has_earlier_incarnation(f, m))
+		return (int64_t)(spread % (REJOIN_SPREAD_MS * m->n_members));
 	return JOIN_AFTER_MS + (int64_t)(spread % JOIN_SPREAD_MS);
 }
 
