Keep callers of a cell without a driver served by the other cells

Cause: a member learns of the other cells' drivers from its own driver alone. While that is lost for more than 600 ms, or a cell has no majority, the reports are stale, and its callers were refused.

Change: after 200 ms without its driver a member dials the drivers it knows, and after 1.5 s it reads the cells' maps; names and addresses are reported each 300 ms.

Test: callers_of_a_cell_that_cannot_elect_are_served failed without it.

--- a/src/fleet/cell_reports.c
+++ b/src/fleet/cell_reports.c
@@ -12,7 +12,9 @@
 enum {
 	REPORT_INTERVAL_MS = 100,
 	/* Name and address of a driver are sent at intervals. */
-	DESCRIBE_INTERVAL_MS = 1000,
+	DESCRIBE_INTERVAL_MS = 300,
+	/* A takeover takes less; no reports come meanwhile. */
+	UNREPORTED_AFTER_MS = 200,
 	/* A link to the driver of another cell is closed when idle for this. */
 	LINK_IDLE_MS = 10000,
 	BRIEF_FIELDS = 6,
@@ -120,6 +122,15 @@
 	}
 }
 
+/* Whether no driver reports to this instance: it has no cell, or no driver. */
+static bool is_unreported(const struct cells *c, const struct fleet *own,
+			  int64_t now)
+{
+	return own == c->whole.fleet ||
+	       (own->driver_lost_at &&
+		now - own->driver_lost_at >= UNREPORTED_AFTER_MS);
+}
+
 void cell_reports_tick(struct cells *c, int64_t now)
 {
 	const struct fleet *own = cells_own(c);
@@ -127,8 +138,8 @@
 	if (!c->n || now < c->next_reports_at)
 		return;
 	c->next_reports_at = now + REPORT_INTERVAL_MS;
-	if (own == c->whole.fleet) {
-		dial_drivers(c, now); /* no driver reports to it */
+	if (is_unreported(c, own, now)) {
+		dial_drivers(c, now);
 	} else if (fleet_is_driver(own)) {
 		dial_drivers(c, now);
 		send_reports(c, own, now);
--- a/src/fleet/cells.c
+++ b/src/fleet/cells.c
@@ -6,6 +6,8 @@
 #include "fleet/cells_state.h"
 #include "util/alloc.h"
 
+enum { DRIVER_LOST_LONG_MS = 1500 };
+
 struct cells *cells_new(const struct fleet_options *opt, int64_t now)
 {
 	struct cells *c = xcalloc(1, sizeof(*c));
@@ -59,10 +61,17 @@
 	c->n = i;
 }
 
+/* The first election of a cell is over by then. */
+static bool is_driver_long_lost(const struct fleet *own, int64_t now)
+{
+	return own->driver_lost_at &&
+	       now - own->driver_lost_at >= DRIVER_LOST_LONG_MS;
+}
+
 /*
  * What the members of the own cell read, they read for all of them. The driver
  * alone reads the maps of the other cells, as it reports to its members, but an
- * instance without a cell gets no reports.
+ * instance without a cell, or without a driver for long, gets no reports.
  */
 static void choose_readers(struct cells *c, int64_t now)
 {
@@ -76,7 +85,9 @@
 		role = others = KEY_WATCH_WATCHES;
 	} else {
 		role = fleet_role(own, now);
-		others = role == KEY_WATCH_LEADS ? role : KEY_WATCH_FOLLOWS;
+		others = role;
+		if (role != KEY_WATCH_LEADS && !is_driver_long_lost(own, now))
+			others = KEY_WATCH_FOLLOWS;
 	}
 	c->whole.fleet->role = role;
 	for (i = 0; i < c->n; i++)
--- a/test/unit/cells_test.c
+++ b/test/unit/cells_test.c
@@ -149,6 +149,25 @@
 	check_and_free(s);
 }
 
+/*
+ * One of three members is left, which is no majority for some seconds. Nobody
+ * reports the other cells' drivers to it, and it serves its callers there.
+ */
+static void callers_of_a_cell_that_cannot_elect_are_served(void)
+{
+	struct fsim *s = start_fleet();
+	int driver = find_driver_of(s, 0);
+	size_t i, completed = 0;
+
+	fsim_kill(s, driver);
+	fsim_kill(s, (driver + DOMAINS) % s->n_instances);
+	fsim_run(s, 1000);
+	for (i = 0; i < 10; i++)
+		completed += complete_jobs(s, 0, 1, 200);
+	CU_ASSERT_EQUAL(completed, 10);
+	check_and_free(s);
+}
+
 static void cut_off_domain_keeps_its_driver(void)
 {
 	struct fsim *s = start_fleet();
@@ -373,6 +392,7 @@
 	TEST(load_beyond_all_capacity_is_refused_at_once);
 	TEST(lost_driver_of_a_cell_stops_no_other_cell);
 	TEST(callers_of_a_cell_without_driver_are_served);
+	TEST(callers_of_a_cell_that_cannot_elect_are_served);
 	TEST(cut_off_domain_keeps_its_driver);
 	TEST(leaving_driver_of_a_cell_hands_over_its_runs);
 	TEST(restarted_fleet_stays_divided);
