Send the list of workers once in each epoch

Cause: a new driver sent its list only if it differed from what it knew, so an instance that had linked while there was no driver had none, and was not ready until it read the store itself.

Test: instance_that_starts_without_a_driver_gets_the_list failed before.

--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -120,6 +120,7 @@
 	int64_t workers_read_at; /* when the last read was sent */
 	int64_t next_workers_read_at;
 	int64_t workers_failed_at; /* the last failed read */
+	uint64_t workers_sent_epoch; /* in which all peers got the list */
 
 	/* workers_reader.c, at the driver */
 	uint64_t read_number; /* of the last request to a reader */
--- a/src/fleet/workers.c
+++ b/src/fleet/workers.c
@@ -16,7 +16,7 @@
 	FAILED_READ_RETRY_MS = 500, /* after it was sent, and... */
 	LOST_READ_RETRY_MS = 100, /* ...after it failed */
 	/* An instance without a list waits for the driver's first. */
-	FIRST_READ_AFTER_MS = 2000,
+	FIRST_READ_AFTER_MS = 1000,
 	/* After a failed read, entries may be missing for this time. */
 	KEEP_MISSING_MS = 2500
 };
@@ -210,9 +210,13 @@
 	if (f->workers_failed_at &&
 	    now - f->workers_failed_at < KEEP_MISSING_MS)
 		n = keep_missing_workers(f, next, n);
-	changed = !is_same_list(f, next, n);
+	/* Instances that linked while there was no driver have no list. */
+	changed = !is_same_list(f, next, n) ||
+		  f->workers_sent_epoch != f->epoch;
 	replace_list(f, now, next, n);
 	/* A fleet that is about to be divided has no use for the list. */
-	if (changed && fleet_is_driver(f) && !f->wanted_cells.n_cells)
-		send_to_all_peers(f);
+	if (!changed || !fleet_is_driver(f) || f->wanted_cells.n_cells)
+		return;
+	f->workers_sent_epoch = f->epoch;
+	send_to_all_peers(f);
 }
--- a/test/unit/fleet_test.c
+++ b/test/unit/fleet_test.c
@@ -419,6 +419,23 @@
 	check_and_free(s);
 }
 
+/* It links to its peers while these have no driver. */
+static void instance_that_starts_without_a_driver_gets_the_list(void)
+{
+	struct fsim *s = start_fleet();
+	int driver = fsim_find_driver(s);
+	int started = (driver + 1) % FSIM_INSTANCES;
+
+	fsim_kill(s, started);
+	fsim_run(s, 1000);
+	fsim_kill(s, driver);
+	fsim_start(s, started);
+	fsim_run(s, 900);
+	CU_ASSERT(fsim_find_driver(s) >= 0);
+	CU_ASSERT(s->instances[started].fleet->workers_known);
+	check_and_free(s);
+}
+
 static void weak_driver_yields_to_a_strong_instance_that_returns(void)
 {
 	struct fsim *s = start_fleet();
@@ -574,6 +591,7 @@
 	TEST(job_taken_without_a_link_is_submitted_with_it);
 	TEST(job_that_reaches_a_late_driver_is_not_lost);
 	TEST(weak_machine_drives_only_if_no_stronger_one_is_up);
+	TEST(instance_that_starts_without_a_driver_gets_the_list);
 	TEST(weak_driver_yields_to_a_strong_instance_that_returns);
 	TEST(late_instances_do_not_replace_a_healthy_driver);
 	TEST(service_returns_when_an_overload_ends);
