--- a/src/fleet/cells.h
+++ b/src/fleet/cells.h
@@ -3,7 +3,9 @@
  * a fleet that is divided into cells. A cell is a failure domain whose workers
  * have a driver of their own, so the load is carried by several machines, and
  * a domain that is cut off keeps its driver. In a divided fleet, the whole fleet
- * keeps the map of instances and spreads the configuration, and drives nothing.
+ * keeps the list of cells and the configuration, and drives nothing. Instances
+ * have links to those of their own domain, and to the drivers of the cells that
+ * they use.
  *
  * A job runs in one cell. A cell that refuses it has started no task of it, so
  * it may be submitted to another cell. A job whose outcome in a cell is not
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -5,8 +5,10 @@
  * are passed in with the time `now` in milliseconds, and messages and calls
  * are made through the callbacks in the options.
  *
- * The store keeps one value, the map, which lists the instances and names the
- * driver. It is changed by compare-and-swap. Jobs do not depend on the store.
+ * The store keeps one value, the map, which lists the members and names the
+ * driver. It is changed by compare-and-swap. Members elect the driver and may
+ * drive; the other instances only submit their callers' jobs, and take the places
+ * of members that are lost. Jobs do not depend on the store.
  */
 #ifndef FLEET_FLEET_H
 #define FLEET_FLEET_H
@@ -39,8 +41,8 @@
 	struct syc_instance self;
 	/*
 	 * The failure domain whose workers this fleet drives, see cells.h;
-	 * empty: all workers. Only the instances of that domain are members,
-	 * which may drive. The others submit jobs to its driver.
+	 * empty: all workers. Only instances of that domain may be members. The
+	 * others submit jobs to its driver.
 	 */
 	char cell[SYC_NAME_MAX];
 	uint64_t epoch_floor; /* its epochs are higher */
--- a/src/fleet/fleet_map.h
+++ b/src/fleet/fleet_map.h
@@ -1,5 +1,5 @@
 /*
- * The map, the fleet's only value in the store. It lists the instances and
+ * The map, the fleet's only value in the store. It lists the members and
  * names the driver. Its epoch orders the drivers and is the base of their
  * fences.
  */
@@ -11,7 +11,8 @@
 
 enum {
 	FLEET_MEMBERS_MAX = 64, /* that an earlier version may have written */
-	FLEET_VOTERS_MAX = 32, /* members that are added up to */
+	/* No more are added, as each sends heartbeats to all of them. */
+	FLEET_VOTERS_MAX = 32,
 	FLEET_CELLS_MAX = 16
 };
 
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -19,7 +19,7 @@
 	 */
 	DOMAIN_UNREACHABLE_MS = 5000,
 	HEARTBEAT_FIELDS = 18,
-	/* A limit on memory only; an instance has a descriptor for each. */
+	/* Descriptors, two for each, run out before. */
 	PEERS_MAX = 8192
 };
 
