--- a/include/sycamoreshore/peer_type.h
+++ b/include/sycamoreshore/peer_type.h
@@ -39,8 +39,8 @@
 	SYC_PEER_WORKERS,
 	SYC_PEER_CELL, /* a message to the fleet of one cell */
 	SYC_PEER_CELL_REPORTS, /* what a driver knows of the other cells */
-	SYC_PEER_WORKERS_REQUEST, /* to read the list of workers */
-	SYC_PEER_WORKERS_READ,
+	SYC_PEER_WORKERS_REQUEST, /* asks a peer to read the workers' list */
+	SYC_PEER_WORKERS_READ, /* the list that it has read */
 	/* a value in the store; it is never sent to a peer */
 	SYC_STORED_FLEET_MAP = 96
 };
--- a/src/fleet/cells.c
+++ b/src/fleet/cells.c
@@ -95,7 +95,7 @@
 								   : others;
 }
 
-/* The whole fleet has the configuration, and its cells the heartbeats. */
+/* Sends the version of a new configuration in the own cell's heartbeats. */
 static void announce_config(struct cells *c, int64_t now)
 {
 	uint64_t version = c->whole.fleet->config_version;
--- a/src/fleet/division.c
+++ b/src/fleet/division.c
@@ -17,7 +17,7 @@
 
 enum {
 	CELL_MEMBERS_MIN = 3, /* two are a majority if one is lost */
-	/* Starts a second that a worker may need when its fleet is busy. */
+	/* Rate of starts, a second, that one worker takes at a busy time. */
 	STARTS_PER_WORKER = 25,
 	/* Workers of a cell that absorb a job of 32 tasks, two on each. */
 	WIDE_JOB_WORKERS_MIN = 16,
--- a/src/fleet/election.c
+++ b/src/fleet/election.c
@@ -29,8 +29,8 @@
 	 */
 	MINORITY_TAKEOVER_MS = 4500,
 	/*
-	 * A driver that runs has read the map in this time, and removed a
-	 * member that it does not hear.
+	 * Within this time after a member has joined, a running driver reads
+	 * the map, and removes the member if it receives no heartbeat of it.
 	 */
 	MEMBER_SETTLED_MS = 2000,
 	/* Time for the instance that raised a fence to announce itself. */
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -65,7 +65,7 @@
 
 struct fleet {
 	struct fleet_options opt;
-	/* The fleet that keeps the configuration: the whole one. */
+	/* The undivided fleet, which keeps the configuration for its cells. */
 	struct fleet *whole;
 	struct drive *drive;
 	int64_t started_at;
@@ -175,8 +175,9 @@
 /* Whether this instance may be a member. */
 bool fleet_is_eligible(const struct fleet *f);
 /*
- * Whether this instance is a member: the map lists it, so it elects the driver
- * and may drive. While no map is known, each instance counts as one.
+ * Whether the instance `id` is a member: the map lists it, so it elects the
+ * driver and may drive. Until the map is known, every instance counts as a
+ * member.
  */
 bool fleet_is_member(const struct fleet *f, uint64_t id);
 /* What this instance does for the other members in reading the store. */
@@ -246,8 +247,8 @@
 				  const struct fleet_peer *p, int64_t now);
 
 /*
- * Handles the driver of a cell as the driver of this instance's own cell knows
- * it.
+ * Handles a report about this cell's driver, which the driver of the instance's
+ * own cell has sent.
  */
 void election_update_report(struct fleet *f, int64_t now, uint64_t epoch,
 			    const struct driver_report *report);
@@ -301,7 +302,7 @@
  * lost them. The cancellations of cancelled jobs are sent first.
  */
 void home_submit_all(struct fleet *f, int64_t now);
-/* Submits the jobs that no driver has had yet. */
+/* Submits the jobs that were not sent to any driver yet. */
 void home_submit_waiting(struct fleet *f, int64_t now);
 void home_job_done(struct fleet *f, int64_t now, uint64_t handle,
 		   uint32_t generation, enum drive_outcome outcome,
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -300,7 +300,7 @@
 	p->heartbeat_at = now;
 	p->paused_ms = 0;
 	p->has_timed_out = false;
-	/* Jobs that the new link has taken are not submitted twice. */
+	/* fleet_peer_up has submitted the other jobs over the new link. */
 	if (driver_returned && is_first)
 		home_submit_waiting(f, now);
 	else if (driver_returned)
--- a/src/transport/peer_dial.c
+++ b/src/transport/peer_dial.c
@@ -61,9 +61,9 @@
 }
 
 /*
- * A peer without a connection of its own cannot send. A learned connection ends
- * with the one that it was learned from; a wanted one is made anew, as the peer
- * then learns of it again.
+ * Each side sends over the connection that it has dialled itself. If the peer's
+ * has ended, a connection that was only dialled in return is closed. One that
+ * this instance wants is dialled anew, and the peer dials back.
  */
 static void check_inbound(struct peer_dial *d)
 {
--- a/test/unit/large_fleet_test.c
+++ b/test/unit/large_fleet_test.c
@@ -254,7 +254,7 @@
 	check_and_free(s);
 }
 
-/* Its instances belong to no cell, and no driver reports to them. */
+/* The instances of that domain belong to no cell and get no reports. */
 static void domain_without_workers_serves_its_callers(void)
 {
 	struct fsim *s;
@@ -278,9 +278,9 @@
 }
 
 /*
- * One instance gets a damaged or cut copy of each message, which may name any
- * driver, epoch or run. It may lose its callers, but goes on, and the others
- * serve theirs.
+ * One instance gets a damaged or truncated copy of each message besides the
+ * message itself. It may serve badly meanwhile, but its process goes on, and all
+ * serve again afterwards.
  */
 static void damaged_messages_stop_no_process(void)
 {
