--- a/src/cmd/fleet_metrics.c
+++ b/src/cmd/fleet_metrics.c
@@ -85,6 +85,8 @@
 			 c.refused_late},
 			{"sycamoreshore_workers_silent_total",
 			 "Times that a worker stopped answering.", c.silences},
+			{"sycamoreshore_runs_lost_total",
+			 "Runs that were lost with their worker.", c.runs_lost},
 			{"sycamoreshore_ejections_total",
 			 "Times that a worker was passed over for a while.",
 			 c.ejections},
--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -201,6 +201,8 @@
 	uint64_t ejections, adopted;
 	uint64_t refused_late; /* as this driver was late */
 	uint64_t silences; /* workers that stopped answering */
+	uint64_t runs_lost; /* with their worker */
+	uint64_t losses_of_task_max; /* the most runs that a task lost */
 	uint64_t queued, running, workers, workers_usable; /* current */
 	/* From a job's arrival at its home until it begins, in ms. */
 	struct histogram begin_delay;
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -99,6 +99,7 @@
 	enum task_state state;
 	uint32_t last_run; /* the highest run number used */
 	uint32_t n_failed;
+	uint32_t n_lost; /* runs lost with their worker */
 	uint64_t run_handle;
 };
 
--- a/src/drive/hold.c
+++ b/src/drive/hold.c
@@ -90,6 +90,24 @@
 	send_hold(d, w, no_wait_ms, true, now);
 }
 
+/* Logs the loss of a run, with how often its task has lost a worker. */
+static void record_lost_run(struct drive *d, const struct worker *w,
+			    const struct run *r, int64_t now)
+{
+	struct job *j = job_get(d, r->job);
+	uint32_t times = 0;
+
+	if (j)
+		times = ++j->tasks[r->task.index].n_lost;
+	if (times > d->counts.losses_of_task_max)
+		d->counts.losses_of_task_max = times;
+	d->counts.runs_lost++;
+	log_info("run_lost", LOG_S("job", r->task.job),
+		 LOG_U("task", r->task.index), LOG_U("run", r->number),
+		 LOG_S("worker", w->info.name), LOG_U("times", times),
+		 LOG_I("started_ms_ago", now - r->sent_at));
+}
+
 void hold_finish_runs(struct drive *d, struct worker *w, int64_t now,
 		      const char *why)
 {
@@ -102,6 +120,7 @@
 	{
 		struct run *r = LIST_ITEM(pos, struct run, worker_link);
 
+		record_lost_run(d, w, r, now);
 		run_finish(d, r, DRIVE_RUN_EXPIRED, now);
 	}
 }
