Tell a worker that refuses connections from a silent one

worker_silent looked the same for a worker whose process had ended and for one that is cut off or frozen. A call that finds no listener at the worker's address has a result of its own now, and worker_refuses is logged. Nothing depends on it yet: a cut may refuse connections too, while the worker runs on.

--- a/src/drive/drive.c
+++ b/src/drive/drive.c
@@ -67,6 +67,7 @@
 	w->hold_in_flight = w->probe_in_flight = false;
 	w->next_hold_at = now;
 	w->unresponsive_since = 0;
+	w->refuses_since = 0;
 	w->lease_held_until = 0;
 	w->lease_expired_at = 0;
 	w->cursor = 0;
--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -127,6 +127,8 @@
 	DRIVE_CALL_INVALID, /* the worker cannot read the call */
 	DRIVE_CALL_OTHER_INCARNATION, /* the worker of that name has ended */
 	DRIVE_CALL_NOT_SENT, /* no byte was sent */
+	/* The same, as no process listens at the worker's address. */
+	DRIVE_CALL_NO_LISTENER,
 	/* The call may have taken effect or may still take effect. */
 	DRIVE_CALL_UNANSWERED
 };
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -80,6 +80,7 @@
 	bool probe_in_flight;
 	int64_t next_hold_at; /* when the next regular hold may be sent */
 	int64_t unresponsive_since; /* zero: the last hold was answered */
+	int64_t refuses_since; /* zero: it refused no connection since then */
 	bool has_clock;
 	int64_t clock_offset_ms; /* lower bound of its clock minus ours */
 	int64_t clock_offset_at; /* when `clock_offset_ms` was learned */
--- a/src/drive/hold.c
+++ b/src/drive/hold.c
@@ -236,6 +236,7 @@
 		log_info("worker_answers", LOG_S("worker", w->info.name),
 			 LOG_I("silent_ms", now - w->unresponsive_since));
 	w->unresponsive_since = 0;
+	w->refuses_since = 0;
 	if (h->fence > w->confirmed_fence)
 		w->confirmed_fence = h->fence;
 	if (h->sent_at > w->confirmed_at)
@@ -247,6 +248,17 @@
 	d->capacity_changed = true;
 }
 
+/* Nothing listens at the worker's address: its process may have ended. */
+static void mark_refusing(struct worker *w, int64_t now)
+{
+	if (w->refuses_since)
+		return;
+	w->refuses_since = now;
+	log_info("worker_refuses", LOG_S("worker", w->info.name),
+		 LOG_U("runs", w->n_runs),
+		 LOG_I("silent_ms", now - w->unresponsive_since));
+}
+
 static void mark_unresponsive(struct drive *d, struct worker *w, int64_t now)
 {
 	if (w->unresponsive_since)
@@ -305,6 +317,8 @@
 		handle_fenced(d, w, &h, now);
 	} else {
 		mark_unresponsive(d, w, now);
+		if (lists->answer.result == DRIVE_CALL_NO_LISTENER)
+			mark_refusing(w, now);
 		w->next_hold_at = now + (now - w->unresponsive_since <
 							 SLOW_RETRY_AFTER_MS
 						 ? HOLD_RETRY_MS
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -36,6 +36,7 @@
 	enum http_end end;
 	unsigned status;
 	struct syc_bytes body;
+	bool refused; /* HTTP_NOT_SENT, as nothing listens at the address */
 	const char *not_run; /* header Sycamoreshore-Not-Run, or NULL */
 	const char *index; /* header X-Consul-Index, or NULL */
 	const char *message; /* the error; never NULL */
--- a/src/transport/http_transfer.c
+++ b/src/transport/http_transfer.c
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -218,6 +219,16 @@
 	return HTTP_INCOMPLETE;
 }
 
+static bool is_refused(const struct http_transfer *t)
+{
+	long error = 0;
+
+	if (t->curl_code != CURLE_COULDNT_CONNECT)
+		return false;
+	curl_easy_getinfo(t->easy, CURLINFO_OS_ERRNO, &error);
+	return error == ECONNREFUSED;
+}
+
 void http_transfer_answer(struct http_transfer *t, struct http_answer *a)
 {
 	long status = 0;
@@ -225,6 +236,7 @@
 	memset(a, 0, sizeof(*a));
 	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
 	a->end = classify_end(t, status);
+	a->refused = is_refused(t);
 	if (a->end == HTTP_ANSWERED) {
 		a->status = (unsigned)status;
 		a->body.p = t->in.data;
