--- a/test/unit/drive_fake.c
+++ b/test/unit/drive_fake.c
@@ -86,7 +86,7 @@
 
 void drive_fake_init(struct drive_fake *f, size_t n)
 {
-	struct drive_worker list[FAKE_WORKERS_MAX];
+	struct drive_worker *list = f->workers;
 	struct drive_options opt = {
 		.ctx = f,
 		.lease_ms = 1000,
@@ -103,7 +103,6 @@
 
 	log_level_set(LOG_ERROR);
 	memset(f, 0, sizeof(*f));
-	memset(list, 0, sizeof(list));
 	f->now = 100000;
 	f->n_workers = n;
 	f->drive = drive_new(&opt);
@@ -112,6 +111,8 @@
 		snprintf(list[i].service, sizeof(list[i].service), "s");
 		snprintf(list[i].domain, sizeof(list[i].domain), "d%zu", i % 2);
 		list[i].cpu_milli = 16000;
+		snprintf(list[i].addr.ip, sizeof(list[i].addr.ip), "10.0.0.%zu",
+			 i + 1);
 		list[i].memory_mb = 1000;
 	}
 	drive_set_workers(f->drive, f->now, list, n);
@@ -260,3 +261,14 @@
 {
 	drive_submit(f->drive, f->now, FAKE_HOME, tag, job);
 }
+
+void drive_fake_restart_worker(struct drive_fake *f, int worker)
+{
+	struct drive_worker *w = &f->workers[worker];
+
+	snprintf(w->name, sizeof(w->name), "w%d-%u", worker, ++f->n_restarts);
+	drive_fake_fail_hold(f, worker, DRIVE_CALL_OTHER_INCARNATION);
+	drive_set_workers(f->drive, f->now, f->workers, f->n_workers);
+	drive_fake_advance(f, 10, true);
+	drive_fake_answer_all_holds(f);
+}
--- a/test/unit/drive_fake.h
+++ b/test/unit/drive_fake.h
@@ -32,6 +32,8 @@
 	struct drive *drive;
 	int64_t now;
 	size_t n_workers;
+	struct drive_worker workers[FAKE_WORKERS_MAX];
+	unsigned n_restarts;
 	struct fake_call starts[FAKE_CALLS_MAX];
 	struct fake_call stops[FAKE_CALLS_MAX];
 	struct fake_call holds[FAKE_CALLS_MAX];
@@ -63,6 +65,8 @@
 /* Reports the end of the run of that start in the answer to a hold. */
 void drive_fake_end_run(struct drive_fake *f, size_t start, uint64_t sequence,
 			enum drive_run_result result);
+/* Another incarnation answers at the worker's address, and is listed. */
+void drive_fake_restart_worker(struct drive_fake *f, int worker);
 /* Advances the time by `ms`; open holds are answered if `workers_answer`. */
 void drive_fake_advance(struct drive_fake *f, int64_t ms, bool workers_answer);
 
--- a/test/unit/drive_test.c
+++ b/test/unit/drive_test.c
@@ -628,6 +628,41 @@
 	drive_fake_free(&f);
 }
 
+/*
+ * Crashes the worker of each start of a task, until the task is not started
+ * any more; another worker then runs at its address. Returns the starts.
+ */
+static unsigned crash_each_worker(struct drive_fake *f, unsigned most)
+{
+	unsigned n = 0;
+	size_t i;
+
+	for (i = 0; i < f->n_starts && n < most; i++) {
+		n++;
+		drive_fake_answer_start(f, i, DRIVE_CALL_DONE);
+		drive_fake_fail_hold(f, f->starts[i].worker,
+				     DRIVE_CALL_NO_LISTENER);
+		drive_fake_advance(f, 1500, true);
+		drive_fake_restart_worker(f, f->starts[i].worker);
+		drive_fake_advance(f, 1500, true);
+	}
+	return n;
+}
+
+static void task_that_crashes_its_workers_is_given_up(void)
+{
+	struct drive_job j = drive_fake_job("deadly", 1);
+	struct drive_fake f;
+
+	drive_fake_init(&f, 4);
+	j.deadline_ms = 60000;
+	drive_fake_submit(&f, 1, &j);
+	CU_ASSERT_EQUAL(crash_each_worker(&f, 8), 2);
+	CU_ASSERT_EQUAL(f.n_jobs_done, 1);
+	CU_ASSERT_EQUAL(f.jobs_done[0].outcome, DRIVE_FAILED);
+	drive_fake_free(&f);
+}
+
 static void deadline_ends_a_job(void)
 {
 	struct drive_fake f;
@@ -735,5 +770,6 @@
 	TEST(fence_is_kept_when_a_worker_is_listed_again);
 	TEST(late_driver_refuses_what_it_would_begin_too_late);
 	TEST(late_driver_takes_no_task_for_stalled);
+	TEST(task_that_crashes_its_workers_is_given_up);
 	TEST(deadline_ends_a_job);
 }
