Give up a task that crashes its workers, and isolate the suspects

Cause: job_task_finished counted only ends that a worker reports as failed. A run that was lost with its worker went back to the head of the queue, without end, and harmless tasks that had shared the worker were restarted beside it again.

src/drive/losses.c keeps the losses of each task, with the incarnation that was lost. A loss counts as a crash once another incarnation answers or is listed at the worker's address, and counts no more if the worker answers again or was leaving. Two crashes, one of them alone, or three, end the job as failed at once; after two losses that are not explained yet a task waits; after four without an explanation its outcome is unknown. src/drive/suspects.c restarts a task that was on a worker which refused connections on a worker of its own, so the next crash convicts one task and harms no other; one worker in twelve is used or lost for this at a time. A job that can no longer be in time is queued behind those that can, and does not block them.

A call that finds no listener now also counts as unreachable when an instance probes whether its domain is cut off, as before the result had its own name.

--- a/src/drive/admit.c
+++ b/src/drive/admit.c
@@ -221,6 +221,7 @@
 {
 	uint64_t handle = j->handle;
 	int64_t start_at;
+	uint32_t i;
 
 	if (j->n_done == j->n_tasks) {
 		job_end(d, j, DRIVE_COMPLETED, 0, "completed", now);
@@ -228,6 +229,10 @@
 	}
 	if (j->n_active + j->n_done == j->n_tasks)
 		return;
+	for (i = 0; i < j->n_tasks; i++)
+		if (j->tasks[i].state == TASK_WAITING &&
+		    !suspects_admit(d, j, i, now))
+			return;
 	if (!d->workers.used) {
 		job_end(d, j, DRIVE_REFUSED, REFUSED_RETRY_MS,
 			"no_worker_known", now);
@@ -240,7 +245,9 @@
 	}
 	if (!job_is_settled(d, j, now))
 		probe_all_workers(d, j, now);
-	queue_add(d, j);
+	if (!queue_count_waiting(j))
+		return;
+	queue_add(d, j, now);
 	queue_run(d, now);
 	j = job_get(d, handle);
 	if (!j || !j->queue_link.next || j->has_begun)
--- a/src/drive/drive.c
+++ b/src/drive/drive.c
@@ -14,11 +14,13 @@
 	struct drive *d = xcalloc(1, sizeof(*d));
 
 	d->opt = *opt;
+	d->losses = opt->losses ? opt->losses : losses_new();
 	table_init(&d->workers, sizeof(struct worker));
 	table_init(&d->runs, sizeof(struct run));
 	table_init(&d->jobs, sizeof(struct job));
 	table_init(&d->holds, sizeof(struct hold_call));
 	list_init(&d->queue);
+	list_init(&d->suspect_jobs);
 	list_init(&d->all_jobs);
 	return d;
 }
@@ -48,6 +50,8 @@
 	drop_jobs(d);
 	remove_runs(d);
 	run_times_free(&d->run_times);
+	if (!d->opt.losses)
+		losses_free(d->losses);
 	index_free(&d->worker_names);
 	index_free(&d->run_tasks);
 	index_free(&d->job_ids);
@@ -68,6 +72,8 @@
 	w->next_hold_at = now;
 	w->unresponsive_since = 0;
 	w->refuses_since = 0;
+	w->is_reserved = false;
+	w->isolated_lost_at = 0;
 	w->lease_held_until = 0;
 	w->lease_expired_at = 0;
 	w->cursor = 0;
@@ -150,6 +156,8 @@
 	tick_workers(d, now);
 	tick_runs(d, now);
 	tick_jobs(d, now);
+	losses_tick(d->losses, now);
+	suspects_review(d, now);
 	if (now / QUEUE_CHECK_MS != (now - TICK_MS) / QUEUE_CHECK_MS)
 		d->capacity_changed = true;
 	queue_run(d, now);
@@ -162,7 +170,7 @@
 
 static bool has_waiting_task(const struct job *j)
 {
-	return j->queue_link.next != NULL;
+	return j->queue_link.next || j->n_suspects;
 }
 
 void drive_get_counts(const struct drive *d, struct drive_counts *counts)
--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -171,8 +171,12 @@
 	size_t n_ended;
 };
 
+struct losses;
+
 struct drive_options {
 	void *ctx;
+	/* Outlives the drive and may be shared by several; see losses.h. */
+	struct losses *losses;
 	uint32_t lease_ms;
 	uint32_t hold_wait_ms; /* longest wait of a hold for a run to end */
 	void (*start)(void *ctx, const struct drive_start *call);
@@ -204,6 +208,8 @@
 	uint64_t refused_late; /* as this driver was late */
 	uint64_t silences; /* workers that stopped answering */
 	uint64_t runs_lost; /* with their worker */
+	uint64_t given_up; /* jobs with a task that crashes its workers */
+	uint64_t isolated; /* starts apart from other tasks */
 	uint64_t losses_of_task_max; /* the most runs that a task lost */
 	uint64_t queued, running, workers, workers_usable; /* current */
 	/* From a job's arrival at its home until it begins, in ms. */
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -3,6 +3,7 @@
 #define DRIVE_DRIVE_STATE_H
 
 #include "drive/drive.h"
+#include "drive/losses.h"
 #include "drive/run_time.h"
 #include "util/index.h"
 #include "util/list.h"
@@ -44,6 +45,7 @@
 	uint32_t percent; /* of its work that is done */
 	int64_t percent_at; /* when `percent` last changed */
 	bool is_orphan; /* adopted, and its job is not open here */
+	bool is_isolated; /* no other run may start beside it */
 	bool stopping;
 	bool stop_in_flight;
 	int64_t next_stop_at; /* when the next stop may be sent */
@@ -71,6 +73,10 @@
 	struct list runs;
 	uint32_t n_runs;
 	uint32_t n_orphans; /* adopted runs whose jobs are not open here */
+	uint32_t n_isolated; /* its runs that must be alone */
+	uint64_t losses_seen; /* their version when it last answered */
+	bool is_reserved; /* for a run that must be alone, once it is empty */
+	int64_t isolated_lost_at; /* when such a run was last lost with it */
 	uint64_t epoch; /* above the driver's if raised for this worker */
 	uint64_t fence_step; /* added to the epoch's first fence */
 	uint64_t confirmed_fence; /* highest of an answered hold; zero: none */
@@ -102,6 +108,7 @@
 	uint32_t n_failed;
 	uint32_t n_lost; /* runs lost with their worker */
 	uint64_t run_handle;
+	bool is_suspect; /* it waits for a worker of its own */
 };
 
 /* A home that waits for a job's outcome. */
@@ -130,10 +137,13 @@
 	int64_t deadline_at;
 	struct task *tasks;
 	uint32_t n_tasks, n_done, n_active;
+	uint32_t n_suspects; /* waiting tasks that must be alone */
 	bool has_begun; /* a task of it was started or adopted */
+	bool is_late; /* when it was queued, its objective was missed */
 	void *body;
 	size_t body_len;
 	struct list queue_link; /* used while a task of it waits */
+	struct list suspect_link; /* used while `n_suspects` is not zero */
 	struct list all_link;
 };
 
@@ -145,6 +155,10 @@
 	struct table workers, runs, jobs, holds;
 	struct index worker_names, run_tasks, job_ids;
 	struct list queue; /* of jobs, in the order in which they begin */
+	struct list suspect_jobs; /* with a task that must be alone */
+	struct losses *losses;
+	uint64_t losses_reviewed; /* their version */
+	bool has_suspects; /* a worker may be reserved */
 	struct list all_jobs;
 	struct run_times run_times;
 	char domain_limit[SYC_NAME_MAX]; /* failure domain; empty: all */
@@ -167,6 +181,9 @@
  */
 bool worker_may_hide_runs(const struct drive *d, const struct worker *w,
 			  int64_t since, int64_t now);
+/* Whether it may be used but for what is isolated on it or reserved. */
+bool worker_is_available(const struct drive *d, const struct worker *w,
+			 int64_t now);
 /* Whether the worker may be given another task now. */
 bool worker_is_usable(const struct drive *d, const struct worker *w,
 		      int64_t now);
@@ -212,8 +229,11 @@
 struct run *run_get(const struct drive *d, uint64_t handle);
 /* The run of `task`, or NULL. */
 struct run *run_find(const struct drive *d, const struct drive_task *task);
-void run_start(struct drive *d, struct job *j, uint32_t index, struct worker *w,
-	       int64_t now);
+/* Returns the run's handle. */
+uint64_t run_start(struct drive *d, struct job *j, uint32_t index,
+		   struct worker *w, int64_t now);
+/* Lets no other run start beside this one. */
+void run_isolate(struct worker *w, struct run *r);
 /* Marks a run as running at the first answer or list that shows it. */
 void run_mark_running(struct run *r, int64_t now);
 /* The run of that number on `w`, or NULL. */
@@ -254,8 +274,30 @@
 void job_tick(struct drive *d, struct job *j, int64_t now);
 void job_drop(struct drive *d, struct job *j);
 
+/* suspects.c */
+/* Records the runs of a lost worker, of which nothing else is known. */
+void suspects_record(struct drive *d, struct worker *w, enum loss_cause cause,
+		     int64_t now);
+/*
+ * Decides what becomes of a task that waits: it is queued, isolated, or its job
+ * ends. Returns false if the job has ended.
+ */
+bool suspects_judge(struct drive *d, struct job *j, uint32_t index,
+		    int64_t now);
+/* The same for a task of a job that is submitted; it is not queued yet. */
+bool suspects_admit(struct drive *d, struct job *j, uint32_t index,
+		    int64_t now);
+/* Judges the waiting tasks again if more is known of losses. */
+void suspects_review(struct drive *d, int64_t now);
+/* Starts suspects on workers of their own. */
+void suspects_run(struct drive *d, int64_t now);
+
 /* queue.c */
-void queue_add(struct drive *d, struct job *j);
+/* Tasks that wait for any worker. */
+uint32_t queue_count_waiting(const struct job *j);
+/* Whether tasks of the job may be started now. */
+bool queue_may_start(const struct drive *d, const struct job *j, int64_t now);
+void queue_add(struct drive *d, struct job *j, int64_t now);
 void queue_remove(struct job *j);
 /* Begins the jobs that fit; refuses those that must miss their objective. */
 void queue_run(struct drive *d, int64_t now);
@@ -268,6 +310,8 @@
 bool place_job(struct drive *d, struct job *j, int64_t now);
 /* Starts as many waiting tasks as fit; false: none was started. */
 bool place_some(struct drive *d, struct job *j, int64_t now);
+/* Whether the worker could run a task of `j` if it were empty. */
+bool place_fits_empty(const struct worker *w, const struct job *j);
 /* Whether a task of `j` fits on an empty listed worker. */
 bool place_is_possible(const struct drive *d, const struct job *j);
 
--- a/src/drive/hold.c
+++ b/src/drive/hold.c
@@ -116,6 +116,7 @@
 	log_info("worker_lost", LOG_S("worker", w->info.name),
 		 LOG_S("why", why), LOG_U("runs", w->n_runs),
 		 LOG_I("lease_ended_ms", now - w->lease_expired_at));
+	suspects_record(d, w, LOSS_UNEXPLAINED, now);
 	LIST_EACH(pos, after, &w->runs)
 	{
 		struct run *r = LIST_ITEM(pos, struct run, worker_link);
@@ -127,7 +128,11 @@
 
 void hold_mark_replaced(struct drive *d, struct worker *w, int64_t now)
 {
+	enum loss_cause cause = w->info.leaving ? LOSS_OTHER : LOSS_CRASH;
+
 	w->is_replaced = true;
+	suspects_record(d, w, cause, now);
+	losses_explain(d->losses, w->info.name, cause);
 	hold_finish_runs(d, w, now, "other_life");
 }
 
@@ -225,6 +230,15 @@
 	}
 }
 
+/* The worker has not ended, so none of the runs lost with it has ended it. */
+static void note_still_runs(struct drive *d, struct worker *w)
+{
+	if (w->losses_seen == losses_version(d->losses))
+		return;
+	losses_explain(d->losses, w->info.name, LOSS_OTHER);
+	w->losses_seen = losses_version(d->losses);
+}
+
 static void record_lists(struct drive *d, struct worker *w,
 			 const struct hold_call *h,
 			 const struct drive_hold_answer *lists, int64_t now)
@@ -235,6 +249,7 @@
 	if (w->unresponsive_since)
 		log_info("worker_answers", LOG_S("worker", w->info.name),
 			 LOG_I("silent_ms", now - w->unresponsive_since));
+	note_still_runs(d, w);
 	w->unresponsive_since = 0;
 	w->refuses_since = 0;
 	if (h->fence > w->confirmed_fence)
@@ -249,11 +264,13 @@
 }
 
 /* Nothing listens at the worker's address: its process may have ended. */
-static void mark_refusing(struct worker *w, int64_t now)
+static void mark_refusing(struct drive *d, struct worker *w, int64_t now)
 {
 	if (w->refuses_since)
 		return;
 	w->refuses_since = now;
+	/* The next driver must know if this one is lost before the lease ends. */
+	suspects_record(d, w, LOSS_UNEXPLAINED, now);
 	log_info("worker_refuses", LOG_S("worker", w->info.name),
 		 LOG_U("runs", w->n_runs),
 		 LOG_I("silent_ms", now - w->unresponsive_since));
@@ -318,7 +335,7 @@
 	} else {
 		mark_unresponsive(d, w, now);
 		if (lists->answer.result == DRIVE_CALL_NO_LISTENER)
-			mark_refusing(w, now);
+			mark_refusing(d, w, now);
 		w->next_hold_at = now + (now - w->unresponsive_since <
 							 SLOW_RETRY_AFTER_MS
 						 ? HOLD_RETRY_MS
--- a/src/drive/job.c
+++ b/src/drive/job.c
@@ -34,6 +34,7 @@
 void job_drop(struct drive *d, struct job *j)
 {
 	queue_remove(j);
+	list_remove(&j->suspect_link);
 	list_remove(&j->all_link);
 	index_del(&d->job_ids, id_key(j->id));
 	free(j->tasks);
@@ -186,7 +187,7 @@
 		job_end(d, j, DRIVE_FAILED, 0, "attempts_used_up", now);
 		return;
 	}
-	queue_add(d, j);
+	suspects_judge(d, j, index, now);
 }
 
 void job_tick(struct drive *d, struct job *j, int64_t now)
--- /dev/null
+++ b/src/drive/losses.c
@@ -0,0 +1,229 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "drive/losses.h"
+#include "util/alloc.h"
+#include "util/index.h"
+#include "util/log.h"
+#include "util/table.h"
+
+enum {
+	KEEP_MS = 120000, /* longer than a caller submits a job again */
+	LOSSES_MAX = 8192,
+	/*
+	 * A task is given up after this many crashes, one of them while it was
+	 * alone, or else after one more.
+	 */
+	CRASHES_MAX = 2,
+	/* Losses that may be crashes; the last start is after the third. */
+	UNEXPLAINED_MAX = 4,
+	/* A crashed worker is back, or its address is in use again, by then. */
+	EVIDENCE_WAIT_MS = 6000
+};
+
+struct losses {
+	struct table table; /* of struct loss */
+	struct index tasks; /* that have a loss */
+	uint64_t version;
+};
+
+struct losses *losses_new(void)
+{
+	struct losses *l = xcalloc(1, sizeof(*l));
+
+	table_init(&l->table, sizeof(struct loss));
+	return l;
+}
+
+void losses_free(struct losses *l)
+{
+	if (!l)
+		return;
+	table_free(&l->table);
+	index_free(&l->tasks);
+	free(l);
+}
+
+static struct loss *next_loss(const struct losses *l, uint32_t *pos)
+{
+	uint64_t handle;
+
+	return table_next(&l->table, pos, &handle);
+}
+
+const struct loss *losses_next(const struct losses *l, uint32_t *pos)
+{
+	return next_loss(l, pos);
+}
+
+uint64_t losses_version(const struct losses *l)
+{
+	return l->version;
+}
+
+static struct index_key task_key(const struct drive_task *task)
+{
+	return index_hash_bytes(task, sizeof(*task));
+}
+
+static bool same_task(const struct drive_task *a, const struct drive_task *b)
+{
+	return !memcmp(a, b, sizeof(*a));
+}
+
+static struct loss *find_loss(const struct losses *l,
+			      const struct drive_task *task, const char *worker)
+{
+	struct loss *x;
+	uint32_t pos = 0;
+
+	while ((x = next_loss(l, &pos)))
+		if (same_task(&x->task, task) && !strcmp(x->worker, worker))
+			return x;
+	return NULL;
+}
+
+static void log_loss(const char *event, const struct loss *x)
+{
+	static const char *const causes[] = {"unexplained", "crash", "other"};
+
+	log_info(event, LOG_S("job", x->task.job), LOG_U("task", x->task.index),
+		 LOG_S("worker", x->worker), LOG_S("cause", causes[x->cause]),
+		 LOG_U("alone", x->alone), LOG_U("refused", x->refused));
+}
+
+static void set_cause(struct losses *l, struct loss *x, enum loss_cause cause)
+{
+	/* Another incarnation is certain; that the first one left is not. */
+	if (x->cause == cause || x->cause == LOSS_CRASH)
+		return;
+	x->cause = cause;
+	x->version = ++l->version;
+	log_loss("loss_explained", x);
+}
+
+static void update_loss(struct losses *l, struct loss *x,
+			const struct loss *other)
+{
+	if (other->refused && !x->refused) {
+		x->refused = true;
+		x->version = ++l->version;
+	}
+	if (other->cause)
+		set_cause(l, x, other->cause);
+}
+
+/* A task is forgotten as a whole. */
+static void keep_task(struct losses *l, const struct drive_task *task,
+		      int64_t drop_at)
+{
+	struct loss *x;
+	uint32_t pos = 0;
+
+	index_put(&l->tasks, task_key(task), 1);
+	while ((x = next_loss(l, &pos)))
+		if (same_task(&x->task, task))
+			x->drop_at = drop_at;
+}
+
+void losses_add(struct losses *l, int64_t now, const struct loss *loss)
+{
+	struct loss *x = find_loss(l, &loss->task, loss->worker);
+	void *item;
+
+	if (x) {
+		update_loss(l, x, loss);
+		return;
+	}
+	if (l->table.used >= LOSSES_MAX) {
+		log_warn("too_many_losses", LOG_S("job", loss->task.job));
+		return;
+	}
+	table_add(&l->table, &item);
+	x = item;
+	*x = *loss;
+	keep_task(l, &x->task, now + KEEP_MS);
+	x->version = ++l->version;
+	log_loss("loss_recorded", x);
+}
+
+void losses_explain(struct losses *l, const char *worker, enum loss_cause cause)
+{
+	struct loss *x;
+	uint32_t pos = 0;
+
+	while ((x = next_loss(l, &pos)))
+		if (!strcmp(x->worker, worker))
+			set_cause(l, x, cause);
+}
+
+static bool is_address_reused(const struct loss *x,
+			      const struct drive_worker *list, size_t n)
+{
+	bool reused = false;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (!strcmp(list[i].name, x->worker))
+			return false;
+		reused |= list[i].addr.port == x->addr.port &&
+			  !strcmp(list[i].addr.ip, x->addr.ip);
+	}
+	return reused;
+}
+
+void losses_check_list(struct losses *l, const struct drive_worker *list,
+		       size_t n)
+{
+	struct loss *x;
+	uint32_t pos = 0;
+
+	while ((x = next_loss(l, &pos)))
+		if (x->cause == LOSS_UNEXPLAINED &&
+		    is_address_reused(x, list, n))
+			set_cause(l, x, LOSS_CRASH);
+}
+
+enum loss_verdict losses_judge(const struct losses *l, int64_t now,
+			       const struct drive_task *task)
+{
+	uint32_t n_crashes = 0, n_alone = 0, n_open = 0, pos = 0;
+	bool suspect = false, wait = false;
+	const struct loss *x;
+	uint64_t known;
+
+	if (!index_get(&l->tasks, task_key(task), &known))
+		return LOSS_HARMLESS;
+	while ((x = next_loss(l, &pos))) {
+		if (!same_task(&x->task, task) || x->cause == LOSS_OTHER)
+			continue;
+		if (x->cause == LOSS_CRASH) {
+			n_crashes++;
+			n_alone += x->alone;
+		} else {
+			n_open++;
+			wait |= now < x->at + EVIDENCE_WAIT_MS;
+		}
+		suspect |= x->refused || x->cause == LOSS_CRASH;
+	}
+	if (n_crashes > CRASHES_MAX || (n_crashes == CRASHES_MAX && n_alone))
+		return LOSS_CONVICTED;
+	if (n_crashes + n_open >= UNEXPLAINED_MAX)
+		return wait ? LOSS_WAIT : LOSS_EXHAUSTED;
+	if (wait && n_crashes + n_open >= CRASHES_MAX)
+		return LOSS_WAIT;
+	return suspect ? LOSS_SUSPECT : LOSS_HARMLESS;
+}
+
+void losses_tick(struct losses *l, int64_t now)
+{
+	struct loss *x;
+	uint64_t handle;
+	uint32_t pos = 0;
+
+	while ((x = table_next(&l->table, &pos, &handle)))
+		if (now >= x->drop_at) {
+			index_del(&l->tasks, task_key(&x->task));
+			table_del(&l->table, handle);
+		}
+}
--- a/src/drive/place.c
+++ b/src/drive/place.c
@@ -135,6 +135,11 @@
 	fw->n_tasks_placed++;
 }
 
+static bool is_startable(const struct task *t)
+{
+	return t->state == TASK_WAITING && !t->is_suspect;
+}
+
 /* Fills `picks` with workers for as many waiting tasks as fit. */
 static uint32_t choose_workers(struct drive *d, const struct job *j,
 			       struct worker **picks, int64_t now)
@@ -151,7 +156,7 @@
 	for (i = 0; i < j->n_tasks; i++) {
 		struct free_worker *fw;
 
-		if (j->tasks[i].state != TASK_WAITING)
+		if (!is_startable(&j->tasks[i]))
 			continue;
 		fw = choose_worker(d, j, free_workers, n);
 		if (!fw)
@@ -174,14 +179,14 @@
 	if (n < min_tasks)
 		return 0;
 	for (i = 0; i < j->n_tasks && at < n; i++)
-		if (j->tasks[i].state == TASK_WAITING)
+		if (is_startable(&j->tasks[i]))
 			run_start(d, j, i, picks[at++], now);
 	return n;
 }
 
 bool place_job(struct drive *d, struct job *j, int64_t now)
 {
-	uint32_t waiting = j->n_tasks - j->n_done - j->n_active;
+	uint32_t waiting = queue_count_waiting(j);
 
 	return start_tasks(d, j, waiting, now) == waiting;
 }
@@ -191,6 +196,13 @@
 	return start_tasks(d, j, 1, now) > 0;
 }
 
+bool place_fits_empty(const struct worker *w, const struct job *j)
+{
+	return is_eligible(w, j) && w->info.cpu_milli >= j->cpu_milli &&
+	       w->info.memory_mb >= j->memory_mb &&
+	       w->info.accelerators >= j->accelerators;
+}
+
 bool place_is_possible(const struct drive *d, const struct job *j)
 {
 	const struct worker *w;
@@ -198,10 +210,7 @@
 	uint32_t pos = 0;
 
 	while ((w = table_next(&d->workers, &pos, &handle)))
-		if (w->listed && is_eligible(w, j) &&
-		    w->info.cpu_milli >= j->cpu_milli &&
-		    w->info.memory_mb >= j->memory_mb &&
-		    w->info.accelerators >= j->accelerators)
+		if (w->listed && place_fits_empty(w, j))
 			return true;
 	return false;
 }
--- a/src/drive/queue.c
+++ b/src/drive/queue.c
@@ -18,8 +18,11 @@
 	REFUSED_RETRY_MS = 1000 /* callers get it in whole seconds */
 };
 
+/* A job that can be in time comes before one that is of little use now. */
 static bool precedes(const struct job *a, const struct job *b)
 {
+	if (a->is_late != b->is_late)
+		return b->is_late;
 	if (a->has_begun != b->has_begun)
 		return a->has_begun;
 	if (a->priority != b->priority)
@@ -29,10 +32,11 @@
 	return a->latest_start_at < b->latest_start_at;
 }
 
-void queue_add(struct drive *d, struct job *j)
+void queue_add(struct drive *d, struct job *j, int64_t now)
 {
 	struct list *pos;
 
+	j->is_late = j->has_begun && now > j->latest_start_at;
 	queue_remove(j);
 	for (pos = d->queue.prev; pos != &d->queue; pos = pos->prev)
 		if (!precedes(j, LIST_ITEM(pos, struct job, queue_link)))
@@ -47,9 +51,9 @@
 	list_remove(&j->queue_link);
 }
 
-static uint32_t count_waiting_tasks(const struct job *j)
+uint32_t queue_count_waiting(const struct job *j)
 {
-	return j->n_tasks - j->n_done - j->n_active;
+	return j->n_tasks - j->n_done - j->n_active - j->n_suspects;
 }
 
 static int compare_times(const void *a, const void *b)
@@ -99,7 +103,7 @@
 			      uint32_t free_slots, int64_t now)
 {
 	auto_free int64_t *ends = NULL;
-	uint32_t needed = count_waiting_tasks(j);
+	uint32_t needed = queue_count_waiting(j);
 	const struct run *r;
 	struct list *pos, *after;
 	uint64_t handle;
@@ -113,7 +117,7 @@
 
 		if (other == j)
 			break;
-		needed += count_waiting_tasks(other);
+		needed += queue_count_waiting(other);
 	}
 	if (needed <= free_slots)
 		return now;
@@ -163,6 +167,12 @@
 	return true;
 }
 
+bool queue_may_start(const struct drive *d, const struct job *j, int64_t now)
+{
+	return now < j->deadline_at && job_is_settled(d, j, now) &&
+	       are_homes_reachable(d, j);
+}
+
 /*
  * While the first job of the queue waits, jobs of lower priority may not use
  * the free capacity. The first job may use it at once if it has begun already,
@@ -198,9 +208,7 @@
 static bool try_begin(struct drive *d, struct job *j, bool is_first,
 		      int64_t now)
 {
-	if (now >= j->deadline_at)
-		return false;
-	if (!job_is_settled(d, j, now) || !are_homes_reachable(d, j))
+	if (!queue_may_start(d, j, now))
 		return false;
 	if (place_job(d, j, now)) {
 		queue_remove(j);
@@ -213,7 +221,7 @@
 	}
 	if (is_first && may_begin_partially(d, j, now))
 		begin_partially(d, j, now);
-	return true;
+	return !j->is_late;
 }
 
 void queue_run(struct drive *d, int64_t now)
@@ -225,6 +233,7 @@
 	if (!d->active || !d->capacity_changed)
 		return;
 	d->capacity_changed = false;
+	suspects_run(d, now);
 	LIST_EACH(pos, after, &d->queue)
 	{
 		struct job *j = LIST_ITEM(pos, struct job, queue_link);
--- a/src/drive/run.c
+++ b/src/drive/run.c
@@ -91,6 +91,8 @@
 	w->n_runs--;
 	w->n_orphans -= r->is_orphan;
 	r->is_orphan = false;
+	w->n_isolated -= r->is_isolated;
+	r->is_isolated = false;
 }
 
 static void reserve_resources(struct worker *w, struct run *r,
@@ -135,12 +137,21 @@
 	return j->generation * RUNS_PER_GENERATION + 1;
 }
 
-void run_start(struct drive *d, struct job *j, uint32_t index, struct worker *w,
-	       int64_t now)
+void run_isolate(struct worker *w, struct run *r)
+{
+	if (r->is_isolated)
+		return;
+	r->is_isolated = true;
+	w->n_isolated++;
+}
+
+uint64_t run_start(struct drive *d, struct job *j, uint32_t index,
+		   struct worker *w, int64_t now)
 {
 	struct task *t = &j->tasks[index];
 	struct drive_task task = {.index = index};
 	struct drive_start call = {.worker = &w->info};
+	uint64_t handle;
 	struct run *r;
 
 	memcpy(task.job, j->id, sizeof(task.job));
@@ -166,7 +177,9 @@
 	d->counts.starts++;
 	d->opt.start(d->opt.ctx, &call);
 	/* An idle worker has no hold that would report the run's end. */
+	handle = call.call;
 	hold_tick(d, w, now);
+	return handle;
 }
 
 void run_assign_job(struct drive *d, struct run *r, const struct job *j)
@@ -221,6 +234,8 @@
 	worker_assume_renewed(d, w, now);
 	r->is_orphan = true;
 	w->n_orphans++;
+	if (losses_judge(d->losses, now, &row->task))
+		run_isolate(w, r);
 	if (old) {
 		log_warn("second_run_stopped", LOG_S("job", row->task.job),
 			 LOG_U("task", row->task.index), LOG_U("run", row->run),
--- /dev/null
+++ b/src/drive/suspects.c
@@ -0,0 +1,259 @@
+/*
+ * Starts tasks that may crash workers, the suspects, on workers of their own, so
+ * that the next crash shows which task it was and harms no other. A few workers
+ * at most are used or lost for it at any time.
+ */
+#include "drive/drive_state.h"
+#include "util/alloc.h"
+
+enum {
+	/* One worker in this many may run a suspect or be lost to one. */
+	WORKERS_PER_SUSPECT = 12,
+	/* A worker that a suspect crashed is back after this time, or gone. */
+	LOST_WORKER_COUNTS_MS = 3000
+};
+
+void suspects_record(struct drive *d, struct worker *w, enum loss_cause cause,
+		     int64_t now)
+{
+	struct loss loss = {
+		.addr = w->info.addr,
+		.cause = w->info.leaving ? LOSS_OTHER : cause,
+		.alone = w->n_runs == 1,
+		.refused = w->refuses_since != 0,
+		.at = now,
+	};
+	struct list *pos, *after;
+
+	copy_text(loss.worker, sizeof(loss.worker), w->info.name);
+	if (w->n_isolated)
+		w->isolated_lost_at = now;
+	LIST_EACH(pos, after, &w->runs)
+	{
+		loss.task = LIST_ITEM(pos, struct run, worker_link)->task;
+		losses_add(d->losses, now, &loss);
+	}
+}
+
+static struct drive_task name_task(const struct job *j, uint32_t index)
+{
+	struct drive_task task = {.index = index};
+
+	memcpy(task.job, j->id, sizeof(task.job));
+	return task;
+}
+
+static void set_suspect(struct drive *d, struct job *j, struct task *t,
+			bool is_suspect)
+{
+	if (t->is_suspect == is_suspect)
+		return;
+	t->is_suspect = is_suspect;
+	if (is_suspect)
+		j->n_suspects++;
+	else
+		j->n_suspects--;
+	if (!j->n_suspects)
+		list_remove(&j->suspect_link);
+	else if (!j->suspect_link.next)
+		list_add(&d->suspect_jobs, &j->suspect_link);
+	d->capacity_changed = true;
+}
+
+static void give_up(struct drive *d, struct job *j, uint32_t index,
+		    enum drive_outcome outcome, const char *reason, int64_t now)
+{
+	d->counts.given_up++;
+	log_warn("job_given_up", LOG_S("job", j->id), LOG_U("task", index),
+		 LOG_S("reason", reason));
+	job_end(d, j, outcome, 0, reason, now);
+}
+
+bool suspects_admit(struct drive *d, struct job *j, uint32_t index, int64_t now)
+{
+	const struct drive_task task = name_task(j, index);
+
+	switch (losses_judge(d->losses, now, &task)) {
+	case LOSS_CONVICTED:
+		give_up(d, j, index, DRIVE_FAILED, "crashes_workers", now);
+		return false;
+	case LOSS_EXHAUSTED:
+		give_up(d, j, index, DRIVE_ABORTED, "lost_too_often", now);
+		return false;
+	case LOSS_SUSPECT:
+	case LOSS_WAIT:
+		set_suspect(d, j, &j->tasks[index], true);
+		break;
+	case LOSS_HARMLESS:
+		set_suspect(d, j, &j->tasks[index], false);
+		break;
+	}
+	return true;
+}
+
+bool suspects_judge(struct drive *d, struct job *j, uint32_t index, int64_t now)
+{
+	if (!suspects_admit(d, j, index, now))
+		return false;
+	if (queue_count_waiting(j))
+		queue_add(d, j, now);
+	else
+		queue_remove(j);
+	return true;
+}
+
+void suspects_review(struct drive *d, int64_t now)
+{
+	const struct loss *x;
+	uint32_t pos = 0;
+	struct job *j;
+
+	if (d->losses_reviewed == losses_version(d->losses))
+		return;
+	d->losses_reviewed = losses_version(d->losses);
+	while ((x = losses_next(d->losses, &pos))) {
+		j = job_find(d, x->task.job);
+		if (j && !x->task.step && x->task.index < j->n_tasks &&
+		    j->tasks[x->task.index].state == TASK_WAITING)
+			suspects_judge(d, j, x->task.index, now);
+	}
+}
+
+/* How many workers may run a suspect, or be lost to one, at a time. */
+static uint32_t count_allowed(const struct drive *d, int64_t now)
+{
+	const struct worker *w;
+	uint64_t handle;
+	uint32_t pos = 0, n = 0, used = 0, allowed;
+
+	while ((w = table_next(&d->workers, &pos, &handle))) {
+		n += w->listed;
+		used += w->n_isolated ||
+			(w->isolated_lost_at &&
+			 now - w->isolated_lost_at < LOST_WORKER_COUNTS_MS);
+	}
+	allowed = n / WORKERS_PER_SUSPECT;
+	if (!allowed)
+		allowed = 1;
+	return allowed > used ? allowed - used : 0;
+}
+
+static struct worker *find_empty(const struct drive *d, const struct job *j,
+				 int64_t now)
+{
+	struct worker *w, *found = NULL;
+	uint64_t handle;
+	uint32_t pos = 0;
+
+	while ((w = table_next(&d->workers, &pos, &handle)))
+		if (!w->n_runs && worker_is_available(d, w, now) &&
+		    place_fits_empty(w, j) && (!found || w->is_reserved))
+			found = w;
+	return found;
+}
+
+/* Keeps a worker for `j` that is empty soon, as the fewest tasks run there. */
+static void reserve_worker(struct drive *d, const struct job *j, int64_t now)
+{
+	struct worker *w, *best = NULL;
+	uint64_t handle;
+	uint32_t pos = 0;
+
+	while ((w = table_next(&d->workers, &pos, &handle)))
+		if (worker_is_usable(d, w, now) && place_fits_empty(w, j) &&
+		    (!best || w->n_runs < best->n_runs))
+			best = w;
+	if (best)
+		best->is_reserved = true;
+}
+
+static bool has_reserved(const struct drive *d, const struct job *j,
+			 int64_t now)
+{
+	const struct worker *w;
+	uint64_t handle;
+	uint32_t pos = 0;
+
+	while ((w = table_next(&d->workers, &pos, &handle)))
+		if (w->is_reserved && worker_is_available(d, w, now) &&
+		    place_fits_empty(w, j))
+			return true;
+	return false;
+}
+
+static void release_reserved(struct drive *d)
+{
+	struct worker *w;
+	uint64_t handle;
+	uint32_t pos = 0;
+
+	while ((w = table_next(&d->workers, &pos, &handle)))
+		w->is_reserved = false;
+}
+
+static void start_alone(struct drive *d, struct job *j, uint32_t index,
+			struct worker *w, int64_t now)
+{
+	struct run *r;
+
+	w->is_reserved = false;
+	set_suspect(d, j, &j->tasks[index], false);
+	r = run_get(d, run_start(d, j, index, w, now));
+	if (r)
+		run_isolate(w, r);
+	d->counts.isolated++;
+	log_info("suspect_started", LOG_S("job", j->id), LOG_U("task", index),
+		 LOG_S("worker", w->info.name));
+}
+
+/* Returns how many suspects of the job were started. */
+static uint32_t start_suspects(struct drive *d, struct job *j, uint32_t max,
+			       int64_t now)
+{
+	struct drive_task task;
+	struct worker *w;
+	uint32_t i, n = 0;
+
+	for (i = 0; i < j->n_tasks && n < max; i++) {
+		if (!j->tasks[i].is_suspect)
+			continue;
+		task = name_task(j, i);
+		if (losses_judge(d->losses, now, &task) == LOSS_WAIT)
+			continue;
+		w = find_empty(d, j, now);
+		if (!w) {
+			if (!has_reserved(d, j, now))
+				reserve_worker(d, j, now);
+			break;
+		}
+		start_alone(d, j, i, w, now);
+		n++;
+	}
+	return n;
+}
+
+void suspects_run(struct drive *d, int64_t now)
+{
+	struct list *pos, *after;
+	uint32_t allowed;
+
+	if (list_empty(&d->suspect_jobs)) {
+		if (d->has_suspects)
+			release_reserved(d);
+		d->has_suspects = false;
+		return;
+	}
+	d->has_suspects = true;
+	allowed = count_allowed(d, now);
+	if (!allowed)
+		release_reserved(d);
+	LIST_EACH(pos, after, &d->suspect_jobs)
+	{
+		struct job *j = LIST_ITEM(pos, struct job, suspect_link);
+
+		if (!allowed)
+			break;
+		if (queue_may_start(d, j, now))
+			allowed -= start_suspects(d, j, allowed, now);
+	}
+}
--- a/src/drive/worker.c
+++ b/src/drive/worker.c
@@ -50,8 +50,8 @@
 	return w->listed || now - w->unlisted_at < UNLISTED_MAY_RUN_MS;
 }
 
-bool worker_is_usable(const struct drive *d, const struct worker *w,
-		      int64_t now)
+bool worker_is_available(const struct drive *d, const struct worker *w,
+			 int64_t now)
 {
 	if (!w->listed || w->info.leaving || !worker_is_driven(d, w) ||
 	    !worker_is_confirmed(d, w))
@@ -66,6 +66,13 @@
 	return !w->on_probation || !w->n_runs;
 }
 
+bool worker_is_usable(const struct drive *d, const struct worker *w,
+		      int64_t now)
+{
+	return !w->n_isolated && !w->is_reserved &&
+	       worker_is_available(d, w, now);
+}
+
 void worker_record_success(struct drive *d, struct worker *w)
 {
 	w->failures_in_row = 0;
@@ -206,6 +213,7 @@
 		else
 			add_worker(d, now, &list[i]);
 	}
+	losses_check_list(d->losses, list, n);
 	for (pos = 0; (w = table_next(&d->workers, &pos, &handle));)
 		worker_remove_unlisted(d, w, now);
 	if (!d->workers_known_since)
--- a/src/fleet/isolated.c
+++ b/src/fleet/isolated.c
@@ -110,7 +110,8 @@
 {
 	if (!f->probes_in_flight)
 		return;
-	if (result != DRIVE_CALL_UNANSWERED && result != DRIVE_CALL_NOT_SENT)
+	if (result != DRIVE_CALL_UNANSWERED && result != DRIVE_CALL_NOT_SENT &&
+	    result != DRIVE_CALL_NO_LISTENER)
 		f->has_probe_answer = true;
 	if (--f->probes_in_flight)
 		return;
--- a/test/unit/drive_fake.c
+++ b/test/unit/drive_fake.c
@@ -269,6 +269,5 @@
 	snprintf(w->name, sizeof(w->name), "w%d-%u", worker, ++f->n_restarts);
 	drive_fake_fail_hold(f, worker, DRIVE_CALL_OTHER_INCARNATION);
 	drive_set_workers(f->drive, f->now, f->workers, f->n_workers);
-	drive_fake_advance(f, 10, true);
-	drive_fake_answer_all_holds(f);
+	drive_fake_answer_hold(f, worker, NULL, 0, NULL, 0);
 }
--- a/test/unit/drive_test.c
+++ b/test/unit/drive_test.c
@@ -642,9 +642,9 @@
 		drive_fake_answer_start(f, i, DRIVE_CALL_DONE);
 		drive_fake_fail_hold(f, f->starts[i].worker,
 				     DRIVE_CALL_NO_LISTENER);
-		drive_fake_advance(f, 1500, true);
+		drive_fake_advance(f, 1500, false);
 		drive_fake_restart_worker(f, f->starts[i].worker);
-		drive_fake_advance(f, 1500, true);
+		drive_fake_advance(f, 20, false);
 	}
 	return n;
 }
