Keep a route that crashes workers from the room of other callers

A worker that refuses connections is put down to the route whose task was started last on it. A route with several such crashes lately is risky: its tasks are placed apart from those of other routes while there is room for it, and its jobs are refused at once, as not run, while a third of the workers is lost to it, or an eighth and less than a fifth of the capacity is free. Suspects that were not started last are restarted first; one worker in 48 may be lost to the others at a time, and a job whose suspect cannot be started before its deadline ends at once.

--- a/src/drive/admit.c
+++ b/src/drive/admit.c
@@ -284,6 +284,15 @@
 	return slack_ms < (double)late_ms * LATE_TURNS;
 }
 
+static bool is_route_barred(struct drive *d, const struct drive_job *spec,
+			    int64_t now)
+{
+	/* Another driver may have begun a job that is submitted again. */
+	return !spec->generation &&
+	       suspects_is_route_barred(
+		       d, run_time_get(&d->run_times, spec->route), now);
+}
+
 void drive_submit(struct drive *d, int64_t now, uint64_t home, uint64_t tag,
 		  const struct drive_job *spec)
 {
@@ -308,6 +317,11 @@
 				  "driver_late");
 		return;
 	}
+	if (is_route_barred(d, spec, now)) {
+		refuse_submission(d, home, tag, spec, REFUSED_RETRY_MS,
+				  "route_crashes_workers");
+		return;
+	}
 	j = job_new(d, spec, now);
 	add_waiter(j, home, tag, spec->generation);
 	adopt_runs(d, j);
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -75,6 +75,8 @@
 	uint32_t n_orphans; /* adopted runs whose jobs are not open here */
 	uint32_t n_isolated; /* its runs that must be alone */
 	uint64_t losses_seen; /* their version when it last answered */
+	/* The route whose task was started last when it began to refuse. */
+	const struct run_time *lost_to;
 	bool is_reserved; /* for a run that must be alone, once it is empty */
 	int64_t isolated_lost_at; /* when such a run was last lost with it */
 	uint64_t epoch; /* above the driver's if raised for this worker */
@@ -289,6 +291,12 @@
 		    int64_t now);
 /* Judges the waiting tasks again if more is known of losses. */
 void suspects_review(struct drive *d, int64_t now);
+/*
+ * Whether so many workers are lost to tasks of the route that it gets no more,
+ * for the other routes.
+ */
+bool suspects_is_route_barred(const struct drive *d, const struct run_time *rt,
+			      int64_t now);
 /* Starts suspects on workers of their own. */
 void suspects_run(struct drive *d, int64_t now);
 
--- a/src/drive/losses.c
+++ b/src/drive/losses.c
@@ -215,6 +215,18 @@
 	return suspect ? LOSS_SUSPECT : LOSS_HARMLESS;
 }
 
+bool losses_is_newest(const struct losses *l, const struct drive_task *task)
+{
+	const struct loss *x;
+	uint32_t pos = 0;
+
+	while ((x = next_loss(l, &pos)))
+		if (same_task(&x->task, task) && x->cause != LOSS_OTHER &&
+		    !x->newest)
+			return false;
+	return true;
+}
+
 void losses_tick(struct losses *l, int64_t now)
 {
 	struct loss *x;
--- a/src/drive/losses.h
+++ b/src/drive/losses.h
@@ -22,6 +22,7 @@
 	struct syc_addr addr;
 	enum loss_cause cause;
 	bool alone; /* no other task ran there */
+	bool newest; /* it, or one started with it, was started last there */
 	bool refused; /* nothing listened at the address; hints at a crash */
 	int64_t at;
 	int64_t drop_at;
@@ -55,6 +56,9 @@
 enum loss_verdict losses_judge(const struct losses *l, int64_t now,
 			       const struct drive_task *task);
 
+/* Whether the task was among those started last on each worker it lost. */
+bool losses_is_newest(const struct losses *l, const struct drive_task *task);
+
 /* Drops what is too old to matter. */
 void losses_tick(struct losses *l, int64_t now);
 
--- a/src/drive/place.c
+++ b/src/drive/place.c
@@ -22,6 +22,8 @@
 	uint32_t n_tasks_placed; /* of this job */
 	bool is_slow;
 	bool in_home_domain; /* in the failure domain of the job's home */
+	/* A task on it has the other risk of crashing it than the job's. */
+	bool is_mixed;
 };
 
 static bool has_label(const struct drive_worker *info, const char *label)
@@ -71,9 +73,31 @@
 	return n;
 }
 
+/*
+ * Routes whose tasks crash workers are kept apart from the others, as far as
+ * the free capacity allows.
+ */
+static bool has_other_risk(const struct drive *d, const struct worker *w,
+			   bool is_risky, int64_t now)
+{
+	struct list *pos, *after;
+
+	LIST_EACH(pos, after, &w->runs)
+	{
+		const struct run *r = LIST_ITEM(pos, struct run, worker_link);
+		const struct job *j = job_get(d, r->job);
+
+		if (j && run_time_is_risky(j->run_time, now) != is_risky)
+			return true;
+	}
+	return false;
+}
+
 static size_t collect_workers(const struct drive *d, const struct job *j,
 			      struct free_worker *free_workers, int64_t now)
 {
+	bool is_risky = run_time_is_risky(j->run_time, now);
+	bool has_risky = run_times_has_risky(&d->run_times, now);
 	struct worker *w;
 	uint64_t handle;
 	uint32_t pos = 0;
@@ -95,6 +119,7 @@
 		fw->is_slow = run_time_kind_factor(&d->run_times,
 						   w->info.kind) > slow_factor;
 		fw->in_home_domain = !strcmp(w->info.domain, j->domain);
+		fw->is_mixed = has_risky && has_other_risk(d, w, is_risky, now);
 		if (fits_task(fw, j))
 			n++;
 	}
@@ -104,6 +129,8 @@
 /* Whether `a` is the better worker for one more task. */
 static bool is_better(const struct free_worker *a, const struct free_worker *b)
 {
+	if (a->is_mixed != b->is_mixed)
+		return b->is_mixed;
 	if (a->is_slow != b->is_slow)
 		return b->is_slow;
 	if (a->in_home_domain != b->in_home_domain)
--- a/src/drive/run_time.c
+++ b/src/drive/run_time.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -6,13 +7,17 @@
 
 enum {
 	SAMPLES_MIN = 8, /* fewer samples have no effect */
-	SAMPLES_WINDOW = 64 /* the average covers about the last 64 samples */
+	SAMPLES_WINDOW = 64, /* the average covers about the last 64 samples */
+	CRASH_HALF_MS = 5000 /* a crash counts half after this time */
 };
 
 /* Samples outside of these bounds count as the bound. */
 static const double ratio_min = 0.05;
 static const double ratio_max = 20;
 
+/* One crash may be chance. */
+static const double risky_crashes = 1.5;
+
 struct run_time *run_time_get(struct run_times *t, const char *route)
 {
 	struct run_time *rt;
@@ -96,6 +101,33 @@
 	return declared_ms * ratio;
 }
 
+static double decayed_crashes(const struct run_time *rt, int64_t now)
+{
+	return rt->n_crashes *
+	       exp2(-(double)(now - rt->crash_at) / CRASH_HALF_MS);
+}
+
+void run_time_add_crash(struct run_time *rt, int64_t now)
+{
+	rt->n_crashes = decayed_crashes(rt, now) + 1;
+	rt->crash_at = now;
+}
+
+bool run_time_is_risky(const struct run_time *rt, int64_t now)
+{
+	return rt->n_crashes > 0 && decayed_crashes(rt, now) > risky_crashes;
+}
+
+bool run_times_has_risky(const struct run_times *t, int64_t now)
+{
+	const struct run_time *rt;
+
+	for (rt = t->first; rt; rt = rt->next)
+		if (run_time_is_risky(rt, now))
+			return true;
+	return false;
+}
+
 void run_times_free(struct run_times *t)
 {
 	struct run_time *rt;
--- a/src/drive/run_time.h
+++ b/src/drive/run_time.h
@@ -16,6 +16,9 @@
 	char route[64];
 	double ratio; /* observed over declared, on a worker of factor 1 */
 	uint32_t n_samples;
+	/* Workers that crashed just after a start; half after CRASH_HALF_MS. */
+	double n_crashes;
+	int64_t crash_at; /* when `n_crashes` last changed */
 };
 
 /* The speed of one kind of worker. */
@@ -44,6 +47,11 @@
 
 /* The expected run time on a worker of factor 1, in milliseconds. */
 double run_time_expected_ms(const struct run_time *rt, uint32_t declared_ms);
+/* A worker crashed soon after the start of a task of this route. */
+void run_time_add_crash(struct run_time *rt, int64_t now);
+/* Whether tasks of this route have crashed several workers lately. */
+bool run_time_is_risky(const struct run_time *rt, int64_t now);
+bool run_times_has_risky(const struct run_times *t, int64_t now);
 void run_times_free(struct run_times *t);
 
 #endif
--- a/src/drive/suspects.c
+++ b/src/drive/suspects.c
@@ -7,12 +7,48 @@
 #include "util/alloc.h"
 
 enum {
-	/* One worker in this many may run a suspect or be lost to one. */
-	WORKERS_PER_SUSPECT = 12,
+	/* One worker in this many may run a suspect... */
+	WORKERS_PER_SUSPECT = 24,
+	/* ...or be lost to one that is likely to crash it. */
+	WORKERS_PER_NEWEST = 48,
 	/* A worker that a suspect crashed is back after this time, or gone. */
-	LOST_WORKER_COUNTS_MS = 3000
+	LOST_WORKER_COUNTS_MS = 3000,
+	/* Runs that were started within this time were started together. */
+	STARTED_TOGETHER_MS = 20,
+	/* One worker in this many may be lost to one route. */
+	WORKERS_PER_LOST = 3,
+	/* The same while little capacity is free. */
+	WORKERS_PER_LOST_BUSY = 8,
+	FREE_PERCENT = 20
 };
 
+static int64_t last_start(const struct worker *w)
+{
+	struct list *pos, *after;
+	int64_t last = 0;
+
+	LIST_EACH(pos, after, &w->runs)
+	{
+		const struct run *r = LIST_ITEM(pos, struct run, worker_link);
+
+		if (r->sent_at > last)
+			last = r->sent_at;
+	}
+	return last;
+}
+
+/* A task that crashes workers mostly does so soon after its start. */
+static void blame_route(struct drive *d, struct worker *w, const struct run *r,
+			int64_t now)
+{
+	const struct job *j = job_get(d, r->job);
+
+	if (!j || w->lost_to == j->run_time)
+		return;
+	w->lost_to = j->run_time;
+	run_time_add_crash(j->run_time, now);
+}
+
 void suspects_record(struct drive *d, struct worker *w, enum loss_cause cause,
 		     int64_t now)
 {
@@ -23,6 +59,7 @@
 		.refused = w->refuses_since != 0,
 		.at = now,
 	};
+	int64_t last = last_start(w);
 	struct list *pos, *after;
 
 	copy_text(loss.worker, sizeof(loss.worker), w->info.name);
@@ -30,8 +67,13 @@
 		w->isolated_lost_at = now;
 	LIST_EACH(pos, after, &w->runs)
 	{
-		loss.task = LIST_ITEM(pos, struct run, worker_link)->task;
+		const struct run *r = LIST_ITEM(pos, struct run, worker_link);
+
+		loss.task = r->task;
+		loss.newest = r->sent_at + STARTED_TOGETHER_MS >= last;
 		losses_add(d->losses, now, &loss);
+		if (loss.newest && w->refuses_since == now)
+			blame_route(d, w, r, now);
 	}
 }
 
@@ -119,23 +161,68 @@
 	}
 }
 
-/* How many workers may run a suspect, or be lost to one, at a time. */
-static uint32_t count_allowed(const struct drive *d, int64_t now)
+/* How many more workers may run a suspect now. */
+struct allowance {
+	uint32_t any; /* of workers that run a suspect */
+	uint32_t newest; /* of workers that run one or were lost to one */
+	int64_t next_at; /* when `newest` may rise; zero: unknown */
+};
+
+static uint32_t remaining(uint32_t max, uint32_t used)
+{
+	return max > used ? max - used : 0;
+}
+
+static uint32_t one_in(uint32_t n, uint32_t divisor)
+{
+	return n > divisor ? n / divisor : 1;
+}
+
+static struct allowance count_allowed(const struct drive *d, int64_t now)
+{
+	struct allowance a = {0};
+	const struct worker *w;
+	uint64_t handle;
+	uint32_t pos = 0, n = 0, n_running = 0, n_lost = 0;
+
+	while ((w = table_next(&d->workers, &pos, &handle))) {
+		int64_t back_at = w->isolated_lost_at + LOST_WORKER_COUNTS_MS;
+
+		n += w->listed;
+		if (w->n_isolated) {
+			n_running++;
+		} else if (w->isolated_lost_at && now < back_at) {
+			n_lost++;
+			if (!a.next_at || back_at < a.next_at)
+				a.next_at = back_at;
+		}
+	}
+	a.any = remaining(one_in(n, WORKERS_PER_SUSPECT), n_running);
+	a.newest = remaining(one_in(n, WORKERS_PER_NEWEST), n_running + n_lost);
+	return a;
+}
+
+bool suspects_is_route_barred(const struct drive *d, const struct run_time *rt,
+			      int64_t now)
 {
+	struct drive_room room;
 	const struct worker *w;
 	uint64_t handle;
-	uint32_t pos = 0, n = 0, used = 0, allowed;
+	uint32_t pos = 0, n = 0, n_lost = 0;
 
+	if (!run_time_is_risky(rt, now))
+		return false;
 	while ((w = table_next(&d->workers, &pos, &handle))) {
 		n += w->listed;
-		used += w->n_isolated ||
-			(w->isolated_lost_at &&
-			 now - w->isolated_lost_at < LOST_WORKER_COUNTS_MS);
+		n_lost += w->lost_to == rt && w->refuses_since &&
+			  !w->is_replaced &&
+			  now - w->refuses_since < LOST_WORKER_COUNTS_MS;
 	}
-	allowed = n / WORKERS_PER_SUSPECT;
-	if (!allowed)
-		allowed = 1;
-	return allowed > used ? allowed - used : 0;
+	if (n_lost && n_lost >= n / WORKERS_PER_LOST)
+		return true;
+	drive_get_room(d, now, &room);
+	return n_lost && n_lost >= n / WORKERS_PER_LOST_BUSY &&
+	       room.free_cpu_milli * 100 < room.cpu_milli * FREE_PERCENT;
 }
 
 static struct worker *find_empty(const struct drive *d, const struct job *j,
@@ -206,36 +293,72 @@
 		 LOG_S("worker", w->info.name));
 }
 
-/* Returns how many suspects of the job were started. */
-static uint32_t start_suspects(struct drive *d, struct job *j, uint32_t max,
-			       int64_t now)
+/*
+ * Starts suspects of the job: those that are likely to have crashed their
+ * worker, or the others. Returns false if none can be started any more.
+ */
+static bool start_suspects(struct drive *d, struct job *j, bool newest,
+			   struct allowance *a, int64_t now)
 {
 	struct drive_task task;
 	struct worker *w;
-	uint32_t i, n = 0;
+	uint32_t i;
 
-	for (i = 0; i < j->n_tasks && n < max; i++) {
+	for (i = 0; i < j->n_tasks; i++) {
+		if (!a->any || (newest && !a->newest))
+			return false;
 		if (!j->tasks[i].is_suspect)
 			continue;
 		task = name_task(j, i);
-		if (losses_judge(d->losses, now, &task) == LOSS_WAIT)
+		if (losses_is_newest(d->losses, &task) != newest ||
+		    losses_judge(d->losses, now, &task) == LOSS_WAIT)
 			continue;
 		w = find_empty(d, j, now);
 		if (!w) {
 			if (!has_reserved(d, j, now))
 				reserve_worker(d, j, now);
-			break;
+			return true;
 		}
 		start_alone(d, j, i, w, now);
-		n++;
+		a->any--;
+		a->newest -= a->newest > 0;
 	}
-	return n;
+	return true;
 }
 
-void suspects_run(struct drive *d, int64_t now)
+static void start_all(struct drive *d, bool newest, struct allowance *a,
+		      int64_t now)
 {
 	struct list *pos, *after;
-	uint32_t allowed;
+
+	LIST_EACH(pos, after, &d->suspect_jobs)
+	{
+		struct job *j = LIST_ITEM(pos, struct job, suspect_link);
+
+		if (queue_may_start(d, j, now) &&
+		    !start_suspects(d, j, newest, a, now))
+			return;
+	}
+}
+
+/* Ends the jobs whose suspects cannot be started in time any more. */
+static void end_hopeless(struct drive *d, const struct allowance *a,
+			 int64_t now)
+{
+	struct list *pos, *after;
+
+	LIST_EACH(pos, after, &d->suspect_jobs)
+	{
+		struct job *j = LIST_ITEM(pos, struct job, suspect_link);
+
+		if (!a->newest && a->next_at >= j->deadline_at)
+			job_end(d, j, DRIVE_ABORTED, 0, "no_room_in_time", now);
+	}
+}
+
+void suspects_run(struct drive *d, int64_t now)
+{
+	struct allowance a;
 
 	if (list_empty(&d->suspect_jobs)) {
 		if (d->has_suspects)
@@ -244,16 +367,10 @@
 		return;
 	}
 	d->has_suspects = true;
-	allowed = count_allowed(d, now);
-	if (!allowed)
+	a = count_allowed(d, now);
+	if (!a.any)
 		release_reserved(d);
-	LIST_EACH(pos, after, &d->suspect_jobs)
-	{
-		struct job *j = LIST_ITEM(pos, struct job, suspect_link);
-
-		if (!allowed)
-			break;
-		if (queue_may_start(d, j, now))
-			allowed -= start_suspects(d, j, allowed, now);
-	}
+	start_all(d, false, &a, now);
+	start_all(d, true, &a, now);
+	end_hopeless(d, &a, now);
 }
