Count each lost run, and end the wait for an explanation

A task that was lost twice with the same incarnation of a worker had one loss, and one whose wait for an explanation had passed was started whatever its number of losses was. task_lost_without_explanation_is_started_four_times_at_most failed before (8 starts) and passes with 4.

--- a/src/drive/losses.c
+++ b/src/drive/losses.c
@@ -71,14 +71,15 @@
 	return !memcmp(a, b, sizeof(*a));
 }
 
-static struct loss *find_loss(const struct losses *l,
-			      const struct drive_task *task, const char *worker)
+static struct loss *find_loss(const struct losses *l, const struct loss *wanted)
 {
 	struct loss *x;
 	uint32_t pos = 0;
 
 	while ((x = next_loss(l, &pos)))
-		if (same_task(&x->task, task) && !strcmp(x->worker, worker))
+		if (x->run == wanted->run &&
+		    same_task(&x->task, &wanted->task) &&
+		    !strcmp(x->worker, wanted->worker))
 			return x;
 	return NULL;
 }
@@ -128,7 +129,7 @@
 
 void losses_add(struct losses *l, int64_t now, const struct loss *loss)
 {
-	struct loss *x = find_loss(l, &loss->task, loss->worker);
+	struct loss *x = find_loss(l, loss);
 	void *item;
 
 	if (x) {
--- a/src/drive/losses.h
+++ b/src/drive/losses.h
@@ -18,6 +18,7 @@
 /* The loss of one run. */
 struct loss {
 	struct drive_task task;
+	uint32_t run; /* number of the run that was lost */
 	char worker[SYC_NAME_MAX]; /* the incarnation that was lost */
 	struct syc_addr addr;
 	enum loss_cause cause;
@@ -42,7 +43,7 @@
 struct losses *losses_new(void);
 void losses_free(struct losses *l);
 
-/* Records that a run of `task` was lost with `worker`, once for each worker. */
+/* Records the loss of a run; of a known one, what is new. */
 void losses_add(struct losses *l, int64_t now, const struct loss *loss);
 
 /* Sets the cause of all losses with the incarnation `worker`. */
--- a/src/drive/suspects.c
+++ b/src/drive/suspects.c
@@ -70,6 +70,7 @@
 		const struct run *r = LIST_ITEM(pos, struct run, worker_link);
 
 		loss.task = r->task;
+		loss.run = r->number;
 		loss.newest = r->sent_at + STARTED_TOGETHER_MS >= last;
 		losses_add(d->losses, now, &loss);
 		if (loss.newest && w->refuses_since == now)
@@ -300,6 +301,7 @@
 static bool start_suspects(struct drive *d, struct job *j, bool newest,
 			   struct allowance *a, int64_t now)
 {
+	enum loss_verdict verdict;
 	struct drive_task task;
 	struct worker *w;
 	uint32_t i;
@@ -310,8 +312,16 @@
 		if (!j->tasks[i].is_suspect)
 			continue;
 		task = name_task(j, i);
-		if (losses_is_newest(d->losses, &task) != newest ||
-		    losses_judge(d->losses, now, &task) == LOSS_WAIT)
+		verdict = losses_judge(d->losses, now, &task);
+		if (verdict == LOSS_WAIT)
+			continue;
+		/* A wait has ended without an explanation. */
+		if (verdict != LOSS_SUSPECT) {
+			if (!suspects_judge(d, j, i, now))
+				return true;
+			continue;
+		}
+		if (losses_is_newest(d->losses, &task) != newest)
 			continue;
 		w = find_empty(d, j, now);
 		if (!w) {
