Share what is known of lost runs, and check crashes in the model

Callers' jobs with a task that crashes its workers were started again and again where the driver changed: the losses were known to the driver alone.

Each instance now has one table of losses, for all its cells. The driver tells its peers of each change over links whose heartbeats say that they read it, other instances tell the driver, and a driver of another cell tells its own peers. The loss is recorded when connections are refused, not when the lease has ended, so that it survives a driver that is killed in between.

It checks that a task is started once at most after its third crash and that no job fails unless two workers have crashed under one of its tasks.

- a start sent just after the crash was taken for a run; its refusal now says at once that the worker does not listen, and only runs that were seen count;
- a worker that was silent until the lease had ended and then restarted was taken for crashed; now connections must have been refused, or the run be active;

--- a/include/sycamoreshore/peer_type.h
+++ b/include/sycamoreshore/peer_type.h
@@ -41,6 +41,7 @@
 	SYC_PEER_CELL_REPORTS, /* what a driver knows of the other cells */
 	SYC_PEER_WORKERS_REQUEST, /* asks a peer to read the workers' list */
 	SYC_PEER_WORKERS_READ, /* the list that it has read */
+	SYC_PEER_LOSSES, /* runs that were lost with their workers */
 	/* a value in the store; it is never sent to a peer */
 	SYC_STORED_FLEET_MAP = 96
 };
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -66,9 +66,10 @@
 struct worker {
 	uint64_t handle;
 	struct drive_worker info;
-	bool listed;
 	int64_t unlisted_at;
+	bool listed;
 	bool is_replaced; /* another incarnation answered at its address */
+	bool is_reserved; /* for a run that must be alone, once it is empty */
 	uint32_t used_cpu_milli, used_memory_mb, used_accelerators;
 	struct list runs;
 	uint32_t n_runs;
@@ -77,7 +78,6 @@
 	uint64_t losses_seen; /* their version when it last answered */
 	/* The route whose task was started last when it began to refuse. */
 	const struct run_time *lost_to;
-	bool is_reserved; /* for a run that must be alone, once it is empty */
 	int64_t isolated_lost_at; /* when such a run was last lost with it */
 	uint64_t epoch; /* above the driver's if raised for this worker */
 	uint64_t fence_step; /* added to the epoch's first fence */
@@ -224,6 +224,8 @@
 /* Finishes the worker's runs: its lease or its incarnation has ended. */
 void hold_finish_runs(struct drive *d, struct worker *w, int64_t now,
 		      const char *why);
+/* Nothing listens at the worker's address. */
+void hold_mark_refusing(struct drive *d, struct worker *w, int64_t now);
 /* Finishes the worker's runs, as another process answers at its address. */
 void hold_mark_replaced(struct drive *d, struct worker *w, int64_t now);
 
--- a/src/drive/hold.c
+++ b/src/drive/hold.c
@@ -289,6 +289,12 @@
 		 LOG_I("lease_left_ms", w->lease_expired_at - now));
 }
 
+void hold_mark_refusing(struct drive *d, struct worker *w, int64_t now)
+{
+	mark_unresponsive(d, w, now);
+	mark_refusing(d, w, now);
+}
+
 static void handle_fenced(struct drive *d, struct worker *w,
 			  const struct hold_call *h, int64_t now)
 {
@@ -333,9 +339,10 @@
 	} else if (lists->answer.result == DRIVE_CALL_FENCED) {
 		handle_fenced(d, w, &h, now);
 	} else {
-		mark_unresponsive(d, w, now);
 		if (lists->answer.result == DRIVE_CALL_NO_LISTENER)
-			mark_refusing(d, w, now);
+			hold_mark_refusing(d, w, now);
+		else
+			mark_unresponsive(d, w, now);
 		w->next_hold_at = now + (now - w->unresponsive_since <
 							 SLOW_RETRY_AFTER_MS
 						 ? HOLD_RETRY_MS
--- a/src/drive/losses.c
+++ b/src/drive/losses.c
@@ -103,6 +103,17 @@
 	log_loss("loss_explained", x);
 }
 
+/*
+ * A run that was lost with a silent worker may have ended with its lease before
+ * the worker crashed, and one that was not seen may never have begun. If nothing
+ * listened at the worker's address, it had crashed.
+ */
+static void explain(struct losses *l, struct loss *x, enum loss_cause cause)
+{
+	if (cause != LOSS_CRASH || (x->refused && x->seen))
+		set_cause(l, x, cause);
+}
+
 static void update_loss(struct losses *l, struct loss *x,
 			const struct loss *other)
 {
@@ -155,7 +166,7 @@
 
 	while ((x = next_loss(l, &pos)))
 		if (!strcmp(x->worker, worker))
-			set_cause(l, x, cause);
+			explain(l, x, cause);
 }
 
 static bool is_address_reused(const struct loss *x,
@@ -182,7 +193,7 @@
 	while ((x = next_loss(l, &pos)))
 		if (x->cause == LOSS_UNEXPLAINED &&
 		    is_address_reused(x, list, n))
-			set_cause(l, x, LOSS_CRASH);
+			explain(l, x, LOSS_CRASH);
 }
 
 enum loss_verdict losses_judge(const struct losses *l, int64_t now,
--- a/src/drive/losses.h
+++ b/src/drive/losses.h
@@ -25,6 +25,7 @@
 	bool alone; /* no other task ran there */
 	bool newest; /* it, or one started with it, was started last there */
 	bool refused; /* nothing listened at the address; hints at a crash */
+	bool seen; /* the worker had answered that it runs */
 	int64_t at;
 	int64_t drop_at;
 	uint64_t version; /* higher for each change to any loss */
--- a/src/drive/run_calls.c
+++ b/src/drive/run_calls.c
@@ -34,6 +34,8 @@
 		worker_eject(d, w, now, "refuses_starts");
 	if (result == DRIVE_CALL_NO_CAPACITY)
 		hold_probe(d, w, now);
+	if (result == DRIVE_CALL_NO_LISTENER)
+		hold_mark_refusing(d, w, now);
 	run_finish(d, r, DRIVE_RUN_OTHER, now);
 }
 
--- a/src/drive/suspects.c
+++ b/src/drive/suspects.c
@@ -15,6 +15,8 @@
 	LOST_WORKER_COUNTS_MS = 3000,
 	/* Runs that were started within this time were started together. */
 	STARTED_TOGETHER_MS = 20,
+	/* Lists of active runs come more often than this. */
+	SEEN_LATELY_MS = 250,
 	/* One worker in this many may be lost to one route. */
 	WORKERS_PER_LOST = 3,
 	/* The same while little capacity is free. */
@@ -49,16 +51,28 @@
 	run_time_add_crash(j->run_time, now);
 }
 
+/* Its end may have been lost with the worker if it was last seen long ago. */
+static bool was_seen(const struct worker *w, const struct run *r, int64_t now)
+{
+	int64_t seen_at = r->running_at;
+
+	if (r->state != RUN_RUNNING)
+		return false;
+	if (w->listed_runs_at > seen_at)
+		seen_at = w->listed_runs_at;
+	return now - seen_at <= SEEN_LATELY_MS;
+}
+
 void suspects_record(struct drive *d, struct worker *w, enum loss_cause cause,
 		     int64_t now)
 {
 	struct loss loss = {
 		.addr = w->info.addr,
-		.cause = w->info.leaving ? LOSS_OTHER : cause,
 		.alone = w->n_runs == 1,
 		.refused = w->refuses_since != 0,
 		.at = now,
 	};
+	enum loss_cause known = w->info.leaving ? LOSS_OTHER : cause;
 	int64_t last = last_start(w);
 	struct list *pos, *after;
 
@@ -70,7 +84,13 @@
 		const struct run *r = LIST_ITEM(pos, struct run, worker_link);
 
 		loss.task = r->task;
+		/* The answer to its start may say that it has not begun. */
+		if (r->state != RUN_RUNNING && w->refuses_since == now)
+			continue;
 		loss.run = r->number;
+		loss.seen = was_seen(w, r, now);
+		loss.cause = loss.seen || w->info.leaving ? known
+							  : LOSS_UNEXPLAINED;
 		loss.newest = r->sent_at + STARTED_TOGETHER_MS >= last;
 		losses_add(d->losses, now, &loss);
 		if (loss.newest && w->refuses_since == now)
--- a/src/fleet/cells.c
+++ b/src/fleet/cells.c
@@ -13,6 +13,7 @@
 	struct cells *c = xcalloc(1, sizeof(*c));
 
 	c->opt = *opt;
+	c->opt.losses = losses_new();
 	c->rng.state = opt->self.id;
 	table_init(&c->jobs, sizeof(struct cell_job));
 	c->whole.cells = c;
@@ -30,6 +31,7 @@
 		fleet_free(c->cells[i].fleet);
 	fleet_free(c->whole.fleet);
 	cell_jobs_free(c);
+	losses_free(c->opt.losses);
 	free(c);
 }
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -179,6 +179,7 @@
 	struct fleet *f = xcalloc(1, sizeof(*f));
 	struct drive_options drive = {
 		.ctx = f,
+		.losses = opt->losses,
 		.lease_ms = opt->lease_ms,
 		.hold_wait_ms = opt->hold_wait_ms,
 		.start = on_start,
@@ -226,6 +227,7 @@
 		election_tick(f, now);
 	workers_tick(f, now);
 	drive_tick(f->drive, now);
+	losses_sync_tick(f, now);
 	home_tick(f, now);
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -59,6 +59,7 @@
 	uint32_t capacity; /* starts a second; zero: unknown */
 	uint32_t lease_ms;
 	uint32_t hold_wait_ms;
+	struct losses *losses; /* of this instance; cells.h sets it */
 	void *ctx;
 	/* Opens a link to the instance at this address and keeps it open. */
 	void (*dial)(void *ctx, const struct syc_addr *addr);
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -2,6 +2,7 @@
 #ifndef FLEET_FLEET_STATE_H
 #define FLEET_FLEET_STATE_H
 
+#include "drive/losses.h"
 #include "fleet/fleet.h"
 #include "fleet/fleet_map.h"
 #include "fleet/key_watch.h"
@@ -35,6 +36,8 @@
 	int64_t config_sent_at;
 	/* Its `uptime_ms` as it sent it, which it gets back as an echo. */
 	uint64_t sent_at_ms;
+	bool knows_losses; /* it reads reports of lost runs */
+	uint64_t losses_sent; /* the version that it has been sent */
 };
 
 /* A job that a caller submitted to this instance. */
@@ -341,6 +344,15 @@
 void reader_answer(struct fleet *f, int64_t now,
 		   const struct drive_worker *list, size_t n);
 
+/* losses_sync.c */
+/*
+ * Tells peers of runs that were lost with their worker: the driver tells all,
+ * the others tell the driver.
+ */
+void losses_sync_tick(struct fleet *f, int64_t now);
+bool losses_sync_receive(struct fleet *f, int64_t now, struct fleet_peer *p,
+			 struct syc_bytes msg);
+
 /* fleet_msgs.c */
 void msg_job_pack(struct wire_out *w, uint64_t tag,
 		  const struct drive_job *job);
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -18,7 +18,7 @@
 	 * list of workers.
 	 */
 	DOMAIN_UNREACHABLE_MS = 5000,
-	HEARTBEAT_FIELDS = 18,
+	HEARTBEAT_FIELDS = 19,
 	/* Descriptors, two for each, run out before. */
 	PEERS_MAX = 8192
 };
@@ -102,6 +102,7 @@
 	wire_put_u64(&w, get_age_ms(&f->map_watch, now));
 	wire_put_u64(&w, f->whole->map.index);
 	wire_put_u64(&w, get_age_ms(&f->whole->map_watch, now));
+	wire_put_bool(&w, true); /* it reads reports of lost runs */
 	if (f->opt.send(f->opt.ctx, to, wire_bytes(&w)) && p)
 		p->knows_division = fleet_is_divided(f);
 }
@@ -230,8 +231,7 @@
 		key_watch_note_newer(&g->map_watch);
 }
 
-static void read_ages(struct fleet *f, const struct fleet_peer *p,
-		      struct wire_in *w)
+static void read_ages(struct fleet *f, struct fleet_peer *p, struct wire_in *w)
 {
 	int64_t echo_ms = (int64_t)wire_u64(w);
 	int64_t config_age_ms = (int64_t)wire_u64(w);
@@ -249,6 +249,8 @@
 	map_age_ms = (int64_t)wire_u64(w);
 	if (!w->failed)
 		read_map_age(f, f->whole, echo_ms, map_index, map_age_ms);
+	if (wire_has_more(w))
+		p->knows_losses = wire_bool(w);
 }
 
 static void log_newer_config(const struct fleet *f, const struct fleet_peer *p,
@@ -338,6 +340,7 @@
 		p = new_peer(f);
 	p->instance = *inst;
 	p->link_up = true;
+	p->losses_sent = 0;
 }
 
 static bool is_domain_reachable(const struct fleet *f, const char *domain,
--- a/src/fleet/receive.c
+++ b/src/fleet/receive.c
@@ -99,6 +99,8 @@
 		return reader_receive_request(f, now, from, msg);
 	case SYC_PEER_WORKERS_READ:
 		return reader_receive_list(f, now, msg);
+	case SYC_PEER_LOSSES:
+		return losses_sync_receive(f, now, p, msg);
 	case SYC_PEER_WORKERS:
 		return workers_receive(f, now, msg);
 	default:
--- a/test/sim/fleet_random.c
+++ b/test/sim/fleet_random.c
@@ -28,6 +28,8 @@
 	unsigned cut_watches, end_store_fault;
 	unsigned late_percent;
 	unsigned long_runs;
+	unsigned deadly; /* jobs with a task that crashes workers */
+	unsigned crash_worker;
 	bool callers_leave_early; /* if their home is not reachable */
 };
 
@@ -219,6 +221,9 @@
 			fsim_cut_instance(s, k, false);
 	if (rates->is_mixed)
 		inject_mixed_faults(s, rates);
+	k = rates->crash_worker ? (int)rng_below(&s->rng, FSIM_WORKERS) : -1;
+	if (k >= 0 && s->workers[k].up && happens(s, rates->crash_worker))
+		fsim_crash_worker(s, k);
 }
 
 static void repair_all(struct fsim *s)
@@ -251,6 +256,10 @@
 {
 	uint32_t run_ms = happens(s, rates->long_runs) ? 900 : 80;
 
+	if (rates->deadly && happens(s, rates->deadly) &&
+	    s->n_jobs + PROBE_JOBS < FSIM_JOBS)
+		fsim_submit_deadly(s, (int)rng_below(&s->rng, FSIM_DOMAINS),
+				   1 + (uint32_t)rng_below(&s->rng, 4));
 	if (s->n_jobs + PROBE_JOBS < FSIM_JOBS && happens(s, 350))
 		fsim_submit(s, (int)rng_below(&s->rng, FSIM_DOMAINS),
 			    1 + (uint32_t)rng_below(&s->rng, 4), run_ms);
@@ -277,14 +286,18 @@
 bool fsim_run_random(uint64_t seed, int64_t ms, enum fsim_mode mode,
 		     char *message, size_t size)
 {
-	struct fsim *s = mode == FSIM_DIVIDED ? fsim_new_divided(seed)
-					      : fsim_new(seed);
+	bool divided = mode == FSIM_DIVIDED || mode == FSIM_DIVIDED_DEADLY;
+	struct fsim *s = divided ? fsim_new_divided(seed) : fsim_new(seed);
 	int64_t until = s->now + ms;
 	struct fault_rates rates = plain_rates;
 	bool ok;
 
 	if (mode != FSIM_PLAIN)
 		vary_all_rates(s, &rates);
+	if (mode >= FSIM_DEADLY) {
+		rates.deadly = 30;
+		rates.crash_worker = vary_rate(s, 8);
+	}
 	s->callers_leave_early = rates.callers_leave_early;
 	while (s->now < until) {
 		inject_faults(s, &rates);
@@ -294,7 +307,8 @@
 	repair_all(s);
 	log_info("healed", LOG_I("now", s->now));
 	fsim_run(s, QUIET_MS);
-	ok = !s->n_double_runs && !s->n_false_refusals && !s->n_late_configs;
+	ok = !s->n_double_runs && !s->n_false_refusals && !s->n_late_configs &&
+	     !s->n_over_budget && !s->n_false_failures;
 	snprintf(message, size, "%s", s->message);
 	if (ok)
 		ok = check_jobs_are_served(s, message, size);
--- a/test/sim/fleet_sim.c
+++ b/test/sim/fleet_sim.c
@@ -341,6 +341,7 @@
 
 	if (!i->fleet)
 		return;
+	log_info("killed", LOG_I("now", s->now), LOG_I("index", instance));
 	fake_store_end_client(i->store);
 	cells_free(i->cells);
 	i->cells = NULL;
@@ -380,6 +381,7 @@
 	int domain = w->domain;
 	bool cut = w->cut;
 
+	fsim_count_crash(s, w);
 	memset(w, 0, sizeof(*w));
 	w->domain = domain;
 	w->cut = cut;
@@ -391,6 +393,18 @@
 		 (unsigned long long)++s->next_id);
 	snprintf(w->info.domain, sizeof(w->info.domain), "d%d", domain);
 	copy_text(w->info.service, sizeof(w->info.service), "s");
+	copy_text(w->info.addr.ip, sizeof(w->info.addr.ip), "10.0.0.1");
+	w->info.addr.port = (uint16_t)(worker + 1);
+}
+
+void fsim_crash_worker(struct fsim *s, int worker)
+{
+	struct fsim_worker *w = &s->workers[worker];
+
+	fsim_count_crash(s, w);
+	w->n_runs = 0;
+	w->up = false;
+	w->restarts_at = s->now + RESTART_MS;
 }
 
 void fsim_set_listed(struct fsim *s, int worker, bool listed)
@@ -432,6 +446,21 @@
 				unlink_instances(s, a, b);
 }
 
+static void tick_worker(struct fsim *s, int k)
+{
+	struct fsim_worker *w = &s->workers[k];
+	size_t i;
+
+	if (w->restarts_at && s->now >= w->restarts_at)
+		fsim_restart_worker(s, k);
+	for (i = 0; i < w->n_runs; i++)
+		if (w->runs[i].crashes_at && s->now >= w->runs[i].crashes_at)
+			break;
+	if (i < w->n_runs)
+		fsim_crash_worker(s, k);
+	fsim_worker_tick(s, w);
+}
+
 static void advance_one_ms(struct fsim *s)
 {
 	size_t i;
@@ -447,7 +476,7 @@
 						s->instances[k].paused_until;
 	fake_store_run(&s->store, s->now);
 	for (k = 0; k < FSIM_WORKERS; k++)
-		fsim_worker_tick(s, &s->workers[k]);
+		tick_worker(s, k);
 	while (s->events && s->events->at <= s->now) {
 		struct fsim_event *e = s->events;
 
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -17,6 +17,7 @@
 	FSIM_DOMAINS = 3,
 	FSIM_WORKERS = 12,
 	FSIM_RUNS = 16, /* on one worker */
+	FSIM_TASKS = 8, /* of one job, of which crashes are counted */
 	FSIM_ENDS = 64, /* ended runs of one worker, not acknowledged yet */
 	FSIM_JOBS = 4096,
 	FSIM_CONFIGS = 1024,
@@ -49,6 +50,7 @@
 	struct drive_task task;
 	uint32_t number;
 	int64_t began_at, ends_at;
+	int64_t crashes_at; /* when it crashes its worker; zero: never */
 };
 
 struct fsim_end {
@@ -64,6 +66,7 @@
 	bool up;
 	bool listed;
 	bool cut; /* cut off from all instances */
+	int64_t restarts_at; /* it has crashed and refuses calls; zero: not */
 	bool loses_answers; /* carries out calls, but its answers are lost */
 	uint64_t fence;
 	int64_t lease_expires_at; /* on its clock */
@@ -86,6 +89,9 @@
 	int64_t sent_at, deadline_at, retry_at; /* zero: not set */
 	bool answered;
 	enum fleet_outcome outcome;
+	bool is_deadly; /* its first task crashes each worker */
+	unsigned crashes[FSIM_TASKS]; /* under each task */
+	unsigned starts_after_crashes; /* of the first task, after the third */
 	bool started; /* a task of it was started in any attempt */
 	bool may_have_run; /* an earlier attempt was not refused */
 	int64_t began_at; /* when it was first submitted */
@@ -131,6 +137,8 @@
 	unsigned n_double_runs; /* two runs of a task at one time */
 	unsigned n_false_refusals; /* answered as not run after a start */
 	unsigned n_late_configs; /* instances with too old a configuration */
+	unsigned n_over_budget; /* starts of tasks that crash workers */
+	unsigned n_false_failures; /* failed, though no task had crashed two */
 	char message[160]; /* describes the first failed check */
 };
 
@@ -149,6 +157,8 @@
 
 /* Submits a job as a caller of `domain`. */
 void fsim_submit(struct fsim *s, int domain, uint32_t n_tasks, uint32_t run_ms);
+/* The same, but its first task crashes each worker that starts it. */
+void fsim_submit_deadly(struct fsim *s, int domain, uint32_t n_tasks);
 
 void fsim_kill(struct fsim *s, int instance);
 void fsim_start(struct fsim *s, int instance);
@@ -173,7 +183,9 @@
 	FSIM_PLAIN,
 	/* Some kinds of faults are left out and others are more frequent. */
 	FSIM_MIXED,
-	FSIM_DIVIDED /* mixed, with a fleet that is divided into cells */
+	FSIM_DIVIDED, /* mixed, with a fleet that is divided into cells */
+	FSIM_DEADLY, /* mixed, with tasks that crash workers */
+	FSIM_DIVIDED_DEADLY
 };
 
 /*
@@ -183,8 +195,13 @@
 bool fsim_run_random(uint64_t seed, int64_t ms, enum fsim_mode mode,
 		     char *message, size_t size);
 
+/* Ends the worker's process; another starts at its address later. */
+void fsim_crash_worker(struct fsim *s, int worker);
+
 /* fleet_sim_worker.c: ends what is due and carries out calls. */
 void fsim_worker_tick(struct fsim *s, struct fsim_worker *w);
+/* Counts the crash of the worker for the tasks that run there. */
+void fsim_count_crash(struct fsim *s, const struct fsim_worker *w);
 enum drive_call_result fsim_worker_start(struct fsim *s, struct fsim_worker *w,
 					 const struct drive_task *task,
 					 uint32_t run, uint64_t fence,
--- a/test/sim/fleet_sim_callers.c
+++ b/test/sim/fleet_sim_callers.c
@@ -5,6 +5,23 @@
 #include "util/invariant.h"
 #include "util/log.h"
 
+/* A job fails only if two workers have crashed under one of its tasks. */
+static void check_failure(struct fsim *s, const struct fsim_job *j,
+			  const struct fleet_answer *answer)
+{
+	size_t i;
+
+	if (answer->outcome != FLEET_FAILED)
+		return;
+	for (i = 0; i < FSIM_TASKS; i++)
+		if (j->crashes[i] >= 2)
+			return;
+	if (!s->n_false_failures++ && !*s->message)
+		snprintf(s->message, sizeof(s->message),
+			 "at %lld ms: %.20s failed (%.40s)", (long long)s->now,
+			 j->id, answer->reason);
+}
+
 void fsim_on_answer(void *ctx, uint64_t tag, const struct fleet_answer *answer)
 {
 	struct fsim_instance *i = ctx;
@@ -27,6 +44,7 @@
 		j->retry_at = s->now + RETRY_MS;
 		return;
 	}
+	check_failure(s, j, answer);
 	j->answered = true;
 	j->outcome = answer->outcome;
 	j->ended_at = s->now;
@@ -143,7 +161,8 @@
 	j->retry_at = s->now + RETRY_MS;
 }
 
-void fsim_submit(struct fsim *s, int domain, uint32_t n_tasks, uint32_t run_ms)
+static struct fsim_job *add_job(struct fsim *s, int domain, uint32_t n_tasks,
+				uint32_t run_ms)
 {
 	struct fsim_job *j;
 
@@ -155,5 +174,18 @@
 	j->n_tasks = n_tasks;
 	j->run_ms = run_ms;
 	j->began_at = s->now;
+	return j;
+}
+
+void fsim_submit(struct fsim *s, int domain, uint32_t n_tasks, uint32_t run_ms)
+{
+	submit_job(s, add_job(s, domain, n_tasks, run_ms));
+}
+
+void fsim_submit_deadly(struct fsim *s, int domain, uint32_t n_tasks)
+{
+	struct fsim_job *j = add_job(s, domain, n_tasks, DEADLY_RUN_MS);
+
+	j->is_deadly = true;
 	submit_job(s, j);
 }
--- a/test/sim/fleet_sim_calls.c
+++ b/test/sim/fleet_sim_calls.c
@@ -160,11 +160,33 @@
 	fsim_event_push(s, e);
 }
 
+/* Whether the worker's machine answers that no process listens. */
+static bool is_refused(const struct fsim *s, const struct fsim_event *e)
+{
+	const struct fsim_worker *w = &s->workers[e->worker];
+
+	return w->restarts_at && !w->cut && !e->late &&
+	       fsim_domains_reach(s, s->instances[e->instance].domain,
+				  w->domain);
+}
+
+static void refuse_call(struct fsim *s, struct fsim_event *e)
+{
+	e->lists.answer.result = DRIVE_CALL_NO_LISTENER;
+	e->kind = EVENT_ANSWER;
+	e->at = s->now + DELAY_MS;
+	fsim_event_push(s, e);
+}
+
 void fsim_execute_call(struct fsim *s, struct fsim_event *e)
 {
 	struct fsim_worker *w;
 	enum drive_call_result result;
 
+	if (e->worker >= 0 && is_refused(s, e)) {
+		refuse_call(s, e);
+		return;
+	}
 	if (e->worker < 0 || !reaches_worker(s, e->instance, e->worker)) {
 		fsim_event_free(e);
 		return;
@@ -200,6 +222,7 @@
 			 struct fsim_event *e)
 {
 	if (e->lists.answer.result != DRIVE_CALL_UNANSWERED &&
+	    e->lists.answer.result != DRIVE_CALL_NO_LISTENER &&
 	    (e->at > e->timeout_at ||
 	     !reaches_worker(s, e->instance, e->worker)))
 		return;
--- a/test/sim/fleet_sim_worker.c
+++ b/test/sim/fleet_sim_worker.c
@@ -2,7 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "fleet_sim.h"
+#include "fleet_sim_internal.h"
 #include "util/invariant.h"
 #include "util/log.h"
 
@@ -97,6 +97,29 @@
 	return NULL;
 }
 
+void fsim_count_crash(struct fsim *s, const struct fsim_worker *w)
+{
+	struct fsim_job *j;
+	size_t i;
+
+	for (i = 0; i < w->n_runs; i++) {
+		j = find_job(s, &w->runs[i].task);
+		if (j && w->runs[i].task.index < FSIM_TASKS)
+			j->crashes[w->runs[i].task.index]++;
+	}
+}
+
+/* After three crashes, one more start is allowed. */
+static void check_budget(struct fsim *s, struct fsim_job *j)
+{
+	if (j->crashes[0] < 3 || ++j->starts_after_crashes < 2)
+		return;
+	if (!s->n_over_budget++ && !*s->message)
+		snprintf(s->message, sizeof(s->message),
+			 "at %lld ms: %.20s started after %u crashes",
+			 (long long)s->now, j->id, j->crashes[0]);
+}
+
 enum drive_call_result fsim_worker_start(struct fsim *s, struct fsim_worker *w,
 					 const struct drive_task *task,
 					 uint32_t run, uint64_t fence,
@@ -137,6 +160,10 @@
 	r->number = run;
 	r->began_at = s->now;
 	r->ends_at = s->now + j->run_ms;
+	if (!j->is_deadly || task->index)
+		return DRIVE_CALL_DONE;
+	check_budget(s, j);
+	r->crashes_at = s->now + CRASH_AFTER_MS;
 	return DRIVE_CALL_DONE;
 }
 
--- a/test/unit/fleet_test.c
+++ b/test/unit/fleet_test.c
@@ -571,6 +571,30 @@
 	check_and_free(s);
 }
 
+static void crashes_are_counted_across_drivers(void)
+{
+	struct fsim *s = fsim_new(SEED);
+	const struct fsim_job *j = &s->jobs[0];
+	int driver, i;
+
+	fsim_submit_deadly(s, 0, 2);
+	for (i = 0; i < 8; i++) {
+		fsim_run(s, 1300);
+		driver = fsim_find_driver(s);
+		if (driver < 0)
+			continue;
+		fsim_kill(s, driver);
+		fsim_run(s, 300);
+		fsim_start(s, driver);
+	}
+	CU_ASSERT(j->answered);
+	CU_ASSERT_EQUAL(j->outcome, FLEET_FAILED);
+	CU_ASSERT(j->crashes[0] <= 3);
+	CU_ASSERT_EQUAL(s->n_over_budget, 0);
+	CU_ASSERT_EQUAL(s->n_false_failures, 0);
+	fsim_free(s);
+}
+
 SUITE(fleet)
 {
 	TEST(healthy_fleet_completes_jobs_at_once);
@@ -597,4 +621,5 @@
 	TEST(service_returns_when_an_overload_ends);
 	TEST(changed_worker_is_sent_to_the_other_instances);
 	TEST(restarted_fleet_elects_a_driver);
+	TEST(crashes_are_counted_across_drivers);
 }
