Keep what is known of lost runs in the store

The driver now writes its losses under one key, at most four times a second and only after a loss, and reads them when it begins.

--- a/include/sycamoreshore/peer_type.h
+++ b/include/sycamoreshore/peer_type.h
@@ -43,7 +43,8 @@
 	SYC_PEER_WORKERS_READ, /* the list that it has read */
 	SYC_PEER_LOSSES, /* runs that were lost with their workers */
 	/* a value in the store; it is never sent to a peer */
-	SYC_STORED_FLEET_MAP = 96
+	SYC_STORED_FLEET_MAP = 96,
+	SYC_STORED_LOSSES /* the same */
 };
 
 #endif
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -228,6 +228,7 @@
 	workers_tick(f, now);
 	drive_tick(f->drive, now);
 	losses_sync_tick(f, now);
+	losses_store_tick(f, now);
 	home_tick(f, now);
 }
 
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -12,6 +12,8 @@
 #include "util/log.h"
 #include "util/table.h"
 
+enum { LOSSES_LIST_MAX = 128 /* lost runs in one message or value */ };
+
 /* Another instance that this one has or had a link to. */
 struct fleet_peer {
 	struct syc_instance instance;
@@ -66,6 +68,16 @@
 	int64_t heard_at; /* when that driver was last heard */
 };
 
+/* What the driver keeps of lost runs in the store. */
+struct losses_store {
+	bool loaded; /* since this instance drives */
+	bool in_flight; /* a call to the store */
+	uint64_t index; /* of the key */
+	uint64_t stored; /* version of the losses that was written last */
+	uint64_t writing; /* the version that is being written */
+	int64_t next_at; /* when the store may be called next */
+};
+
 struct fleet {
 	struct fleet_options opt;
 	/* The undivided fleet, which keeps the configuration for its cells. */
@@ -152,6 +164,7 @@
 	bool lost_cells; /* the map in the store lacks them */
 	enum key_watch_role role; /* in reading the store; set at each tick */
 	bool leaving; /* a planned stop has begun */
+	struct losses_store losses_store;
 	bool takeover_in_flight; /* the map's change has no answer yet */
 	bool has_probe_answer; /* a worker of another domain was reached */
 	bool map_known;
@@ -344,6 +357,15 @@
 void reader_answer(struct fleet *f, int64_t now,
 		   const struct drive_worker *list, size_t n);
 
+/* losses_msgs.c */
+void losses_pack_list(struct wire_out *w, const struct loss *const *list,
+		      size_t n, int64_t now);
+/* Adds the list to `l`. */
+void losses_unpack_list(struct wire_in *w, struct losses *l, int64_t now);
+
+/* losses_store.c */
+void losses_store_tick(struct fleet *f, int64_t now);
+
 /* losses_sync.c */
 /*
  * Tells peers of runs that were lost with their worker: the driver tells all,
--- a/test/unit/fleet_test.c
+++ b/test/unit/fleet_test.c
@@ -595,6 +595,28 @@
 	fsim_free(s);
 }
 
+static void crashes_are_counted_across_a_full_stop(void)
+{
+	struct fsim *s = fsim_new(SEED);
+	const struct fsim_job *j = &s->jobs[0];
+	int i, k;
+
+	fsim_submit_deadly(s, 0, 2);
+	for (i = 0; i < 6; i++) {
+		fsim_run(s, 1700);
+		for (k = 0; k < s->n_instances; k++)
+			fsim_kill(s, k);
+		for (k = 0; k < s->n_instances; k++)
+			fsim_start(s, k);
+	}
+	fsim_run(s, 12000);
+	CU_ASSERT(j->answered);
+	CU_ASSERT(j->crashes[0] <= 4);
+	CU_ASSERT_EQUAL(s->n_over_budget, 0);
+	CU_ASSERT_EQUAL(s->n_false_failures, 0);
+	fsim_free(s);
+}
+
 SUITE(fleet)
 {
 	TEST(healthy_fleet_completes_jobs_at_once);
@@ -622,4 +644,5 @@
 	TEST(changed_worker_is_sent_to_the_other_instances);
 	TEST(restarted_fleet_elects_a_driver);
 	TEST(crashes_are_counted_across_drivers);
+	TEST(crashes_are_counted_across_a_full_stop);
 }
