--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -99,6 +99,8 @@
 	uint32_t failures_in_row;
 	uint32_t ejections_in_row;
 	int64_t ejected_until;
+	uint32_t full_in_row; /* starts that it refused for want of capacity */
+	int64_t full_until; /* it gets none before */
 	bool on_probation; /* one task at a time until a task succeeds */
 };
 
@@ -193,6 +195,8 @@
 /* Ejects the worker after too many failures in a row. */
 void worker_record_failure(struct drive *d, struct worker *w, int64_t now,
 			   const char *why);
+/* It has refused a start for want of capacity, so it gets none for a while. */
+void worker_record_full(struct worker *w, int64_t now);
 /* Gives the worker no new tasks for a while. */
 void worker_eject(struct drive *d, struct worker *w, int64_t now,
 		  const char *why);
--- a/src/drive/run_calls.c
+++ b/src/drive/run_calls.c
@@ -32,8 +32,10 @@
 		j->tasks[r->task.index].last_run += OLD_RUN_SKIP;
 	if (result == DRIVE_CALL_UNHEALTHY)
 		worker_eject(d, w, now, "refuses_starts");
-	if (result == DRIVE_CALL_NO_CAPACITY)
+	if (result == DRIVE_CALL_NO_CAPACITY) {
+		worker_record_full(w, now);
 		hold_probe(d, w, now);
+	}
 	if (result == DRIVE_CALL_NO_LISTENER)
 		hold_mark_refusing(d, w, now);
 	run_finish(d, r, DRIVE_RUN_OTHER, now);
--- a/src/drive/worker.c
+++ b/src/drive/worker.c
@@ -7,6 +7,8 @@
 	FAILURES_TO_EJECT = 2, /* in a row */
 	EJECT_MS = 1000, /* doubled with each ejection in a row */
 	EJECT_MAX_MS = 8000,
+	FULL_MS = 20, /* doubled with each refusal in a row */
+	FULL_MAX_MS = 500, /* the list shows a new capacity by then */
 	/*
 	 * A worker that left the list may be listed again. It still obeys only
 	 * the highest fence of its calls, so that fence is kept for this time.
@@ -59,7 +61,7 @@
 	/* The worker needs no lease beforehand: a start carries one. */
 	if (w->unresponsive_since)
 		return false;
-	if (now < w->ejected_until)
+	if (now < w->ejected_until || now < w->full_until)
 		return false;
 	if (w->n_orphans)
 		return false;
@@ -77,9 +79,22 @@
 {
 	w->failures_in_row = 0;
 	w->ejections_in_row = 0;
+	w->full_in_row = 0;
+	w->full_until = 0;
 	w->on_probation = false;
 }
 
+void worker_record_full(struct worker *w, int64_t now)
+{
+	int64_t full_ms = FULL_MS;
+	uint32_t i;
+
+	for (i = 0; i < w->full_in_row && full_ms < FULL_MAX_MS; i++)
+		full_ms *= 2;
+	w->full_in_row++;
+	w->full_until = now + (full_ms < FULL_MAX_MS ? full_ms : FULL_MAX_MS);
+}
+
 void worker_eject(struct drive *d, struct worker *w, int64_t now,
 		  const char *why)
 {
--- a/src/fleet/isolated.c
+++ b/src/fleet/isolated.c
@@ -99,6 +99,7 @@
 		 LOG_U("epoch", epoch), LOG_U("driver", f->driver),
 		 LOG_I("silent_ms", now - f->driver_lost_at));
 	f->domain_driver = f->opt.self.id;
+	f->next_workers_read_at = now; /* the known list may be old */
 	drive_limit_to_domain(f->drive, f->opt.self.domain);
 	drive_begin(f->drive, now, epoch);
 	heartbeat_send_all(f, now);
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -18,6 +18,7 @@
 	FSIM_WORKERS = 12,
 	FSIM_RUNS = 16, /* on one worker */
 	FSIM_TASKS = 8, /* of one job, of which crashes are counted */
+	FSIM_TASK_CPU_MILLI = 8000,
 	FSIM_ENDS = 64, /* ended runs of one worker, not acknowledged yet */
 	FSIM_JOBS = 4096,
 	FSIM_CONFIGS = 1024,
@@ -67,6 +68,7 @@
 	bool listed;
 	bool cut; /* cut off from all instances */
 	int64_t restarts_at; /* it has crashed and refuses calls; zero: not */
+	int64_t over_capacity_at; /* when a start last exceeded its capacity */
 	bool loses_answers; /* carries out calls, but its answers are lost */
 	uint64_t fence;
 	int64_t lease_expires_at; /* on its clock */
--- a/test/sim/fleet_sim_callers.c
+++ b/test/sim/fleet_sim_callers.c
@@ -82,7 +82,7 @@
 		.label = "",
 		.attempts_max = 3,
 		.n_tasks = j->n_tasks,
-		.cpu_milli = 8000,
+		.cpu_milli = FSIM_TASK_CPU_MILLI,
 		.memory_mb = 64,
 		.estimate_ms = j->run_ms,
 		.objective_percent = 160,
--- a/test/unit/drive_fake.h
+++ b/test/unit/drive_fake.h
@@ -9,7 +9,7 @@
 #include "drive/drive.h"
 
 enum {
-	FAKE_CALLS_MAX = 256,
+	FAKE_CALLS_MAX = 1024,
 	FAKE_WORKERS_MAX = 6,
 	FAKE_HOME = 7,
 	FAKE_IDLE_MAX_MS = 1100 /* between holds of a worker without runs */
--- a/test/unit/drive_test.c
+++ b/test/unit/drive_test.c
@@ -789,6 +789,74 @@
 	drive_fake_free(&f);
 }
 
+/* Lists worker 0 with that capacity. */
+static void set_capacity(struct drive_fake *f, uint32_t cpu_milli)
+{
+	f->workers[0].cpu_milli = cpu_milli;
+	drive_set_workers(f->drive, f->now, f->workers, f->n_workers);
+}
+
+static void worker_that_shrinks_gets_no_start_beyond_its_capacity(void)
+{
+	struct drive_fake f;
+
+	drive_fake_init(&f, 1);
+	submit(&f, 1, "a", 2, 0);
+	CU_ASSERT_EQUAL(f.n_starts, 2);
+	set_capacity(&f, 8000);
+	drive_fake_end_run(&f, 0, 1, DRIVE_RUN_DONE);
+	submit(&f, 2, "b", 1, 0);
+	CU_ASSERT_EQUAL(f.n_starts, 2);
+	set_capacity(&f, 0);
+	drive_fake_end_run(&f, 1, 2, DRIVE_RUN_DONE);
+	drive_fake_advance(&f, 100, false);
+	CU_ASSERT_EQUAL(f.n_starts, 2);
+	/* Its runs go on to their end: nothing was stopped. */
+	CU_ASSERT_EQUAL(f.n_stops, 0);
+	set_capacity(&f, 16000);
+	drive_fake_advance(&f, 40, false);
+	CU_ASSERT_EQUAL(f.n_starts, 3);
+	drive_fake_free(&f);
+}
+
+/* The size of an adopted run is not known until its job is submitted again. */
+static void worker_with_adopted_runs_that_grows_again_gets_no_start(void)
+{
+	struct drive_active_run row = {.task.job = "orphan", .run = 1};
+	struct drive_fake f;
+
+	drive_fake_init(&f, 1);
+	set_capacity(&f, 0);
+	drive_fake_answer_hold(&f, 0, &row, 1, NULL, 0);
+	set_capacity(&f, 16000);
+	submit(&f, 1, "a", 1, 0);
+	CU_ASSERT_EQUAL(f.n_starts, 0);
+	drive_fake_free(&f);
+}
+
+/* The list of workers may be older than a change of their capacity. */
+static void worker_without_room_is_not_asked_all_the_time(void)
+{
+	struct drive_job j = drive_fake_job("a", 1);
+	struct drive_fake f;
+	size_t i = 0;
+	int step;
+
+	drive_fake_init(&f, 1);
+	j.objective_add_ms = 3000;
+	drive_fake_submit(&f, 1, &j);
+	for (step = 0; step < 100; step++) {
+		while (i < f.n_starts)
+			drive_fake_answer_start(&f, i++,
+						DRIVE_CALL_NO_CAPACITY);
+		drive_fake_answer_all_holds(&f);
+		drive_fake_advance(&f, 10, false);
+	}
+	CU_ASSERT(f.n_starts <= 8);
+	CU_ASSERT(f.n_starts >= 3);
+	drive_fake_free(&f);
+}
+
 static void deadline_ends_a_job(void)
 {
 	struct drive_fake f;
@@ -902,5 +970,8 @@
 	TEST(task_on_silent_workers_is_not_given_up_as_a_crash);
 	TEST(task_lost_without_explanation_is_started_four_times_at_most);
 	TEST(route_that_crashes_workers_leaves_room_to_others);
+	TEST(worker_that_shrinks_gets_no_start_beyond_its_capacity);
+	TEST(worker_with_adopted_runs_that_grows_again_gets_no_start);
+	TEST(worker_without_room_is_not_asked_all_the_time);
 	TEST(deadline_ends_a_job);
 }
--- a/test/unit/large_fleet_test.c
+++ b/test/unit/large_fleet_test.c
@@ -327,6 +327,65 @@
 	check_and_free(s);
 }
 
+/*
+ * The users' bound for a shrunk capacity: contactTimeoutMs of the large
+ * installations and one beat of a worker.
+ */
+enum { CAPACITY_BOUND_MS = 4000 + 1500 };
+
+/* Keeps all workers busy for that time. */
+static void submit_much(struct fsim *s, int64_t ms)
+{
+	int64_t until = s->now + ms;
+	int i = 0;
+
+	while (s->now < until) {
+		fsim_submit(s, i++ % DOMAINS, 4, 80);
+		fsim_run(s, 25);
+	}
+}
+
+static void check_shrunk(struct fsim *s, int64_t shrunk_at)
+{
+	int k;
+
+	for (k = 0; k < FSIM_WORKERS; k += 2)
+		CU_ASSERT(s->workers[k].over_capacity_at <=
+			  shrunk_at + CAPACITY_BOUND_MS);
+}
+
+/* Shrinks and restores every other worker, and replaces the driver. */
+static void shrink_workers(int n)
+{
+	struct fsim *s = start_fleet(n);
+	int64_t shrunk_at;
+	int k, driver;
+
+	submit_much(s, 500);
+	for (k = 0; k < FSIM_WORKERS; k += 2)
+		s->workers[k].info.cpu_milli = FSIM_TASK_CPU_MILLI;
+	shrunk_at = s->now;
+	submit_much(s, 400);
+	driver = fsim_find_driver(s);
+	fsim_kill(s, driver);
+	fsim_run(s, CAPACITY_BOUND_MS - 1500);
+	submit_much(s, 1500);
+	check_shrunk(s, shrunk_at);
+	for (k = 0; k < FSIM_WORKERS; k += 2)
+		s->workers[k].info.cpu_milli = 2 * FSIM_TASK_CPU_MILLI;
+	fsim_start(s, driver);
+	fsim_run(s, 1000);
+	CU_ASSERT_EQUAL(serve(s, 12), 12);
+	check_and_free(s);
+}
+
+static void shrunk_capacity_is_respected_within_its_bound(void)
+{
+	shrink_workers(9);
+	shrink_workers(33);
+	shrink_workers(LARGE);
+}
+
 SUITE(large_fleet)
 {
 	TEST(large_fleet_divides_and_serves);
@@ -340,4 +399,5 @@
 	TEST(domain_without_workers_serves_its_callers);
 	TEST(damaged_messages_stop_no_process);
 	TEST(cut_off_domain_serves_its_callers);
+	TEST(shrunk_capacity_is_respected_within_its_bound);
 }
