--- a/src/drive/admit.c
+++ b/src/drive/admit.c
@@ -287,10 +287,11 @@
 static bool is_route_barred(struct drive *d, const struct drive_job *spec,
 			    int64_t now)
 {
+	struct run_time *rt = run_time_get(&d->run_times, spec->route);
+
+	rt->used_at = now;
 	/* Another driver may have begun a job that is submitted again. */
-	return !spec->generation &&
-	       suspects_is_route_barred(
-		       d, run_time_get(&d->run_times, spec->route), now);
+	return !spec->generation && suspects_is_route_barred(d, rt, now);
 }
 
 void drive_submit(struct drive *d, int64_t now, uint64_t home, uint64_t tag,
--- a/src/drive/run_time.c
+++ b/src/drive/run_time.c
@@ -8,6 +8,7 @@
 enum {
 	SAMPLES_MIN = 8, /* fewer samples have no effect */
 	SAMPLES_WINDOW = 64, /* the average covers about the last 64 samples */
+	IN_USE_MS = 5000, /* since the last job of a route */
 	CRASH_HALF_MS = 5000 /* a crash counts half after this time */
 };
 
@@ -118,6 +119,19 @@
 	return rt->n_crashes > 0 && decayed_crashes(rt, now) > risky_crashes;
 }
 
+bool run_times_has_other(const struct run_times *t, const struct run_time *rt,
+			 int64_t now)
+{
+	const struct run_time *other;
+
+	for (other = t->first; other; other = other->next)
+		if (other != rt && other->used_at &&
+		    now - other->used_at < IN_USE_MS &&
+		    !run_time_is_risky(other, now))
+			return true;
+	return false;
+}
+
 bool run_times_has_risky(const struct run_times *t, int64_t now)
 {
 	const struct run_time *rt;
--- a/src/drive/run_time.h
+++ b/src/drive/run_time.h
@@ -19,6 +19,7 @@
 	/* Workers that crashed just after a start; half after CRASH_HALF_MS. */
 	double n_crashes;
 	int64_t crash_at; /* when `n_crashes` last changed */
+	int64_t used_at; /* when a job of it was last submitted */
 };
 
 /* The speed of one kind of worker. */
@@ -51,6 +52,9 @@
 void run_time_add_crash(struct run_time *rt, int64_t now);
 /* Whether tasks of this route have crashed several workers lately. */
 bool run_time_is_risky(const struct run_time *rt, int64_t now);
+/* Whether another route that is not risky is in use. */
+bool run_times_has_other(const struct run_times *t, const struct run_time *rt,
+			 int64_t now);
 bool run_times_has_risky(const struct run_times *t, int64_t now);
 void run_times_free(struct run_times *t);
 
--- a/src/drive/suspects.c
+++ b/src/drive/suspects.c
@@ -231,7 +231,8 @@
 	uint64_t handle;
 	uint32_t pos = 0, n = 0, n_lost = 0;
 
-	if (!run_time_is_risky(rt, now))
+	if (!run_time_is_risky(rt, now) ||
+	    !run_times_has_other(&d->run_times, rt, now))
 		return false;
 	while ((w = table_next(&d->workers, &pos, &handle))) {
 		n += w->listed;
--- a/test/standin/fleet_worker.c
+++ b/test/standin/fleet_worker.c
@@ -11,6 +11,10 @@
 	LEASE_MAX_S = 1
 };
 
+/* The specification of a job whose first task crashes each worker. */
+static const char deadly_spec[] = "deadly";
+static const double crash_after_s = 0.01;
+
 static double loop_time_s(const struct fleet_worker *w)
 {
 	return ev_now(w->platform->loop);
@@ -138,6 +142,15 @@
 	return w->n_runs >= TASKS_MAX ? "room" : NULL;
 }
 
+static bool is_deadly(const json_t *body, const char *task)
+{
+	const char *spec = json_string_value(json_object_get(body, JOB_BODY));
+	const char *index = strrchr(task, '.');
+
+	return spec && !strcmp(spec, deadly_spec) && index &&
+	       !strcmp(index, ".0");
+}
+
 static void handle_start(struct fleet_worker *w, uint64_t id,
 			 const json_t *body, const char *task, uint64_t run)
 {
@@ -158,6 +171,9 @@
 	r->run = run;
 	r->began_at = loop_time_s(w);
 	r->ends_at = r->began_at + w->platform->run_ms / 1000.0;
+	r->crashes_at = 0;
+	if (is_deadly(body, task))
+		r->crashes_at = r->began_at + crash_after_s;
 	reply_result(w, id, 200, NULL);
 }
 
@@ -246,6 +262,14 @@
 	uint64_t id;
 	size_t i;
 
+	if (w->restarts_at && loop_time_s(w) >= w->restarts_at)
+		fleet_worker_restart(w);
+	for (i = 0; i < w->n_runs; i++)
+		if (w->runs[i].crashes_at &&
+		    loop_time_s(w) >= w->runs[i].crashes_at)
+			break;
+	if (i < w->n_runs)
+		fleet_worker_crash(w);
 	for (i = w->n_runs; i-- > 0;) {
 		if (loop_time_s(w) > w->lease_ends_at)
 			end_run(w, i, "lapsed");
