--- a/src/drive/admit.c
+++ b/src/drive/admit.c
@@ -284,14 +284,14 @@
 	return slack_ms < (double)late_ms * LATE_TURNS;
 }
 
-static bool is_route_barred(struct drive *d, const struct drive_job *spec,
+static bool is_route_closed(struct drive *d, const struct drive_job *spec,
 			    int64_t now)
 {
 	struct run_time *rt = run_time_get(&d->run_times, spec->route);
 
 	rt->used_at = now;
 	/* Another driver may have begun a job that is submitted again. */
-	return !spec->generation && suspects_is_route_barred(d, rt, now);
+	return !spec->generation && bulkhead_is_closed(d, rt, now);
 }
 
 void drive_submit(struct drive *d, int64_t now, uint64_t home, uint64_t tag,
@@ -318,7 +318,7 @@
 				  "driver_late");
 		return;
 	}
-	if (is_route_barred(d, spec, now)) {
+	if (is_route_closed(d, spec, now)) {
 		refuse_submission(d, home, tag, spec, REFUSED_RETRY_MS,
 				  "route_crashes_workers");
 		return;
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -18,6 +18,8 @@
 	UNLISTED_MAY_RUN_MS = 10000,
 	/* Added to a lease's end before its runs count as ended. */
 	LEASE_MARGIN_MS = 60,
+	/* A worker that crashed is back after this time, or gone. */
+	LOST_WORKER_COUNTS_MS = 3000,
 	/* A worker's clock may be slow by up to 1 / CLOCK_DRIFT_DIVISOR. */
 	CLOCK_DRIFT_DIVISOR = 20
 };
@@ -282,10 +284,20 @@
 void job_tick(struct drive *d, struct job *j, int64_t now);
 void job_drop(struct drive *d, struct job *j);
 
+/* lost_runs.c */
+/* Records the runs of a worker that is lost; `cause` holds if they are there. */
+void lost_runs_record(struct drive *d, struct worker *w, enum loss_cause cause,
+		      int64_t now);
+
+/* bulkhead.c */
+/*
+ * Whether so many workers are lost to tasks of the route that its jobs are
+ * refused, for the sake of the other routes.
+ */
+bool bulkhead_is_closed(const struct drive *d, const struct run_time *rt,
+			int64_t now);
+
 /* suspects.c */
-/* Records the runs of a lost worker, of which nothing else is known. */
-void suspects_record(struct drive *d, struct worker *w, enum loss_cause cause,
-		     int64_t now);
 /*
  * Decides what becomes of a task that waits: it is queued, isolated, or its job
  * ends. Returns false if the job has ended.
@@ -297,12 +309,6 @@
 		    int64_t now);
 /* Judges the waiting tasks again if more is known of losses. */
 void suspects_review(struct drive *d, int64_t now);
-/*
- * Whether so many workers are lost to tasks of the route that it gets no more,
- * for the other routes.
- */
-bool suspects_is_route_barred(const struct drive *d, const struct run_time *rt,
-			      int64_t now);
 /* Starts suspects on workers of their own. */
 void suspects_run(struct drive *d, int64_t now);
 
--- a/src/drive/hold.c
+++ b/src/drive/hold.c
@@ -116,7 +116,7 @@
 	log_info("worker_lost", LOG_S("worker", w->info.name),
 		 LOG_S("why", why), LOG_U("runs", w->n_runs),
 		 LOG_I("lease_ended_ms", now - w->lease_expired_at));
-	suspects_record(d, w, LOSS_UNEXPLAINED, now);
+	lost_runs_record(d, w, LOSS_UNEXPLAINED, now);
 	LIST_EACH(pos, after, &w->runs)
 	{
 		struct run *r = LIST_ITEM(pos, struct run, worker_link);
@@ -131,7 +131,7 @@
 	enum loss_cause cause = w->info.leaving ? LOSS_OTHER : LOSS_CRASH;
 
 	w->is_replaced = true;
-	suspects_record(d, w, cause, now);
+	lost_runs_record(d, w, cause, now);
 	losses_explain(d->losses, w->info.name, cause);
 	hold_finish_runs(d, w, now, "other_life");
 }
@@ -252,6 +252,7 @@
 	note_still_runs(d, w);
 	w->unresponsive_since = 0;
 	w->refuses_since = 0;
+	w->lost_to = NULL;
 	if (h->fence > w->confirmed_fence)
 		w->confirmed_fence = h->fence;
 	if (h->sent_at > w->confirmed_at)
@@ -270,7 +271,7 @@
 		return;
 	w->refuses_since = now;
 	/* The next driver must know if this one is lost before the lease ends. */
-	suspects_record(d, w, LOSS_UNEXPLAINED, now);
+	lost_runs_record(d, w, LOSS_UNEXPLAINED, now);
 	log_info("worker_refuses", LOG_S("worker", w->info.name),
 		 LOG_U("runs", w->n_runs),
 		 LOG_I("silent_ms", now - w->unresponsive_since));
--- /dev/null
+++ b/src/drive/lost_runs.c
@@ -0,0 +1,98 @@
+/* Records the runs of a lost worker, with what speaks for a crash. */
+#include "drive/drive_state.h"
+#include "util/alloc.h"
+
+enum {
+	/* Runs that were started within this time were started together. */
+	STARTED_TOGETHER_MS = 20,
+	/* Lists of active runs come more often than this. */
+	SEEN_LATELY_MS = 250
+};
+
+static int64_t last_start(const struct worker *w)
+{
+	struct list *pos, *after;
+	int64_t last = 0;
+
+	LIST_EACH(pos, after, &w->runs)
+	{
+		const struct run *r = LIST_ITEM(pos, struct run, worker_link);
+
+		if (r->sent_at > last)
+			last = r->sent_at;
+	}
+	return last;
+}
+
+/* A task that crashes workers mostly does so soon after its start. */
+static void blame_route(struct drive *d, struct worker *w, const struct run *r,
+			int64_t now)
+{
+	const struct job *j = job_get(d, r->job);
+
+	if (!j || w->lost_to == j->run_time)
+		return;
+	w->lost_to = j->run_time;
+	run_time_add_crash(j->run_time, now);
+}
+
+/* Its end may have been lost with the worker if it was last seen long ago. */
+static bool was_seen(const struct worker *w, const struct run *r, int64_t now)
+{
+	int64_t seen_at = r->running_at;
+
+	if (r->state != RUN_RUNNING)
+		return false;
+	if (w->listed_runs_at > seen_at)
+		seen_at = w->listed_runs_at;
+	return now - seen_at <= SEEN_LATELY_MS;
+}
+
+/* Whether the worker has begun to refuse connections just now. */
+static bool begins_to_refuse(const struct worker *w, int64_t now)
+{
+	return w->refuses_since == now;
+}
+
+static void record_run(struct drive *d, struct worker *w, const struct run *r,
+		       struct loss *loss, int64_t now)
+{
+	/* The answer to its start may say that it has not begun. */
+	if (r->state != RUN_RUNNING && begins_to_refuse(w, now))
+		return;
+	loss->task = r->task;
+	loss->run = r->number;
+	loss->seen = was_seen(w, r, now);
+	/* The worker's end says nothing of a run that was not seen there. */
+	if (!loss->seen && loss->cause == LOSS_CRASH)
+		loss->cause = LOSS_UNEXPLAINED;
+	losses_add(d->losses, now, loss);
+	if (loss->newest && begins_to_refuse(w, now))
+		blame_route(d, w, r, now);
+}
+
+void lost_runs_record(struct drive *d, struct worker *w, enum loss_cause cause,
+		      int64_t now)
+{
+	const struct loss common = {
+		.addr = w->info.addr,
+		.cause = w->info.leaving ? LOSS_OTHER : cause,
+		.alone = w->n_runs == 1,
+		.refused = w->refuses_since != 0,
+		.at = now,
+	};
+	int64_t last = last_start(w);
+	struct list *pos, *after;
+
+	if (w->n_isolated)
+		w->isolated_lost_at = now;
+	LIST_EACH(pos, after, &w->runs)
+	{
+		const struct run *r = LIST_ITEM(pos, struct run, worker_link);
+		struct loss loss = common;
+
+		copy_text(loss.worker, sizeof(loss.worker), w->info.name);
+		loss.newest = r->sent_at + STARTED_TOGETHER_MS >= last;
+		record_run(d, w, r, &loss, now);
+	}
+}
--- a/src/drive/suspects.c
+++ b/src/drive/suspects.c
@@ -4,100 +4,14 @@
  * at most are used or lost for it at any time.
  */
 #include "drive/drive_state.h"
-#include "util/alloc.h"
 
 enum {
 	/* One worker in this many may run a suspect... */
 	WORKERS_PER_SUSPECT = 24,
 	/* ...or be lost to one that is likely to crash it. */
-	WORKERS_PER_NEWEST = 48,
-	/* A worker that a suspect crashed is back after this time, or gone. */
-	LOST_WORKER_COUNTS_MS = 3000,
-	/* Runs that were started within this time were started together. */
-	STARTED_TOGETHER_MS = 20,
-	/* Lists of active runs come more often than this. */
-	SEEN_LATELY_MS = 250,
-	/* One worker in this many may be lost to one route. */
-	WORKERS_PER_LOST = 3,
-	/* The same while little capacity is free. */
-	WORKERS_PER_LOST_BUSY = 8,
-	FREE_PERCENT = 20
+	WORKERS_PER_NEWEST = 48
 };
 
-static int64_t last_start(const struct worker *w)
-{
-	struct list *pos, *after;
-	int64_t last = 0;
-
-	LIST_EACH(pos, after, &w->runs)
-	{
-		const struct run *r = LIST_ITEM(pos, struct run, worker_link);
-
-		if (r->sent_at > last)
-			last = r->sent_at;
-	}
-	return last;
-}
-
-/* A task that crashes workers mostly does so soon after its start. */
-static void blame_route(struct drive *d, struct worker *w, const struct run *r,
-			int64_t now)
-{
-	const struct job *j = job_get(d, r->job);
-
-	if (!j || w->lost_to == j->run_time)
-		return;
-	w->lost_to = j->run_time;
-	run_time_add_crash(j->run_time, now);
-}
-
-/* Its end may have been lost with the worker if it was last seen long ago. */
-static bool was_seen(const struct worker *w, const struct run *r, int64_t now)
-{
-	int64_t seen_at = r->running_at;
-
-	if (r->state != RUN_RUNNING)
-		return false;
-	if (w->listed_runs_at > seen_at)
-		seen_at = w->listed_runs_at;
-	return now - seen_at <= SEEN_LATELY_MS;
-}
-
-void suspects_record(struct drive *d, struct worker *w, enum loss_cause cause,
-		     int64_t now)
-{
-	struct loss loss = {
-		.addr = w->info.addr,
-		.alone = w->n_runs == 1,
-		.refused = w->refuses_since != 0,
-		.at = now,
-	};
-	enum loss_cause known = w->info.leaving ? LOSS_OTHER : cause;
-	int64_t last = last_start(w);
-	struct list *pos, *after;
-
-	copy_text(loss.worker, sizeof(loss.worker), w->info.name);
-	if (w->n_isolated)
-		w->isolated_lost_at = now;
-	LIST_EACH(pos, after, &w->runs)
-	{
-		const struct run *r = LIST_ITEM(pos, struct run, worker_link);
-
-		loss.task = r->task;
-		/* The answer to its start may say that it has not begun. */
-		if (r->state != RUN_RUNNING && w->refuses_since == now)
-			continue;
-		loss.run = r->number;
-		loss.seen = was_seen(w, r, now);
-		loss.cause = loss.seen || w->info.leaving ? known
-							  : LOSS_UNEXPLAINED;
-		loss.newest = r->sent_at + STARTED_TOGETHER_MS >= last;
-		losses_add(d->losses, now, &loss);
-		if (loss.newest && w->refuses_since == now)
-			blame_route(d, w, r, now);
-	}
-}
-
 static struct drive_task name_task(const struct job *j, uint32_t index)
 {
 	struct drive_task task = {.index = index};
@@ -223,30 +137,6 @@
 	return a;
 }
 
-bool suspects_is_route_barred(const struct drive *d, const struct run_time *rt,
-			      int64_t now)
-{
-	struct drive_room room;
-	const struct worker *w;
-	uint64_t handle;
-	uint32_t pos = 0, n = 0, n_lost = 0;
-
-	if (!run_time_is_risky(rt, now) ||
-	    !run_times_has_other(&d->run_times, rt, now))
-		return false;
-	while ((w = table_next(&d->workers, &pos, &handle))) {
-		n += w->listed;
-		n_lost += w->lost_to == rt && w->refuses_since &&
-			  !w->is_replaced &&
-			  now - w->refuses_since < LOST_WORKER_COUNTS_MS;
-	}
-	if (n_lost && n_lost >= n / WORKERS_PER_LOST)
-		return true;
-	drive_get_room(d, now, &room);
-	return n_lost && n_lost >= n / WORKERS_PER_LOST_BUSY &&
-	       room.free_cpu_milli * 100 < room.cpu_milli * FREE_PERCENT;
-}
-
 static struct worker *find_empty(const struct drive *d, const struct job *j,
 				 int64_t now)
 {
