--- a/src/cmd/fleet_metrics.c
+++ b/src/cmd/fleet_metrics.c
@@ -87,6 +87,13 @@
 			 "Times that a worker stopped answering.", c.silences},
 			{"sycamoreshore_runs_lost_total",
 			 "Runs that were lost with their worker.", c.runs_lost},
+			{"sycamoreshore_jobs_given_up_total",
+			 "Jobs with a task that crashed workers, or was lost "
+			 "too often.",
+			 c.given_up},
+			{"sycamoreshore_exclusive_starts_total",
+			 "Starts of tasks on a worker of their own.",
+			 c.exclusive_starts},
 			{"sycamoreshore_ejections_total",
 			 "Times that a worker was passed over for a while.",
 			 c.ejections},
--- a/src/drive/drive.c
+++ b/src/drive/drive.c
@@ -73,7 +73,7 @@
 	w->unresponsive_since = 0;
 	w->refuses_since = 0;
 	w->is_reserved = false;
-	w->isolated_lost_at = 0;
+	w->exclusive_lost_at = 0;
 	w->lease_held_until = 0;
 	w->lease_expired_at = 0;
 	w->cursor = 0;
--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -209,8 +209,7 @@
 	uint64_t silences; /* workers that stopped answering */
 	uint64_t runs_lost; /* with their worker */
 	uint64_t given_up; /* jobs with a task that crashes its workers */
-	uint64_t isolated; /* starts apart from other tasks */
-	uint64_t losses_of_task_max; /* the most runs that a task lost */
+	uint64_t exclusive_starts; /* starts apart from other tasks */
 	uint64_t queued, running, workers, workers_usable; /* current */
 	/* From a job's arrival at its home until it begins, in ms. */
 	struct histogram begin_delay;
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -47,7 +47,7 @@
 	uint32_t percent; /* of its work that is done */
 	int64_t percent_at; /* when `percent` last changed */
 	bool is_orphan; /* adopted, and its job is not open here */
-	bool is_isolated; /* no other run may start beside it */
+	bool is_exclusive; /* no other run may start beside it */
 	bool stopping;
 	bool stop_in_flight;
 	int64_t next_stop_at; /* when the next stop may be sent */
@@ -76,11 +76,11 @@
 	struct list runs;
 	uint32_t n_runs;
 	uint32_t n_orphans; /* adopted runs whose jobs are not open here */
-	uint32_t n_isolated; /* its runs that must be alone */
+	uint32_t n_exclusive; /* its runs that must be alone */
 	uint64_t losses_seen; /* their version when it last answered */
 	/* The route whose task was started last when it began to refuse. */
 	const struct run_time *lost_to;
-	int64_t isolated_lost_at; /* when such a run was last lost with it */
+	int64_t exclusive_lost_at; /* when such a run was last lost with it */
 	uint64_t epoch; /* above the driver's if raised for this worker */
 	uint64_t fence_step; /* added to the epoch's first fence */
 	uint64_t confirmed_fence; /* highest of an answered hold; zero: none */
@@ -187,7 +187,7 @@
  */
 bool worker_may_hide_runs(const struct drive *d, const struct worker *w,
 			  int64_t since, int64_t now);
-/* Whether it may be used but for what is isolated on it or reserved. */
+/* Whether it may be used but for a run that must be alone or is to be. */
 bool worker_is_available(const struct drive *d, const struct worker *w,
 			 int64_t now);
 /* Whether the worker may be given another task now. */
@@ -243,7 +243,7 @@
 uint64_t run_start(struct drive *d, struct job *j, uint32_t index,
 		   struct worker *w, int64_t now);
 /* Lets no other run start beside this one. */
-void run_isolate(struct worker *w, struct run *r);
+void run_make_exclusive(struct worker *w, struct run *r);
 /* Marks a run as running at the first answer or list that shows it. */
 void run_mark_running(struct run *r, int64_t now);
 /* The run of that number on `w`, or NULL. */
@@ -299,7 +299,7 @@
 
 /* suspects.c */
 /*
- * Decides what becomes of a task that waits: it is queued, isolated, or its job
+ * Decides what becomes of a task that waits: it is queued, set apart, or its job
  * ends. Returns false if the job has ended.
  */
 bool suspects_judge(struct drive *d, struct job *j, uint32_t index,
--- a/src/drive/hold.c
+++ b/src/drive/hold.c
@@ -99,8 +99,6 @@
 
 	if (j)
 		times = ++j->tasks[r->task.index].n_lost;
-	if (times > d->counts.losses_of_task_max)
-		d->counts.losses_of_task_max = times;
 	d->counts.runs_lost++;
 	log_info("run_lost", LOG_S("job", r->task.job),
 		 LOG_U("task", r->task.index), LOG_U("run", r->number),
--- a/src/drive/losses.c
+++ b/src/drive/losses.c
@@ -219,7 +219,7 @@
 		suspect |= x->refused || x->cause == LOSS_CRASH;
 	}
 	if (n_crashes > CRASHES_MAX || (n_crashes == CRASHES_MAX && n_alone))
-		return LOSS_CONVICTED;
+		return LOSS_CRASHING;
 	if (n_crashes + n_open >= UNEXPLAINED_MAX)
 		return wait ? LOSS_WAIT : LOSS_EXHAUSTED;
 	if (wait && n_crashes + n_open >= CRASHES_MAX)
--- a/src/drive/losses.h
+++ b/src/drive/losses.h
@@ -35,7 +35,7 @@
 	LOSS_HARMLESS = 0, /* nothing speaks against another start */
 	LOSS_SUSPECT, /* the next start is to be apart from other tasks */
 	LOSS_WAIT, /* no start before more is known */
-	LOSS_CONVICTED, /* it crashed two workers or more */
+	LOSS_CRASHING, /* it crashed two workers or more */
 	LOSS_EXHAUSTED /* lost too often without an explanation */
 };
 
--- a/src/drive/lost_runs.c
+++ b/src/drive/lost_runs.c
@@ -84,8 +84,8 @@
 	int64_t last = last_start(w);
 	struct list *pos, *after;
 
-	if (w->n_isolated)
-		w->isolated_lost_at = now;
+	if (w->n_exclusive)
+		w->exclusive_lost_at = now;
 	LIST_EACH(pos, after, &w->runs)
 	{
 		const struct run *r = LIST_ITEM(pos, struct run, worker_link);
--- a/src/drive/run.c
+++ b/src/drive/run.c
@@ -91,8 +91,8 @@
 	w->n_runs--;
 	w->n_orphans -= r->is_orphan;
 	r->is_orphan = false;
-	w->n_isolated -= r->is_isolated;
-	r->is_isolated = false;
+	w->n_exclusive -= r->is_exclusive;
+	r->is_exclusive = false;
 }
 
 static void reserve_resources(struct worker *w, struct run *r,
@@ -137,12 +137,12 @@
 	return j->generation * RUNS_PER_GENERATION + 1;
 }
 
-void run_isolate(struct worker *w, struct run *r)
+void run_make_exclusive(struct worker *w, struct run *r)
 {
-	if (r->is_isolated)
+	if (r->is_exclusive)
 		return;
-	r->is_isolated = true;
-	w->n_isolated++;
+	r->is_exclusive = true;
+	w->n_exclusive++;
 }
 
 uint64_t run_start(struct drive *d, struct job *j, uint32_t index,
@@ -235,7 +235,7 @@
 	r->is_orphan = true;
 	w->n_orphans++;
 	if (losses_judge(d->losses, now, &row->task))
-		run_isolate(w, r);
+		run_make_exclusive(w, r);
 	if (old) {
 		log_warn("second_run_stopped", LOG_S("job", row->task.job),
 			 LOG_U("task", row->task.index), LOG_U("run", row->run),
--- a/src/drive/suspects.c
+++ b/src/drive/suspects.c
@@ -51,7 +51,7 @@
 	const struct drive_task task = name_task(j, index);
 
 	switch (losses_judge(d->losses, now, &task)) {
-	case LOSS_CONVICTED:
+	case LOSS_CRASHING:
 		give_up(d, j, index, DRIVE_FAILED, "crashes_workers", now);
 		return false;
 	case LOSS_EXHAUSTED:
@@ -121,12 +121,12 @@
 	uint32_t pos = 0, n = 0, n_running = 0, n_lost = 0;
 
 	while ((w = table_next(&d->workers, &pos, &handle))) {
-		int64_t back_at = w->isolated_lost_at + LOST_WORKER_COUNTS_MS;
+		int64_t back_at = w->exclusive_lost_at + LOST_WORKER_COUNTS_MS;
 
 		n += w->listed;
-		if (w->n_isolated) {
+		if (w->n_exclusive) {
 			n_running++;
-		} else if (w->isolated_lost_at && now < back_at) {
+		} else if (w->exclusive_lost_at && now < back_at) {
 			n_lost++;
 			if (!a.next_at || back_at < a.next_at)
 				a.next_at = back_at;
@@ -199,8 +199,8 @@
 	set_suspect(d, j, &j->tasks[index], false);
 	r = run_get(d, run_start(d, j, index, w, now));
 	if (r)
-		run_isolate(w, r);
-	d->counts.isolated++;
+		run_make_exclusive(w, r);
+	d->counts.exclusive_starts++;
 	log_info("suspect_started", LOG_S("job", j->id), LOG_U("task", index),
 		 LOG_S("worker", w->info.name));
 }
--- a/src/drive/worker.c
+++ b/src/drive/worker.c
@@ -71,7 +71,7 @@
 bool worker_is_usable(const struct drive *d, const struct worker *w,
 		      int64_t now)
 {
-	return !w->n_isolated && !w->is_reserved &&
+	return !w->n_exclusive && !w->is_reserved &&
 	       worker_is_available(d, w, now);
 }
 
--- a/test/fleet_soak/callers.c
+++ b/test/fleet_soak/callers.c
@@ -16,7 +16,7 @@
 	THINK_MAX_MS = 40, /* between two jobs of a caller */
 	TASKS_MAX = 6,
 	DISTURBED_MS = 4000, /* after a fault nearby, answers may be missing */
-	JOBS_PER_DEADLY = 150 /* one job in this many crashes workers */
+	JOBS_PER_CRASHING = 150 /* one job in this many crashes workers */
 };
 
 static void end_job(struct soak_caller *c, int64_t now)
@@ -128,7 +128,7 @@
 		"{\"taskSpec\":\"%s\",\"bestEffort\":true,\"steps\":[{"
 		"\"count\":%d,\"cpu\":8000,\"memMb\":64,"
 		"\"estimatedMs\":60}]}",
-		c->is_deadly ? "deadly" : "x", c->n_tasks);
+		c->is_crashing ? "crash" : "x", c->n_tasks);
 	call.body.p = body;
 	c->n_sent++;
 	c->sent_at = now;
@@ -146,7 +146,7 @@
 	c->n_tasks = 1 + (int)rng_below(&s->rng, TASKS_MAX);
 	c->n_sent = 0;
 	c->may_have_run = false;
-	c->is_deadly = !s->calm && !rng_below(&s->rng, JOBS_PER_DEADLY);
+	c->is_crashing = !s->calm && !rng_below(&s->rng, JOBS_PER_CRASHING);
 	s->n_jobs++;
 }
 
--- a/test/fleet_soak/soak.h
+++ b/test/fleet_soak/soak.h
@@ -58,7 +58,7 @@
 	int64_t next_at; /* when it sends next */
 	bool in_flight;
 	bool may_have_run; /* an attempt was neither refused nor unsent */
-	bool is_deadly; /* its first task crashes each worker */
+	bool is_crashing; /* its first task crashes each worker */
 	bool is_probe; /* it must be served */
 };
 
--- a/test/measure/rules-out.sh
+++ b/test/measure/rules-out.sh
@@ -39,10 +39,12 @@
 	done
 	wait
 	found=$(cat "$dir"/found.* | sort -u)
-	printf '%-66s %s plain, %s mixed, %s divided of %s\n' "$1" \
+	printf '%-66s %s plain, %s mixed, %s divided, %s crashing of %s\n' \
+		"$1" \
 		"$(echo "$found" | grep -c '[0-9]:')" \
 		"$(echo "$found" | grep -c 'mixed:')" \
-		"$(echo "$found" | grep -c 'divided:')" "$last_seed"
+		"$(echo "$found" | grep -c 'divided:')" \
+		"$(echo "$found" | grep -c 'crashing:')" "$last_seed"
 }
 
 try_without "none: all rules are in place" "" ""
@@ -94,3 +96,15 @@
 try_without "the configuration is sent to peers that lack it" \
 	src/fleet/heartbeat.c \
 	's/^	config_sync_send(f, now, p);$//'
+try_without "the driver tells its peers of lost runs" \
+	src/fleet/fleet.c 's/^	losses_sync_tick(f, now);$//'
+try_without "lost runs are kept in the store" \
+	src/fleet/fleet.c 's/^	losses_store_tick(f, now);$//'
+try_without "a loss is a crash only if connections were refused" \
+	src/drive/losses.c 's/ || (x->refused && x->seen))/ || x->seen)/'
+try_without "a loss is a crash only if the run was seen there lately" \
+	src/drive/lost_runs.c 's/^	return now - seen_at <= SEEN_LATELY_MS;/	return true;/'
+try_without "a worker that answers again has not crashed" \
+	src/drive/hold.c 's/^	losses_explain(d->losses, w->info.name, LOSS_OTHER);$//'
+try_without "no start while two losses are not explained" \
+	src/drive/losses.c 's/wait && n_crashes + n_open >= CRASHES_MAX/false/'
--- a/test/process/34-task-crashes-workers.sh
+++ b/test/process/34-task-crashes-workers.sh
@@ -6,7 +6,7 @@
 
 . "$(dirname "$0")/fleet_lib.sh"
 
-ID=00000000deadbeef
+ID=000000000badc0de
 start_platform 6
 start_instance a d0
 start_instance b d1
@@ -15,7 +15,7 @@
 wait_served a
 answer=$(ask POST "$(cat "$DIR/a.callers")" /quick/$ID \
 	--header "Deadline-Remaining-Ms: 20000" \
-	--body '{"taskSpec":"deadly","bestEffort":true,"steps":[{"count":2,"cpu":8000,"memMb":64,"estimatedMs":60}]}')
+	--body '{"taskSpec":"crash","bestEffort":true,"steps":[{"count":2,"cpu":8000,"memMb":64,"estimatedMs":60}]}')
 expect "the status" 200 "$(echo "$answer" | head -1)"
 expect "the state" 1 "$(echo "$answer" | grep -c '"failed"')"
 crashes=$(ask GET "$STORE" "/standin/job?id=$ID" |
--- a/test/sim/fleet_random.c
+++ b/test/sim/fleet_random.c
@@ -28,7 +28,7 @@
 	unsigned cut_watches, end_store_fault;
 	unsigned late_percent;
 	unsigned long_runs;
-	unsigned deadly; /* jobs with a task that crashes workers */
+	unsigned crashing; /* jobs with a task that crashes workers */
 	unsigned crash_worker;
 	bool callers_leave_early; /* if their home is not reachable */
 };
@@ -256,10 +256,10 @@
 {
 	uint32_t run_ms = happens(s, rates->long_runs) ? 900 : 80;
 
-	if (rates->deadly && happens(s, rates->deadly) &&
+	if (rates->crashing && happens(s, rates->crashing) &&
 	    s->n_jobs + PROBE_JOBS < FSIM_JOBS)
-		fsim_submit_deadly(s, (int)rng_below(&s->rng, FSIM_DOMAINS),
-				   1 + (uint32_t)rng_below(&s->rng, 4));
+		fsim_submit_crashing(s, (int)rng_below(&s->rng, FSIM_DOMAINS),
+				     1 + (uint32_t)rng_below(&s->rng, 4));
 	if (s->n_jobs + PROBE_JOBS < FSIM_JOBS && happens(s, 350))
 		fsim_submit(s, (int)rng_below(&s->rng, FSIM_DOMAINS),
 			    1 + (uint32_t)rng_below(&s->rng, 4), run_ms);
@@ -286,7 +286,7 @@
 bool fsim_run_random(uint64_t seed, int64_t ms, enum fsim_mode mode,
 		     char *message, size_t size)
 {
-	bool divided = mode == FSIM_DIVIDED || mode == FSIM_DIVIDED_DEADLY;
+	bool divided = mode == FSIM_DIVIDED || mode == FSIM_DIVIDED_CRASHING;
 	struct fsim *s = divided ? fsim_new_divided(seed) : fsim_new(seed);
 	int64_t until = s->now + ms;
 	struct fault_rates rates = plain_rates;
@@ -294,8 +294,8 @@
 
 	if (mode != FSIM_PLAIN)
 		vary_all_rates(s, &rates);
-	if (mode >= FSIM_DEADLY) {
-		rates.deadly = 30;
+	if (mode >= FSIM_CRASHING) {
+		rates.crashing = 30;
 		rates.crash_worker = vary_rate(s, 8);
 	}
 	s->callers_leave_early = rates.callers_leave_early;
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -91,7 +91,7 @@
 	int64_t sent_at, deadline_at, retry_at; /* zero: not set */
 	bool answered;
 	enum fleet_outcome outcome;
-	bool is_deadly; /* its first task crashes each worker */
+	bool is_crashing; /* its first task crashes each worker */
 	unsigned crashes[FSIM_TASKS]; /* under each task */
 	unsigned starts_after_crashes; /* of the first task, after the third */
 	bool started; /* a task of it was started in any attempt */
@@ -160,7 +160,7 @@
 /* Submits a job as a caller of `domain`. */
 void fsim_submit(struct fsim *s, int domain, uint32_t n_tasks, uint32_t run_ms);
 /* The same, but its first task crashes each worker that starts it. */
-void fsim_submit_deadly(struct fsim *s, int domain, uint32_t n_tasks);
+void fsim_submit_crashing(struct fsim *s, int domain, uint32_t n_tasks);
 
 void fsim_kill(struct fsim *s, int instance);
 void fsim_start(struct fsim *s, int instance);
@@ -186,8 +186,8 @@
 	/* Some kinds of faults are left out and others are more frequent. */
 	FSIM_MIXED,
 	FSIM_DIVIDED, /* mixed, with a fleet that is divided into cells */
-	FSIM_DEADLY, /* mixed, with tasks that crash workers */
-	FSIM_DIVIDED_DEADLY
+	FSIM_CRASHING, /* mixed, with tasks that crash workers */
+	FSIM_DIVIDED_CRASHING
 };
 
 /*
--- a/test/sim/fleet_sim_callers.c
+++ b/test/sim/fleet_sim_callers.c
@@ -182,10 +182,10 @@
 	submit_job(s, add_job(s, domain, n_tasks, run_ms));
 }
 
-void fsim_submit_deadly(struct fsim *s, int domain, uint32_t n_tasks)
+void fsim_submit_crashing(struct fsim *s, int domain, uint32_t n_tasks)
 {
-	struct fsim_job *j = add_job(s, domain, n_tasks, DEADLY_RUN_MS);
+	struct fsim_job *j = add_job(s, domain, n_tasks, CRASHING_RUN_MS);
 
-	j->is_deadly = true;
+	j->is_crashing = true;
 	submit_job(s, j);
 }
--- a/test/sim/fleet_sim_internal.h
+++ b/test/sim/fleet_sim_internal.h
@@ -22,7 +22,7 @@
 	OLD_NUMBERS = 4, /* of a heartbeat of the first version */
 	OLD_FLAGS = 3,
 	RESTART_MS = 2000, /* from a worker's crash to its next life */
-	DEADLY_RUN_MS = 80,
+	CRASHING_RUN_MS = 80,
 	CRASH_AFTER_MS = 10, /* from a task's start to its worker's crash */
 	LATE_MIN_MS = 2000,
 	LATE_SPREAD_MS = 10000
--- a/test/sim/fleet_sim_worker.c
+++ b/test/sim/fleet_sim_worker.c
@@ -162,7 +162,7 @@
 	r->ends_at = s->now + j->run_ms;
 	if (w->n_runs * FSIM_TASK_CPU_MILLI > w->info.cpu_milli)
 		w->over_capacity_at = s->now;
-	if (!j->is_deadly || task->index)
+	if (!j->is_crashing || task->index)
 		return DRIVE_CALL_DONE;
 	check_budget(s, j);
 	r->crashes_at = s->now + CRASH_AFTER_MS;
--- a/test/standin/fleet_worker.c
+++ b/test/standin/fleet_worker.c
@@ -12,7 +12,7 @@
 };
 
 /* The specification of a job whose first task crashes each worker. */
-static const char deadly_spec[] = "deadly";
+static const char crash_spec[] = "crash";
 static const double crash_after_s = 0.01;
 
 static double loop_time_s(const struct fleet_worker *w)
@@ -142,12 +142,12 @@
 	return w->n_runs >= TASKS_MAX ? "room" : NULL;
 }
 
-static bool is_deadly(const json_t *body, const char *task)
+static bool is_crashing(const json_t *body, const char *task)
 {
 	const char *spec = json_string_value(json_object_get(body, JOB_BODY));
 	const char *index = strrchr(task, '.');
 
-	return spec && !strcmp(spec, deadly_spec) && index &&
+	return spec && !strcmp(spec, crash_spec) && index &&
 	       !strcmp(index, ".0");
 }
 
@@ -172,7 +172,7 @@
 	r->began_at = loop_time_s(w);
 	r->ends_at = r->began_at + w->platform->run_ms / 1000.0;
 	r->crashes_at = 0;
-	if (is_deadly(body, task))
+	if (is_crashing(body, task))
 		r->crashes_at = r->began_at + crash_after_s;
 	reply_result(w, id, 200, NULL);
 }
--- a/test/unit/drive_crash_test.c
+++ b/test/unit/drive_crash_test.c
@@ -27,7 +27,7 @@
 
 static void task_that_crashes_its_workers_is_given_up(void)
 {
-	struct drive_job j = drive_fake_job("deadly", 1);
+	struct drive_job j = drive_fake_job("crash", 1);
 	struct drive_fake f;
 
 	drive_fake_init(&f, 4);
@@ -49,15 +49,15 @@
 
 static void task_beside_one_that_crashes_workers_is_served(void)
 {
-	struct drive_job deadly = drive_fake_job("deadly", 1);
+	struct drive_job crashing = drive_fake_job("crash", 1);
 	struct drive_job harmless = drive_fake_job("harmless", 1);
 	struct drive_fake f;
 	size_t i;
 
 	drive_fake_init(&f, 4);
-	deadly.deadline_ms = harmless.deadline_ms = 60000;
+	crashing.deadline_ms = harmless.deadline_ms = 60000;
 	drive_fake_submit(&f, 1, &harmless);
-	drive_fake_submit(&f, 2, &deadly);
+	drive_fake_submit(&f, 2, &crashing);
 	CU_ASSERT_EQUAL(f.starts[0].worker, f.starts[1].worker);
 	drive_fake_answer_start(&f, 0, DRIVE_CALL_DONE);
 	crash_worker(&f, 1);
@@ -86,7 +86,7 @@
 
 static void job_of_a_task_given_up_fails_at_once_when_submitted_again(void)
 {
-	struct drive_job j = drive_fake_job("deadly", 1);
+	struct drive_job j = drive_fake_job("crash", 1);
 	struct drive_fake f;
 
 	drive_fake_init(&f, 4);
@@ -142,7 +142,7 @@
 
 static void route_that_crashes_workers_leaves_room_to_others(void)
 {
-	struct drive_job j = drive_fake_job("deadly0", 1);
+	struct drive_job j = drive_fake_job("crash0", 1);
 	struct drive_fake f;
 
 	drive_fake_init(&f, 4);
@@ -150,16 +150,16 @@
 	j.route = "other";
 	drive_fake_submit(&f, 9, &j);
 	drive_cancel(f.drive, f.now, FAKE_HOME, 9);
-	j.id = "deadly0";
+	j.id = "crash0";
 	j.route = "r";
 	drive_fake_submit(&f, 1, &j);
 	drive_fake_answer_start(&f, 1, DRIVE_CALL_DONE);
 	drive_fake_fail_hold(&f, f.starts[1].worker, DRIVE_CALL_NO_LISTENER);
-	j.id = "deadly1";
+	j.id = "crash1";
 	drive_fake_submit(&f, 2, &j);
 	drive_fake_answer_start(&f, 2, DRIVE_CALL_DONE);
 	drive_fake_fail_hold(&f, f.starts[2].worker, DRIVE_CALL_NO_LISTENER);
-	j.id = "deadly2";
+	j.id = "crash2";
 	drive_fake_submit(&f, 3, &j);
 	CU_ASSERT_EQUAL(f.n_starts, 3);
 	CU_ASSERT_EQUAL(f.n_jobs_done, 1);
--- a/test/unit/fleet_random_test.c
+++ b/test/unit/fleet_random_test.c
@@ -3,7 +3,7 @@
  * no job is answered as not run after a start, and all jobs are served after
  * the faults. FLEET_SEEDS="first last" selects the seeds, FLEET_MIXED leaves out
  * the plain runs, FLEET_DIVIDED the mixed runs of an undivided fleet, and
- * FLEET_DEADLY those of a divided one without tasks that crash workers.
+ * FLEET_CRASHING those of a divided one without tasks that crash workers.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -23,8 +23,8 @@
 	log_init(&opt);
 }
 
-static const char *const mode_names[] = {"", " mixed", " divided", " deadly",
-					 " divided deadly"};
+static const char *const mode_names[] = {"", " mixed", " divided", " crashing",
+					 " divided crashing"};
 
 static void run_seed(unsigned long seed, enum fsim_mode mode)
 {
@@ -66,12 +66,12 @@
 		if (!getenv("FLEET_DIVIDED"))
 			run_seed(seed, FSIM_MIXED);
 	for (seed = first; seed <= last; seed++)
-		if (!getenv("FLEET_DEADLY"))
+		if (!getenv("FLEET_CRASHING"))
 			run_seed(seed, FSIM_DIVIDED);
 	for (seed = first; seed <= last; seed++)
-		run_seed(seed, FSIM_DEADLY);
+		run_seed(seed, FSIM_CRASHING);
 	for (seed = first; seed <= last; seed++)
-		run_seed(seed, FSIM_DIVIDED_DEADLY);
+		run_seed(seed, FSIM_DIVIDED_CRASHING);
 }
 
 SUITE(fleet_random)
--- a/test/unit/fleet_test.c
+++ b/test/unit/fleet_test.c
@@ -577,7 +577,7 @@
 	const struct fsim_job *j = &s->jobs[0];
 	int driver, i;
 
-	fsim_submit_deadly(s, 0, 2);
+	fsim_submit_crashing(s, 0, 2);
 	for (i = 0; i < 8; i++) {
 		fsim_run(s, 1300);
 		driver = fsim_find_driver(s);
@@ -601,7 +601,7 @@
 	const struct fsim_job *j = &s->jobs[0];
 	int i, k;
 
-	fsim_submit_deadly(s, 0, 2);
+	fsim_submit_crashing(s, 0, 2);
 	for (i = 0; i < 6; i++) {
 		fsim_run(s, 1700);
 		for (k = 0; k < s->n_instances; k++)
