End only jobs whose likely suspect has no worker in time

A job was ended as unknown when no worker may be lost to a suspect before its deadline, also if its task only had shared a worker with the one started last, which such a bound does not hold back.

--- a/src/drive/suspects.c
+++ b/src/drive/suspects.c
@@ -9,7 +9,7 @@
 	/* One worker in this many may run a suspect... */
 	WORKERS_PER_SUSPECT = 24,
 	/* ...or be lost to one that is likely to crash it. */
-	WORKERS_PER_NEWEST = 48
+	WORKERS_PER_LIKELY = 48
 };
 
 static struct drive_task name_task(const struct job *j, uint32_t index)
@@ -99,8 +99,8 @@
 /* How many more workers may run a suspect now. */
 struct allowance {
 	uint32_t any; /* of workers that run a suspect */
-	uint32_t newest; /* of workers that run one or were lost to one */
-	int64_t next_at; /* when `newest` may rise; zero: unknown */
+	uint32_t likely; /* of workers that run one or were lost to one */
+	int64_t next_at; /* when `likely` may rise; zero: unknown */
 };
 
 static uint32_t remaining(uint32_t max, uint32_t used)
@@ -133,7 +133,7 @@
 		}
 	}
 	a.any = remaining(one_in(n, WORKERS_PER_SUSPECT), n_running);
-	a.newest = remaining(one_in(n, WORKERS_PER_NEWEST), n_running + n_lost);
+	a.likely = remaining(one_in(n, WORKERS_PER_LIKELY), n_running + n_lost);
 	return a;
 }
 
@@ -209,7 +209,7 @@
  * Starts suspects of the job: those that are likely to have crashed their
  * worker, or the others. Returns false if none can be started any more.
  */
-static bool start_suspects(struct drive *d, struct job *j, bool newest,
+static bool start_suspects(struct drive *d, struct job *j, bool likely,
 			   struct allowance *a, int64_t now)
 {
 	enum loss_verdict verdict;
@@ -218,7 +218,7 @@
 	uint32_t i;
 
 	for (i = 0; i < j->n_tasks; i++) {
-		if (!a->any || (newest && !a->newest))
+		if (!a->any || (likely && !a->likely))
 			return false;
 		if (!j->tasks[i].is_suspect)
 			continue;
@@ -232,7 +232,7 @@
 				return true;
 			continue;
 		}
-		if (losses_is_newest(d->losses, &task) != newest)
+		if (losses_is_newest(d->losses, &task) != likely)
 			continue;
 		w = find_empty(d, j, now);
 		if (!w) {
@@ -242,12 +242,12 @@
 		}
 		start_alone(d, j, i, w, now);
 		a->any--;
-		a->newest -= a->newest > 0;
+		a->likely -= a->likely > 0;
 	}
 	return true;
 }
 
-static void start_all(struct drive *d, bool newest, struct allowance *a,
+static void start_all(struct drive *d, bool likely, struct allowance *a,
 		      int64_t now)
 {
 	struct list *pos, *after;
@@ -257,22 +257,39 @@
 		struct job *j = LIST_ITEM(pos, struct job, suspect_link);
 
 		if (queue_may_start(d, j, now) &&
-		    !start_suspects(d, j, newest, a, now))
+		    !start_suspects(d, j, likely, a, now))
 			return;
 	}
 }
 
+/* Whether a suspect of the job may only be started at a worker's risk. */
+static bool has_likely_suspect(const struct drive *d, const struct job *j)
+{
+	uint32_t i;
+
+	for (i = 0; i < j->n_tasks; i++) {
+		const struct drive_task task = name_task(j, i);
+
+		if (j->tasks[i].is_suspect &&
+		    losses_is_newest(d->losses, &task))
+			return true;
+	}
+	return false;
+}
+
 /* Ends the jobs whose suspects cannot be started in time any more. */
 static void end_hopeless(struct drive *d, const struct allowance *a,
 			 int64_t now)
 {
 	struct list *pos, *after;
 
+	if (a->likely)
+		return;
 	LIST_EACH(pos, after, &d->suspect_jobs)
 	{
 		struct job *j = LIST_ITEM(pos, struct job, suspect_link);
 
-		if (!a->newest && a->next_at >= j->deadline_at)
+		if (a->next_at >= j->deadline_at && has_likely_suspect(d, j))
 			job_end(d, j, DRIVE_ABORTED, 0, "no_room_in_time", now);
 	}
 }
