Do not start a suspect again that runs or has ended

After a change of driver a resubmitted job's task could be a suspect that waits for a worker of its own when a list showed that it runs already. It stayed a suspect: the count of waiting tasks fell below zero, and when it had ended it was started again. It is cleared now when a run is assigned to it. suspect_that_runs_already_is_not_started_again failed before (the fourth start was of the task that had ended) and passes now.

A job whose suspect cannot be started in time, and of which nothing was started, is refused as not run, with a time to come back, instead of unknown; both ends at a deadline share the function.

--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -281,6 +281,9 @@
 /* Stops the job's runs, drops the job and reports to all waiters. */
 void job_end(struct drive *d, struct job *j, enum drive_outcome outcome,
 	     uint32_t retry_after_ms, const char *reason, int64_t now);
+/* Ends a job that cannot be served in time: refused, if no task was started. */
+void job_end_unserved(struct drive *d, struct job *j, const char *reason,
+		      int64_t now);
 void job_tick(struct drive *d, struct job *j, int64_t now);
 void job_drop(struct drive *d, struct job *j);
 
@@ -307,6 +310,8 @@
 /* The same for a task of a job that is submitted; it is not queued yet. */
 bool suspects_admit(struct drive *d, struct job *j, uint32_t index,
 		    int64_t now);
+/* The task is no suspect any more: it runs. */
+void suspects_clear(struct drive *d, struct job *j, struct task *t);
 /* Judges the waiting tasks again if more is known of losses. */
 void suspects_review(struct drive *d, int64_t now);
 /* Starts suspects on workers of their own. */
--- a/src/drive/job.c
+++ b/src/drive/job.c
@@ -5,7 +5,7 @@
 #include "drive/drive_state.h"
 #include "util/alloc.h"
 
-enum { DEADLINE_RETRY_MS = 1000 };
+enum { UNSERVED_RETRY_MS = 1000 };
 
 struct job *job_get(const struct drive *d, uint64_t handle)
 {
@@ -190,13 +190,17 @@
 	suspects_judge(d, j, index, now);
 }
 
-void job_tick(struct drive *d, struct job *j, int64_t now)
+void job_end_unserved(struct drive *d, struct job *j, const char *reason,
+		      int64_t now)
 {
-	if (now < j->deadline_at)
-		return;
 	if (j->has_begun)
-		job_end(d, j, DRIVE_ABORTED, 0, "deadline", now);
+		job_end(d, j, DRIVE_ABORTED, 0, reason, now);
 	else
-		job_end(d, j, DRIVE_REFUSED, DEADLINE_RETRY_MS, "deadline",
-			now);
+		job_end(d, j, DRIVE_REFUSED, UNSERVED_RETRY_MS, reason, now);
+}
+
+void job_tick(struct drive *d, struct job *j, int64_t now)
+{
+	if (now >= j->deadline_at)
+		job_end_unserved(d, j, "deadline", now);
 }
--- a/src/drive/run.c
+++ b/src/drive/run.c
@@ -206,6 +206,7 @@
 	t = &j->tasks[r->task.index];
 	if (t->state != TASK_WAITING)
 		return;
+	suspects_clear(d, j, t);
 	t->state = TASK_ACTIVE;
 	t->run_handle = r->handle;
 	if (r->number > t->last_run)
--- a/src/drive/suspects.c
+++ b/src/drive/suspects.c
@@ -37,6 +37,11 @@
 	d->capacity_changed = true;
 }
 
+void suspects_clear(struct drive *d, struct job *j, struct task *t)
+{
+	set_suspect(d, j, t, false);
+}
+
 static void give_up(struct drive *d, struct job *j, uint32_t index,
 		    enum drive_outcome outcome, const char *reason, int64_t now)
 {
@@ -290,7 +295,7 @@
 		struct job *j = LIST_ITEM(pos, struct job, suspect_link);
 
 		if (a->next_at >= j->deadline_at && has_likely_suspect(d, j))
-			job_end(d, j, DRIVE_ABORTED, 0, "no_room_in_time", now);
+			job_end_unserved(d, j, "no_room_in_time", now);
 	}
 }
 
--- a/test/unit/drive_crash_test.c
+++ b/test/unit/drive_crash_test.c
@@ -171,6 +171,42 @@
 	drive_fake_free(&f);
 }
 
+/* The next driver takes the task for a suspect before a list shows its run. */
+static void suspect_that_runs_already_is_not_started_again(void)
+{
+	struct drive_job j = drive_fake_job("a", 2);
+	struct drive_active_run row;
+	struct drive_fake f;
+	uint32_t index;
+	int i;
+
+	drive_fake_init(&f, 4);
+	j.deadline_ms = 60000;
+	drive_fake_submit(&f, 1, &j);
+	CU_ASSERT_EQUAL(f.starts[0].worker, f.starts[1].worker);
+	drive_fake_answer_start(&f, 0, DRIVE_CALL_DONE);
+	crash_worker(&f, 1);
+	CU_ASSERT_EQUAL(f.n_starts, 3);
+	index = f.starts[2].task.index;
+	drive_fake_answer_start(&f, 2, DRIVE_CALL_DONE);
+	row = (struct drive_active_run){.task = f.starts[2].task,
+					.run = f.starts[2].run};
+	drive_end(f.drive, f.now);
+	drive_begin(f.drive, f.now, 6);
+	drive_set_workers(f.drive, f.now, f.workers, f.n_workers);
+	j.generation = 1;
+	drive_fake_submit(&f, 1, &j);
+	for (i = 0; i < 4; i++)
+		if (i != f.starts[0].worker)
+			drive_fake_answer_hold(
+				&f, i, &row, i == f.starts[2].worker, NULL, 0);
+	drive_fake_end_run(&f, 2, 1, DRIVE_RUN_DONE);
+	drive_fake_advance(&f, 3000, false);
+	CU_ASSERT_EQUAL(f.n_starts, 4);
+	CU_ASSERT_NOT_EQUAL(f.starts[3].task.index, index);
+	drive_fake_free(&f);
+}
+
 SUITE(drive_crash)
 {
 	TEST(task_that_crashes_its_workers_is_given_up);
@@ -179,4 +215,5 @@
 	TEST(task_on_silent_workers_is_not_given_up_as_a_crash);
 	TEST(task_lost_without_explanation_is_started_four_times_at_most);
 	TEST(route_that_crashes_workers_leaves_room_to_others);
+	TEST(suspect_that_runs_already_is_not_started_again);
 }
