--- a/src/drive/bulkhead.c
+++ b/src/drive/bulkhead.c
@@ -5,9 +5,9 @@
 #include "drive/drive_state.h"
 
 enum {
-	/* One worker in this many may be lost to one route... */
+	/* One of this many workers may be lost to one route. */
 	WORKERS_PER_LOST = 3,
-	/* ...or, while less than this part of the capacity is free, in this. */
+	/* The same while less than FREE_PERCENT of the capacity is free. */
 	WORKERS_PER_LOST_BUSY = 8,
 	FREE_PERCENT = 20
 };
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -143,7 +143,7 @@
 	int64_t deadline_at;
 	struct task *tasks;
 	uint32_t n_tasks, n_done, n_active;
-	uint32_t n_suspects; /* waiting tasks that must be alone */
+	uint32_t n_suspects; /* waiting tasks that need a worker of their own */
 	bool has_begun; /* a task of it was started or adopted */
 	bool is_late; /* when it was queued, its objective was missed */
 	void *body;
@@ -242,7 +242,7 @@
 /* Returns the run's handle. */
 uint64_t run_start(struct drive *d, struct job *j, uint32_t index,
 		   struct worker *w, int64_t now);
-/* Lets no other run start beside this one. */
+/* Lets no other run start on the worker while this one is there. */
 void run_make_exclusive(struct worker *w, struct run *r);
 /* Marks a run as running at the first answer or list that shows it. */
 void run_mark_running(struct run *r, int64_t now);
--- a/src/drive/losses.c
+++ b/src/drive/losses.c
@@ -17,7 +17,7 @@
 	CRASHES_MAX = 2,
 	/* Losses that may be crashes; the last start is after the third. */
 	UNEXPLAINED_MAX = 4,
-	/* A crashed worker is back, or its address is in use again, by then. */
+	/* After this time no new incarnation is expected at the address. */
 	EVIDENCE_WAIT_MS = 6000
 };
 
@@ -169,6 +169,7 @@
 			explain(l, x, cause);
 }
 
+/* Whether the list has another incarnation at the lost worker's address. */
 static bool is_address_reused(const struct loss *x,
 			      const struct drive_worker *list, size_t n)
 {
--- a/src/drive/lost_runs.c
+++ b/src/drive/lost_runs.c
@@ -3,12 +3,13 @@
 #include "util/alloc.h"
 
 enum {
-	/* Runs that were started within this time were started together. */
+	/* Runs whose starts are no further apart count as started together. */
 	STARTED_TOGETHER_MS = 20,
-	/* Lists of active runs come more often than this. */
+	/* Longer than the interval between two lists of active runs. */
 	SEEN_LATELY_MS = 250
 };
 
+/* When the newest run on the worker was started. */
 static int64_t last_start(const struct worker *w)
 {
 	struct list *pos, *after;
@@ -36,7 +37,10 @@
 	run_time_add_crash(j->run_time, now);
 }
 
-/* Its end may have been lost with the worker if it was last seen long ago. */
+/*
+ * Whether the worker has reported the run as active lately. If its last report
+ * is old, the run may have ended before the worker crashed.
+ */
 static bool was_seen(const struct worker *w, const struct run *r, int64_t now)
 {
 	int64_t seen_at = r->running_at;
@@ -48,7 +52,7 @@
 	return now - seen_at <= SEEN_LATELY_MS;
 }
 
-/* Whether the worker has begun to refuse connections just now. */
+/* Whether this is the event at which the worker began to refuse connections. */
 static bool begins_to_refuse(const struct worker *w, int64_t now)
 {
 	return w->refuses_since == now;
@@ -63,7 +67,7 @@
 	loss->task = r->task;
 	loss->run = r->number;
 	loss->seen = was_seen(w, r, now);
-	/* The worker's end says nothing of a run that was not seen there. */
+	/* The worker may have crashed without this run. */
 	if (!loss->seen && loss->cause == LOSS_CRASH)
 		loss->cause = LOSS_UNEXPLAINED;
 	losses_add(d->losses, now, loss);
--- a/src/drive/place.c
+++ b/src/drive/place.c
@@ -22,7 +22,10 @@
 	uint32_t n_tasks_placed; /* of this job */
 	bool is_slow;
 	bool in_home_domain; /* in the failure domain of the job's home */
-	/* A task on it has the other risk of crashing it than the job's. */
+	/*
+	 * The job's route is risky and another task's on the worker is not, or
+	 * the reverse.
+	 */
 	bool is_mixed;
 };
 
--- a/src/drive/run_time.h
+++ b/src/drive/run_time.h
@@ -50,7 +50,7 @@
 double run_time_expected_ms(const struct run_time *rt, uint32_t declared_ms);
 /* A worker crashed soon after the start of a task of this route. */
 void run_time_add_crash(struct run_time *rt, int64_t now);
-/* Whether tasks of this route have crashed several workers lately. */
+/* Whether several workers crashed lately just after starts of this route. */
 bool run_time_is_risky(const struct run_time *rt, int64_t now);
 /* Whether another route that is not risky is in use. */
 bool run_times_has_other(const struct run_times *t, const struct run_time *rt,
--- a/src/drive/suspects.c
+++ b/src/drive/suspects.c
@@ -6,9 +6,12 @@
 #include "drive/drive_state.h"
 
 enum {
-	/* One worker in this many may run a suspect... */
+	/* One of this many workers may run a suspect. */
 	WORKERS_PER_SUSPECT = 24,
-	/* ...or be lost to one that is likely to crash it. */
+	/*
+	 * One of this many may run a suspect that is likely to crash it, or be
+	 * down since it ran one.
+	 */
 	WORKERS_PER_LIKELY = 48
 };
 
@@ -103,9 +106,9 @@
 
 /* How many more workers may run a suspect now. */
 struct allowance {
-	uint32_t any; /* of workers that run a suspect */
-	uint32_t likely; /* of workers that run one or were lost to one */
-	int64_t next_at; /* when `likely` may rise; zero: unknown */
+	uint32_t any; /* suspects that may be started */
+	uint32_t likely; /* of these, ones that are likely to crash workers */
+	int64_t next_at; /* when the next likely one may start; zero: unknown */
 };
 
 static uint32_t remaining(uint32_t max, uint32_t used)
@@ -231,7 +234,7 @@
 		verdict = losses_judge(d->losses, now, &task);
 		if (verdict == LOSS_WAIT)
 			continue;
-		/* A wait has ended without an explanation. */
+		/* The task waited for an explanation, and the wait is over. */
 		if (verdict != LOSS_SUSPECT) {
 			if (!suspects_judge(d, j, i, now))
 				return true;
@@ -267,7 +270,7 @@
 	}
 }
 
-/* Whether a suspect of the job may only be started at a worker's risk. */
+/* Whether a suspect of the job is likely to crash its worker. */
 static bool has_likely_suspect(const struct drive *d, const struct job *j)
 {
 	uint32_t i;
--- a/src/drive/worker.c
+++ b/src/drive/worker.c
@@ -7,8 +7,8 @@
 	FAILURES_TO_EJECT = 2, /* in a row */
 	EJECT_MS = 1000, /* doubled with each ejection in a row */
 	EJECT_MAX_MS = 8000,
-	FULL_MS = 20, /* doubled with each refusal in a row */
-	FULL_MAX_MS = 500, /* the list shows a new capacity by then */
+	FULL_MS = 20, /* after a start refused for want of capacity; doubled */
+	FULL_MAX_MS = 500, /* the list of workers is read as often */
 	/*
 	 * A worker that left the list may be listed again. It still obeys only
 	 * the highest fence of its calls, so that fence is kept for this time.
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -360,7 +360,7 @@
 /* losses_msgs.c */
 void losses_pack_list(struct wire_out *w, const struct loss *const *list,
 		      size_t n, int64_t now);
-/* Adds the list to `l`. */
+/* Adds each loss in the message to `l`. */
 void losses_unpack_list(struct wire_in *w, struct losses *l, int64_t now);
 
 /* losses_store.c */
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -197,7 +197,7 @@
 bool fsim_run_random(uint64_t seed, int64_t ms, enum fsim_mode mode,
 		     char *message, size_t size);
 
-/* Ends the worker's process; another starts at its address later. */
+/* Crashes the worker; RESTART_MS later another starts at its address. */
 void fsim_crash_worker(struct fsim *s, int worker);
 
 /* fleet_sim_worker.c: ends what is due and carries out calls. */
--- a/test/standin/fleet.h
+++ b/test/standin/fleet.h
@@ -135,7 +135,7 @@
 /* Removes a key, as the platform itself does. */
 void fleet_store_remove(struct fleet_platform *p, const char *key);
 
-/* fleet.c: ends the worker's process; another one listens there later. */
+/* fleet.c: crashes the worker, which restarts 2 s later, and restarts it. */
 void fleet_worker_crash(struct fleet_worker *w);
 void fleet_worker_restart(struct fleet_worker *w);
 
--- a/test/unit/drive_fake.h
+++ b/test/unit/drive_fake.h
@@ -65,7 +65,7 @@
 /* Reports the end of the run of that start in the answer to a hold. */
 void drive_fake_end_run(struct drive_fake *f, size_t start, uint64_t sequence,
 			enum drive_run_result result);
-/* Another incarnation answers at the worker's address, and is listed. */
+/* Replaces the worker by a new incarnation at its address, and lists it. */
 void drive_fake_restart_worker(struct drive_fake *f, int worker);
 /* Advances the time by `ms`; open holds are answered if `workers_answer`. */
 void drive_fake_advance(struct drive_fake *f, int64_t ms, bool workers_answer);
