Give decisions about load a folder, and the driver the interfaces of new parts

Cause: the driver decides placement, admission, limits and speeds in files that also handle calls, so none of them can be tested alone, and new parts would enlarge the circle of calls in src/drive.

Change: src/policy is a layer below drive and fleet (checked by make lint); what is learned of run times moves there. The driver can be told which failure domains are evacuated (drive_set_evacuated), asks one function for the expected run time of a task on a worker, and may give each call a time limit. A worker's entry has room for the start of its life and for how long it is cold. Nothing sets these yet, so behaviour is as before.

Ruled out: run times by file in drive, as the new parts need them too.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 LIBS = -lev -lmsgpackc -lmicrohttpd -lcurl -lpopt -linih -lsodium \
 	-ljansson -lxxhash -lm
 
-LIB_AREAS = util protocol coordination state drive fleet core
+LIB_AREAS = util policy protocol coordination state drive fleet core
 LIB_SRC = $(sort $(wildcard $(LIB_AREAS:%=src/%/*.c)))
 BIN_SRC = $(sort $(wildcard src/transport/*.c src/cmd/*.c platform/*.c))
 TEST_SRC = $(sort $(wildcard test/unit/*.c))
--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -33,6 +33,9 @@
 	uint32_t memory_mb;
 	uint32_t accelerators;
 	bool leaving; /* it stops soon and takes no further task */
+	/* Start of this life on its wall clock, in ms; zero: not known. */
+	int64_t born_ms;
+	uint32_t cold_ms; /* how much longer it is slow after its start */
 	char kind[SYC_NAME_MAX]; /* workers of one kind are equally fast */
 	size_t n_labels; /* the kind is one of them */
 	char labels[DRIVE_LABELS_MAX][SYC_NAME_MAX];
@@ -96,6 +99,7 @@
 	uint32_t run; /* number of the run, higher for each start of a task */
 	uint64_t fence;
 	int64_t lease_expires_at; /* milliseconds on the worker's clock */
+	uint32_t timeout_ms; /* limit of the call; zero: the client's own */
 	struct syc_bytes body;
 };
 
@@ -114,6 +118,7 @@
 	uint64_t cursor; /* sequence number of the last end that was received */
 	int64_t lease_expires_at; /* worker's clock; zero: no renewal */
 	uint32_t wait_ms; /* longest wait of the worker for a run to end */
+	uint32_t timeout_ms; /* besides that wait; zero: the client's own */
 };
 
 enum drive_call_result {
@@ -137,6 +142,7 @@
 	enum drive_call_result result;
 	bool has_clock;
 	int64_t clock_ms; /* the worker's clock */
+	int64_t born_ms; /* as in struct drive_worker; zero: not known */
 };
 
 /* A run that is active on a worker. */
@@ -173,6 +179,14 @@
 
 struct losses;
 
+enum { DRIVE_DOMAINS_MAX = 16 };
+
+/* Names of failure domains. */
+struct drive_domains {
+	size_t n;
+	char names[DRIVE_DOMAINS_MAX][SYC_NAME_MAX];
+};
+
 struct drive_options {
 	void *ctx;
 	/* Outlives the drive and may be shared by several; see losses.h. */
@@ -243,6 +257,14 @@
 void drive_set_workers(struct drive *d, int64_t now,
 		       const struct drive_worker *list, size_t n);
 
+/*
+ * Sets the failure domains whose workers get no further task, until this is
+ * called again. Runs that are active there go on. NULL: it is not known which
+ * domains these are, so no task is started anywhere.
+ */
+void drive_set_evacuated(struct drive *d, int64_t now,
+			 const struct drive_domains *domains);
+
 /* The number of known workers, listed or not. */
 size_t drive_count_workers(const struct drive *d);
 
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -4,7 +4,7 @@
 
 #include "drive/drive.h"
 #include "drive/losses.h"
-#include "drive/run_time.h"
+#include "policy/run_time.h"
 #include "util/index.h"
 #include "util/list.h"
 #include "util/log.h"
@@ -173,6 +173,8 @@
 	bool is_list_fresh; /* the list was read since this driver began */
 	bool capacity_changed; /* the queue has to be checked again */
 	uint32_t next_pick; /* rotates the choice among equal workers */
+	bool awaits_evacuated; /* which domains are evacuated is not known */
+	struct drive_domains evacuated;
 };
 
 /* worker.c */
@@ -193,6 +195,11 @@
 /* Whether the worker may be given another task now. */
 bool worker_is_usable(const struct drive *d, const struct worker *w,
 		      int64_t now);
+/* Whether the workers of its failure domain get no further task. */
+bool worker_is_evacuated(const struct drive *d, const struct worker *w);
+/* The expected run time of a task of `j` on this worker, in ms. */
+double worker_expected_ms(const struct drive *d, const struct worker *w,
+			  const struct job *j);
 void worker_record_success(struct drive *d, struct worker *w);
 /* Ejects the worker after too many failures in a row. */
 void worker_record_failure(struct drive *d, struct worker *w, int64_t now,
--- a/src/drive/queue.c
+++ b/src/drive/queue.c
@@ -68,12 +68,12 @@
 				int64_t now)
 {
 	const struct job *j = job_get(d, r->job);
+	const struct worker *w = worker_get(d, r->worker);
 	int64_t end_at;
 
-	if (!j || r->stopping)
+	if (!j || !w || r->stopping)
 		return now;
-	end_at = r->sent_at +
-		 (int64_t)run_time_expected_ms(j->run_time, j->estimate_ms);
+	end_at = r->sent_at + (int64_t)worker_expected_ms(d, w, j);
 	return end_at > now ? end_at : now;
 }
 
--- a/src/drive/worker.c
+++ b/src/drive/worker.c
@@ -52,9 +52,31 @@
 	return w->listed || now - w->unlisted_at < UNLISTED_MAY_RUN_MS;
 }
 
+bool worker_is_evacuated(const struct drive *d, const struct worker *w)
+{
+	size_t i;
+
+	if (d->awaits_evacuated)
+		return true;
+	for (i = 0; i < d->evacuated.n; i++)
+		if (!strcmp(d->evacuated.names[i], w->info.domain))
+			return true;
+	return false;
+}
+
+double worker_expected_ms(const struct drive *d, const struct worker *w,
+			  const struct job *j)
+{
+	(void)d;
+	(void)w;
+	return run_time_expected_ms(j->run_time, j->estimate_ms);
+}
+
 bool worker_is_available(const struct drive *d, const struct worker *w,
 			 int64_t now)
 {
+	if (worker_is_evacuated(d, w))
+		return false;
 	if (!w->listed || w->info.leaving || !worker_is_driven(d, w) ||
 	    !worker_is_confirmed(d, w))
 		return false;
@@ -261,6 +283,16 @@
 	d->forgot_worker = false;
 }
 
+void drive_set_evacuated(struct drive *d, int64_t now,
+			 const struct drive_domains *domains)
+{
+	d->awaits_evacuated = !domains;
+	if (domains)
+		d->evacuated = *domains;
+	d->capacity_changed = true;
+	queue_run(d, now);
+}
+
 size_t drive_count_workers(const struct drive *d)
 {
 	return d->workers.used;
--- a/src/drive/run_time.c
+++ b/src/policy/run_time.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "drive/run_time.h"
+#include "policy/run_time.h"
 #include "util/alloc.h"
 
 enum {
--- a/src/drive/run_time.h
+++ b/src/policy/run_time.h
@@ -3,8 +3,8 @@
  * declares is a guess that may be far off, so it is corrected by the run times
  * that were observed.
  */
-#ifndef DRIVE_RUN_TIME_H
-#define DRIVE_RUN_TIME_H
+#ifndef POLICY_RUN_TIME_H
+#define POLICY_RUN_TIME_H
 
 #include "sycamoreshore/types.h"
 
--- a/test/lint.sh
+++ b/test/lint.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Checks that no layer includes a higher one. From the lowest to the highest
-# the layers are: util, transport, protocol, coordination/state/drive,
+# the layers are: util, policy/transport, protocol, coordination/state/drive,
 # fleet/core, cmd/platform. Also checks that the platform's names occur in
 # platform/ only, that each public header compiles by itself, and that there
 # are no typedefs.
@@ -20,11 +20,12 @@
 	done
 }
 
-forbid util transport protocol coordination state drive fleet core cmd platform
-forbid transport protocol coordination state drive fleet core cmd platform
-forbid protocol coordination state drive fleet core cmd platform
-forbid coordination transport state drive fleet core cmd platform
-forbid state transport coordination drive fleet core cmd platform
+forbid util policy transport protocol coordination state drive fleet core cmd platform
+forbid policy transport protocol coordination state drive fleet core cmd platform
+forbid transport policy protocol coordination state drive fleet core cmd platform
+forbid protocol policy coordination state drive fleet core cmd platform
+forbid coordination policy transport state drive fleet core cmd platform
+forbid state policy transport coordination drive fleet core cmd platform
 forbid drive transport protocol coordination state fleet core cmd platform
 forbid fleet transport coordination state core cmd platform
 forbid core transport drive fleet cmd platform
