Return sooner from a full stop: redial peers that are up, wait for the first list

Cause: after a full stop of 34 instances in three cells, homes had no way to their driver for up to a second. A connection that is dialled while the peer is still down waits for TCP's next attempt, a second later, although the peer has dialled this instance meanwhile; each side sends over its own connection only. Besides, a driver that has begun refused all jobs as no_worker_known in the 20 to 125 ms until its first list of workers arrived.

Ruled out: the election (drivers begin 0.25 s after the processes), the division (known from the store at once), the listen queue (1,024).

Change: a connection in from a peer proves that it is up, so a dial to its address that hangs, or waits for its backoff, is begun anew.

What remains is the load of callers that come back at once.

--- a/src/drive/admit.c
+++ b/src/drive/admit.c
@@ -204,6 +204,12 @@
 	return false;
 }
 
+/* Whether this driver has just begun and knows of no worker yet. */
+static bool awaits_first_list(const struct drive *d)
+{
+	return !d->is_list_fresh && !d->workers.used;
+}
+
 /* Logs what decides whether a job that does not fit now may wait. */
 static void log_waits(const struct drive *d, const struct job *j,
 		      int64_t start_at, int64_t now)
@@ -233,6 +239,10 @@
 		if (j->tasks[i].state == TASK_WAITING &&
 		    !suspects_admit(d, j, i, now))
 			return;
+	if (awaits_first_list(d)) {
+		queue_add(d, j, now);
+		return;
+	}
 	if (!d->workers.used) {
 		job_end(d, j, DRIVE_REFUSED, REFUSED_RETRY_MS,
 			"no_worker_known", now);
--- a/src/transport/peer_dial.c
+++ b/src/transport/peer_dial.c
@@ -7,7 +7,9 @@
 	DIAL_BACKOFF_MIN_MS = 100,
 	LEARNED_TIMEOUT_S = 60, /* without a connection in or out */
 	/* A peer that hung up, unlike one that dials again. */
-	HUNG_UP_AFTER_S = 2
+	HUNG_UP_AFTER_S = 2,
+	/* A peer that is up has accepted a connection by then. */
+	STUCK_MS = 50
 };
 
 static const double ms_per_s = 1000;
@@ -29,6 +31,7 @@
 
 static void dial(struct peer_dial *d)
 {
+	d->dialled_at_s = ev_now(d->dials->conns->loop);
 	d->conn = peer_conn_dial(d->dials->conns, &d->addr);
 	if (!d->conn)
 		schedule_dial(d);
@@ -109,6 +112,33 @@
 	return NULL;
 }
 
+static bool is_connecting(const struct peer_dial *d)
+{
+	return d->conn && d->conn->stage == PEER_CONNECTING;
+}
+
+/*
+ * The peer is up, as it has dialled this instance. A dial that began while it
+ * was down waits a second for the next attempt of TCP, so it is begun anew.
+ */
+static void dial_anew(struct peer_dial *d)
+{
+	struct peer_dials *ds = d->dials;
+	double age_s = ev_now(ds->conns->loop) - d->dialled_at_s;
+
+	if (d->is_self || d->alias_of)
+		return;
+	if (is_connecting(d) && age_s > STUCK_MS / ms_per_s) {
+		d->dials_at_once = true;
+		peer_conn_close(d->conn, NULL);
+		return;
+	}
+	if (d->conn || !ev_is_active(&d->retry_timer))
+		return;
+	ev_timer_stop(ds->conns->loop, &d->retry_timer);
+	dial(d);
+}
+
 void peer_dials_add(struct peer_dials *ds, const struct syc_addr *addr,
 		    bool learned)
 {
@@ -118,6 +148,8 @@
 		return;
 	if (d) {
 		d->learned &= learned;
+		if (learned)
+			dial_anew(d);
 		return;
 	}
 	d = xcalloc(1, sizeof(*d));
@@ -183,6 +215,12 @@
 void peer_dial_closed(struct peer_dial *d)
 {
 	d->conn = NULL;
-	if (!d->is_self)
-		schedule_dial(d);
+	if (d->is_self)
+		return;
+	if (d->dials_at_once)
+		d->backoff_s = 0;
+	schedule_dial(d);
+	if (d->dials_at_once)
+		d->backoff_s = DIAL_BACKOFF_MIN_MS / ms_per_s;
+	d->dials_at_once = false;
 }
--- a/src/transport/peer_dial.h
+++ b/src/transport/peer_dial.h
@@ -17,6 +17,8 @@
 	bool is_self; /* the address leads to this instance */
 	uint64_t alias_of; /* peer reached by another address; zero: none */
 	struct peer_conn *conn; /* NULL between attempts */
+	bool dials_at_once; /* once `conn` is closed */
+	double dialled_at_s; /* loop time of the last attempt */
 	double backoff_s;
 	double connected_at_s; /* loop time of creation or last connection */
 	ev_timer retry_timer;
@@ -36,7 +38,10 @@
 	bool (*has_inbound)(void *ctx, const struct syc_addr *addr);
 };
 
-/* Dials `addr` from now on, unless it is known or this instance's own. */
+/*
+ * Dials `addr` from now on, unless it is this instance's own. If the instance
+ * there has dialled this one (`learned`), an attempt that hangs is begun anew.
+ */
 void peer_dials_add(struct peer_dials *ds, const struct syc_addr *addr,
 		    bool learned);
 void peer_dials_remove(struct peer_dials *ds, const struct syc_addr *addr);
--- a/test/unit/drive_fake.c
+++ b/test/unit/drive_fake.c
@@ -84,9 +84,8 @@
 	return f->late_ms;
 }
 
-void drive_fake_init(struct drive_fake *f, size_t n)
+static void new_drive(struct drive_fake *f)
 {
-	struct drive_worker *list = f->workers;
 	struct drive_options opt = {
 		.ctx = f,
 		.lease_ms = 1000,
@@ -99,13 +98,26 @@
 		.choose_higher_epoch = on_fenced,
 		.get_late_ms = on_get_late_ms,
 	};
-	size_t i;
 
 	log_level_set(LOG_ERROR);
 	memset(f, 0, sizeof(*f));
 	f->now = 100000;
-	f->n_workers = n;
 	f->drive = drive_new(&opt);
+}
+
+void drive_fake_init_without_list(struct drive_fake *f)
+{
+	new_drive(f);
+	drive_begin(f->drive, f->now, 5);
+}
+
+void drive_fake_init(struct drive_fake *f, size_t n)
+{
+	struct drive_worker *list = f->workers;
+	size_t i;
+
+	new_drive(f);
+	f->n_workers = n;
 	for (i = 0; i < n; i++) {
 		snprintf(list[i].name, sizeof(list[i].name), "w%zu", i);
 		snprintf(list[i].service, sizeof(list[i].service), "s");
--- a/test/unit/drive_fake.h
+++ b/test/unit/drive_fake.h
@@ -47,6 +47,8 @@
 
 /* Drives `n` workers of 16 cores, which have confirmed the driver's fence. */
 void drive_fake_init(struct drive_fake *f, size_t n);
+/* Begins to drive; no list of workers was read yet. */
+void drive_fake_init_without_list(struct drive_fake *f);
 void drive_fake_free(struct drive_fake *f);
 
 /* Answers all open holds with empty lists. */
--- a/test/unit/drive_test.c
+++ b/test/unit/drive_test.c
@@ -22,6 +22,38 @@
 	return (struct drive_active_run){.task = c->task, .run = c->run};
 }
 
+/* A driver that has just begun does not know yet that there is no worker. */
+static void job_waits_for_the_first_list(void)
+{
+	struct drive_worker worker = {.name = "w0",
+				      .service = "s",
+				      .domain = "d0",
+				      .cpu_milli = 16000,
+				      .memory_mb = 65536};
+	struct drive_fake f;
+
+	drive_fake_init_without_list(&f);
+	submit(&f, 1, "a", 1, 0);
+	CU_ASSERT_EQUAL(f.n_jobs_done, 0);
+	drive_set_workers(f.drive, f.now, &worker, 1);
+	drive_fake_advance(&f, 10, false);
+	drive_fake_answer_all_holds(&f);
+	CU_ASSERT_EQUAL(f.n_starts, 1);
+	drive_fake_free(&f);
+}
+
+static void job_is_refused_if_no_worker_is_listed(void)
+{
+	struct drive_fake f;
+
+	drive_fake_init_without_list(&f);
+	drive_set_workers(f.drive, f.now, NULL, 0);
+	submit(&f, 1, "a", 1, 0);
+	CU_ASSERT_EQUAL(f.n_jobs_done, 1);
+	CU_ASSERT_EQUAL(f.jobs_done[0].outcome, DRIVE_REFUSED);
+	drive_fake_free(&f);
+}
+
 static void first_queued_job_begins_partially(void)
 {
 	struct drive_fake f;
@@ -767,6 +799,8 @@
 
 SUITE(drive)
 {
+	TEST(job_waits_for_the_first_list);
+	TEST(job_is_refused_if_no_worker_is_listed);
 	TEST(first_queued_job_begins_partially);
 	TEST(later_job_begins_completely_or_not_at_all);
 	TEST(lower_priority_does_not_overtake_a_waiting_job);
--- a/test/unit/transport_peer_test.c
+++ b/test/unit/transport_peer_test.c
@@ -1,7 +1,9 @@
 /* Tests peer links: handshakes, messages and rejected connections. */
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
+#include "transport/address.h"
 #include "transport/peer_link.h"
 #include "transport/peer_seal.h"
 #include "transport_help.h"
@@ -343,6 +345,43 @@
 	raw_server_close(s, fd);
 }
 
+/*
+ * A dial hangs while the listener's queue is full, as it does while a machine is
+ * down. When the peer is up and dials, it must not wait for TCP's next attempt.
+ */
+static void hanging_dial_is_begun_anew(void)
+{
+	enum { FILLERS = 4, CONNECT_MAX_MS = 600 };
+	struct ev_loop *loop = ev_loop_new(0);
+	struct syc_addr addr = loopback(0);
+	int fd, i, fillers[FILLERS];
+	struct side a, b;
+	double begun_at;
+	uint16_t port;
+
+	CU_ASSERT_EQUAL(addr_listen(&addr, &fd, &port), TRANSPORT_OK);
+	CU_ASSERT_EQUAL(listen(fd, 0), 0);
+	for (i = 0; i < FILLERS; i++)
+		fillers[i] = raw_connect_begin(port);
+	CU_ASSERT_EQUAL(open_side(&a, loop, 1, key_a, 0), TRANSPORT_OK);
+	addr = loopback(port);
+	peer_links_dial(a.links, &addr);
+	run_a_while(loop);
+	CU_ASSERT_EQUAL(a.n_up, 0);
+	for (i = 0; i < FILLERS; i++)
+		close(fillers[i]);
+	close(fd);
+	CU_ASSERT_EQUAL(open_side(&b, loop, 2, key_a, port), TRANSPORT_OK);
+	begun_at = ev_time();
+	dial(&b, &a);
+	CU_ASSERT(run_until(loop, &a.n_up, 2)); /* in and out */
+	CU_ASSERT((ev_time() - begun_at) * 1000 < CONNECT_MAX_MS);
+	CU_ASSERT(send_text(&a, 2, "up"));
+	close_side(&b);
+	close_side(&a);
+	ev_loop_destroy(loop);
+}
+
 static void random_bytes_from_an_acceptor_are_rejected(void)
 {
 	struct ev_loop *loop = ev_loop_new(0);
@@ -418,6 +457,7 @@
 	TEST(removed_address_is_not_dialled_again);
 	TEST(port_in_use_is_reported);
 	TEST(peer_that_starts_later_is_reached);
+	TEST(hanging_dial_is_begun_anew);
 	TEST(random_bytes_from_an_acceptor_are_rejected);
 	TEST(acceptor_that_sends_is_closed);
 	TEST(largest_message_is_delivered);
