Stop runs that fall behind on workers that have turned slow

Cause: a worker that turns six times slower with good health keeps its long tasks past their objective; nothing looks at their progress but the stall limit, which such a run does not reach.

Change: policy/run_progress judges runs by the percentage that lists show, and workers by their runs; drive/progress stops the runs that would be in time elsewhere, within a budget, and ejects the worker. A task starts again only after the end of its run is listed.

Ruled out: a copy beside the slow run; a stop on one run behind, as the task itself may be long.

--- a/src/drive/drive.c
+++ b/src/drive/drive.c
@@ -155,6 +155,7 @@
 		return;
 	tick_workers(d, now);
 	tick_runs(d, now);
+	progress_review(d, now);
 	tick_jobs(d, now);
 	losses_tick(d->losses, now);
 	suspects_review(d, now);
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -4,6 +4,7 @@
 
 #include "drive/drive.h"
 #include "drive/losses.h"
+#include "policy/run_progress.h"
 #include "policy/run_time.h"
 #include "util/index.h"
 #include "util/list.h"
@@ -104,6 +105,10 @@
 	uint32_t full_in_row; /* starts that it refused for want of capacity */
 	int64_t full_until; /* it gets none before */
 	bool on_probation; /* one task at a time until a task succeeds */
+	/* progress.c */
+	struct worker_pace pace;
+	int64_t judged_at; /* `listed_runs_at` of the list that was judged */
+	bool is_slow; /* it has turned slow */
 };
 
 enum task_state { TASK_WAITING = 0, TASK_ACTIVE, TASK_DONE };
@@ -173,6 +178,7 @@
 	bool is_list_fresh; /* the list was read since this driver began */
 	bool capacity_changed; /* the queue has to be checked again */
 	uint32_t next_pick; /* rotates the choice among equal workers */
+	struct stop_budget stop_budget; /* of runs that fall behind */
 	bool awaits_evacuated; /* which domains are evacuated is not known */
 	struct drive_domains evacuated;
 };
@@ -299,6 +305,13 @@
 void lost_runs_record(struct drive *d, struct worker *w, enum loss_cause cause,
 		      int64_t now);
 
+/* progress.c */
+/* Stops runs that are behind and would be in time elsewhere. */
+void progress_review(struct drive *d, int64_t now);
+/* Notes the pace of a run of `j` that has ended as done. */
+void progress_record_end(struct worker *w, const struct run *r,
+			 const struct job *j, int64_t now);
+
 /* bulkhead.c */
 /*
  * Whether so many workers are lost to tasks of the route that its jobs are
--- a/src/drive/run.c
+++ b/src/drive/run.c
@@ -296,6 +296,7 @@
 	worker_record_success(d, w);
 	if (!j || r->state != RUN_RUNNING || !r->fence)
 		return;
+	progress_record_end(w, r, j, now);
 	run_time_learn(&d->run_times, j->run_time, w->info.kind, j->estimate_ms,
 		       (double)(now - r->sent_at));
 }
