--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -72,6 +72,7 @@
 	int64_t unlisted_at;
 	bool listed;
 	bool is_replaced; /* another incarnation answered at its address */
+	bool is_slow; /* it has turned slow, see progress.c */
 	bool is_reserved; /* for a run that must be alone, once it is empty */
 	uint32_t used_cpu_milli, used_memory_mb, used_accelerators;
 	struct list runs;
@@ -108,7 +109,6 @@
 	/* progress.c */
 	struct worker_pace pace;
 	int64_t judged_at; /* `listed_runs_at` of the list that was judged */
-	bool is_slow; /* it has turned slow */
 };
 
 enum task_state { TASK_WAITING = 0, TASK_ACTIVE, TASK_DONE };
