Start no task in a failure domain that the operator has evacuated

Cause: the platform's operator can request in the store that nothing be sent to the workers of a failure domain. Nothing read that request, so tasks were started there all the while.

Change: with [platform] evacuation_apply_ms, the adapter presents all requests as one value (platform/store_evacuations.c), which the whole fleet keeps known as it does the configuration (src/fleet/evacuation.c) and heartbeats carry. The drive gives workers of these domains no task and counts neither them nor the ends of their runs as capacity; until the set is known it starts nothing. A job that only evacuated workers could run is refused with a time to retry after, and keeps no capacity from others. A home prefers a cell with capacity to its own without. The index of such a value rises with each read, so key_watch keeps its watches then. Zero, the default, makes no call and adds no field.

--- a/src/cmd/fleet_components.c
+++ b/src/cmd/fleet_components.c
@@ -102,6 +102,8 @@
 		.store = platform_store_ops(d->store),
 		.config_key = PLATFORM_CONFIG,
 		.config_apply_ms = d->settings.config_apply_ms,
+		.evacuations_key = PLATFORM_EVACUATIONS,
+		.evacuation_apply_ms = d->settings.evacuation_apply_ms,
 		.divided_workers_min = d->settings.divided_workers_min,
 		.cell_workers_min = d->settings.cell_workers_min,
 		.capacity = capacity_estimate(&d->settings.machine),
@@ -170,13 +172,16 @@
 }
 
 /*
- * Lost reads must end before the age of the configuration reaches its bound, as
+ * Lost reads must end before the age of what they read reaches its bound, as
  * there is a limit on the reads in flight.
  */
 static uint32_t limit_store_timeout(const struct fleet_settings *s)
 {
 	uint32_t max_ms = s->config_apply_ms / 2;
+	uint32_t evacuation_max_ms = s->evacuation_apply_ms / 2;
 
+	if (evacuation_max_ms && evacuation_max_ms < max_ms)
+		max_ms = evacuation_max_ms;
 	if (s->store_timeout_ms <= max_ms)
 		return s->store_timeout_ms;
 	log_info("store_timeout_limited", LOG_U("timeout_ms", max_ms));
--- a/src/cmd/fleet_daemon.h
+++ b/src/cmd/fleet_daemon.h
@@ -26,6 +26,7 @@
 	const char *settings_path;
 	struct fleet_settings settings;
 	struct metrics metrics;
+	struct drive_domains shown_evacuated; /* in the metrics */
 	struct histogram served_ms, refused_ms; /* from arrival to answer */
 	uint8_t cluster_key[PEER_KEY_LEN];
 	struct syc_instance self;
--- a/src/cmd/fleet_metrics.c
+++ b/src/cmd/fleet_metrics.c
@@ -1,4 +1,8 @@
+#include <stdio.h>
+#include <string.h>
+
 #include "cmd/fleet_daemon.h"
+#include "util/alloc.h"
 
 static void set_metric(struct fleet_daemon *d, enum metric_kind kind,
 		       const char *name, const char *help, const char *labels,
@@ -52,6 +56,55 @@
 		   NULL, c.capacity);
 }
 
+static bool has_domain(const struct drive_domains *domains, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < domains->n; i++)
+		if (!strcmp(domains->names[i], name))
+			return true;
+	return false;
+}
+
+/* Domains that are not evacuated any more are shown as zero. */
+static void set_evacuated(struct fleet_daemon *d,
+			  const struct drive_domains *evacuated)
+{
+	struct drive_domains *shown = &d->shown_evacuated;
+	char labels[SYC_NAME_MAX + 16];
+	size_t i;
+
+	for (i = 0; i < evacuated->n && shown->n < DRIVE_DOMAINS_MAX; i++)
+		if (!has_domain(shown, evacuated->names[i]))
+			copy_text(shown->names[shown->n++], SYC_NAME_MAX,
+				  evacuated->names[i]);
+	for (i = 0; i < shown->n; i++) {
+		snprintf(labels, sizeof(labels), "domain=\"%s\"",
+			 shown->names[i]);
+		set_metric(d, METRIC_GAUGE, "sycamoreshore_evacuated",
+			   "Whether the failure domain's workers get no tasks.",
+			   labels, has_domain(evacuated, shown->names[i]));
+	}
+}
+
+static void set_evacuation_metrics(struct fleet_daemon *d)
+{
+	struct fleet_evacuations e;
+
+	fleet_get_evacuations(cells_whole(d->fleet), &e);
+	if (!e.is_in_use)
+		return;
+	set_metric(d, METRIC_GAUGE, "sycamoreshore_evacuations_age_ms",
+		   "Time since the store last confirmed the evacuations, or "
+		   "since the start.",
+		   NULL, (uint64_t)e.age_ms);
+	set_metric(d, METRIC_GAUGE, "sycamoreshore_evacuations_known",
+		   "Whether the evacuations are known; if not, no task is "
+		   "started.",
+		   NULL, e.is_known);
+	set_evacuated(d, &e.domains);
+}
+
 static void set_drive_metrics(struct fleet_daemon *d)
 {
 	struct drive_counts c;
@@ -169,6 +222,7 @@
 		   NULL, cells_count(d->fleet));
 	set_answer_metrics(d);
 	set_member_metrics(d);
+	set_evacuation_metrics(d);
 	set_drive_metrics(d);
 }
 
--- a/src/cmd/fleet_settings.c
+++ b/src/cmd/fleet_settings.c
@@ -5,7 +5,8 @@
 #include "cmd/settings_reference.h"
 
 enum {
-	LEASE_HOLDS_MIN = 2 /* least ratio of lease_ms to hold_wait_ms */
+	LEASE_HOLDS_MIN = 2, /* least ratio of lease_ms to hold_wait_ms */
+	EVACUATION_MS_MIN = 100
 };
 
 #define OFFSET_OF(member) offsetof(struct fleet_settings, member)
@@ -59,12 +60,17 @@
 	 "Address of the platform's store."},
 	{"timeout_ms", FIELD_U32, OFFSET_OF(store_timeout_ms), 50, 60000, "ms",
 	 "1000",
-	 "Time limit of a call, at most half of config_apply_ms; a watch adds "
-	 "its wait time."},
+	 "Time limit of a call, at most half of config_apply_ms and of "
+	 "evacuation_apply_ms; a watch adds its wait time."},
 	{"config_apply_ms", FIELD_U32, OFFSET_OF(config_apply_ms), 100, 600000,
 	 "ms", "2000",
 	 "Time within which a change of the configuration is in force after "
 	 "the store has confirmed it; an older confirmation is logged."},
+	{"evacuation_apply_ms", FIELD_U32, OFFSET_OF(evacuation_apply_ms), 0,
+	 600000, "ms", "0",
+	 "Time after which no task is started on the workers of a failure "
+	 "domain that the operator has evacuated, at least 100; 0: there are "
+	 "no evacuations."},
 	{0},
 };
 
@@ -150,6 +156,12 @@
 				"lease_ms = %u is less than %d times "
 				"hold_wait_ms = %u",
 				s->lease_ms, LEASE_HOLDS_MIN, s->hold_wait_ms);
+	if (s->evacuation_apply_ms &&
+	    s->evacuation_apply_ms < EVACUATION_MS_MIN)
+		return ini_fail(pos,
+				"evacuation_apply_ms = %u is neither 0 nor at "
+				"least %d",
+				s->evacuation_apply_ms, EVACUATION_MS_MIN);
 	if (s->stop_ms <= s->drain_ms)
 		return ini_fail(
 			pos, "stop_ms = %u is not greater than drain_ms = %u",
--- a/src/cmd/fleet_settings.h
+++ b/src/cmd/fleet_settings.h
@@ -28,6 +28,7 @@
 	struct syc_addr store;
 	uint32_t store_timeout_ms;
 	uint32_t config_apply_ms;
+	uint32_t evacuation_apply_ms; /* zero: no evacuations */
 	/* [workers] */
 	uint32_t lease_ms;
 	uint32_t hold_wait_ms;
--- a/src/drive/admit.c
+++ b/src/drive/admit.c
@@ -254,8 +254,13 @@
 		return;
 	if (!job_is_settled(d, j, now))
 		return;
-	if (is_awaiting_lists(d))
+	if (d->awaits_evacuated || is_awaiting_lists(d))
 		return;
+	if (!place_has_open_worker(d, j)) {
+		job_end(d, j, DRIVE_REFUSED, REFUSED_RETRY_MS, "evacuated",
+			now);
+		return;
+	}
 	start_at = queue_expected_start(d, j, now);
 	log_waits(d, j, start_at, now);
 	if (start_at > j->latest_start_at)
--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -179,7 +179,7 @@
 
 struct losses;
 
-enum { DRIVE_DOMAINS_MAX = 16 };
+enum { DRIVE_DOMAINS_MAX = 64 };
 
 /* Names of failure domains. */
 struct drive_domains {
@@ -265,6 +265,12 @@
 void drive_set_evacuated(struct drive *d, int64_t now,
 			 const struct drive_domains *domains);
 
+/*
+ * When this driver last started a task on a worker of the failure domain that it
+ * still knows; zero: never.
+ */
+int64_t drive_get_last_start(const struct drive *d, const char *domain);
+
 /* The number of known workers, listed or not. */
 size_t drive_count_workers(const struct drive *d);
 
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -85,6 +85,7 @@
 	uint64_t fence_step; /* added to the epoch's first fence */
 	uint64_t confirmed_fence; /* highest of an answered hold; zero: none */
 	int64_t confirmed_at; /* when the last answered hold was sent */
+	int64_t last_start_at; /* when it was last sent a task */
 	int64_t listed_runs_at; /* when its last lists were read */
 	bool hold_in_flight; /* the regular hold, which may await a run's end */
 	bool probe_in_flight;
@@ -344,6 +345,11 @@
 bool place_some(struct drive *d, struct job *j, int64_t now);
 /* Whether the worker could run a task of `j` if it were empty. */
 bool place_fits_empty(const struct worker *w, const struct job *j);
+/*
+ * Whether a task of `j` fits on an empty listed worker whose failure domain is
+ * not evacuated.
+ */
+bool place_has_open_worker(const struct drive *d, const struct job *j);
 /* Whether a task of `j` fits on an empty listed worker. */
 bool place_is_possible(const struct drive *d, const struct job *j);
 
--- a/src/drive/place.c
+++ b/src/drive/place.c
@@ -233,6 +233,21 @@
 	       w->info.accelerators >= j->accelerators;
 }
 
+bool place_has_open_worker(const struct drive *d, const struct job *j)
+{
+	const struct worker *w;
+	uint64_t handle;
+	uint32_t pos = 0;
+
+	if (!d->awaits_evacuated && !d->evacuated.n)
+		return true;
+	while ((w = table_next(&d->workers, &pos, &handle)))
+		if (w->listed && !worker_is_evacuated(d, w) &&
+		    place_fits_empty(w, j))
+			return true;
+	return false;
+}
+
 bool place_is_possible(const struct drive *d, const struct job *j)
 {
 	const struct worker *w;
--- a/src/drive/queue.c
+++ b/src/drive/queue.c
@@ -95,6 +95,14 @@
 	return n;
 }
 
+/* Whether another task may follow the run on its worker. */
+static bool frees_capacity(const struct drive *d, const struct run *r)
+{
+	const struct worker *w = worker_get(d, r->worker);
+
+	return !w || !worker_is_evacuated(d, w);
+}
+
 /*
  * Estimates when `j`, which is queued, can begin if `free_slots` tasks of its
  * size fit now.
@@ -124,7 +132,7 @@
 	needed -= free_slots;
 	ends = xcalloc(d->runs.used + 1, sizeof(*ends));
 	while ((r = table_next(&d->runs, &run_pos, &handle)))
-		if (r->state != RUN_ENDED)
+		if (r->state != RUN_ENDED && frees_capacity(d, r))
 			ends[n++] = run_expected_end(d, r, now);
 	if (needed > n)
 		return INT64_MAX;
@@ -221,7 +229,7 @@
 	}
 	if (is_first && may_begin_partially(d, j, now))
 		begin_partially(d, j, now);
-	return !j->is_late;
+	return !j->is_late && place_has_open_worker(d, j);
 }
 
 void queue_run(struct drive *d, int64_t now)
--- a/src/drive/worker.c
+++ b/src/drive/worker.c
@@ -293,6 +293,19 @@
 	queue_run(d, now);
 }
 
+int64_t drive_get_last_start(const struct drive *d, const char *domain)
+{
+	const struct worker *w;
+	uint64_t handle;
+	uint32_t pos = 0;
+	int64_t last = 0;
+
+	while ((w = table_next(&d->workers, &pos, &handle)))
+		if (!strcmp(w->info.domain, domain) && w->last_start_at > last)
+			last = w->last_start_at;
+	return last;
+}
+
 size_t drive_count_workers(const struct drive *d)
 {
 	return d->workers.used;
--- a/src/fleet/cell_choice.c
+++ b/src/fleet/cell_choice.c
@@ -18,7 +18,7 @@
 
 static bool has_room_to_spare(const struct cell_view *v, uint64_t cpu_milli)
 {
-	return has_room(v, cpu_milli) &&
+	return has_room(v, cpu_milli) && v->cpu_milli &&
 	       v->free_cpu_milli * PERCENT >=
 		       v->cpu_milli * OWN_FREE_MIN_PERCENT;
 }
@@ -45,19 +45,27 @@
 	return found;
 }
 
-/* Any cell that may be tried, the own one first. */
+/*
+ * Any cell that may be tried: the own one first, but after those with capacity
+ * if it has none, as when its workers are evacuated.
+ */
 static size_t choose_without_room(const struct cell_view *views, size_t n)
 {
-	size_t i, any = n;
+	size_t i, any = n, own = n;
 
 	for (i = 0; i < n; i++) {
 		if (!may_try(&views[i]))
 			continue;
 		if (views[i].is_own)
-			return i;
-		any = i;
+			own = i;
+		else if (any == n || views[i].cpu_milli)
+			any = i;
 	}
-	return any;
+	if (own == n)
+		return any;
+	if (any < n && views[any].cpu_milli && !views[own].cpu_milli)
+		return any;
+	return own;
 }
 
 size_t cell_choose(const struct cell_view *views, size_t n, uint64_t cpu_milli,
--- a/src/fleet/cells.c
+++ b/src/fleet/cells.c
@@ -97,14 +97,16 @@
 								   : others;
 }
 
-/* Sends the version of a new configuration in the own cell's heartbeats. */
-static void announce_config(struct cells *c, int64_t now)
+/* Sends what is new of the whole fleet in the own cell's heartbeats. */
+static void announce_changes(struct cells *c, int64_t now)
 {
-	uint64_t version = c->whole.fleet->config_version;
+	const struct fleet *whole = c->whole.fleet;
 
-	if (!c->n || version == c->config_version)
+	if (!c->n || (c->config_version == whole->config_version &&
+		      c->n_evacuation_changes == whole->evacuations.n_changes))
 		return;
-	c->config_version = version;
+	c->config_version = whole->config_version;
+	c->n_evacuation_changes = whole->evacuations.n_changes;
 	heartbeat_send_all(cells_own(c), now);
 }
 
@@ -115,7 +117,7 @@
 	choose_readers(c, now);
 	fleet_tick(c->whole.fleet, now);
 	open_cells(c, now);
-	announce_config(c, now);
+	announce_changes(c, now);
 	cell_reports_tick(c, now);
 	for (i = 0; i < c->n; i++)
 		fleet_tick(c->cells[i].fleet, now);
--- a/src/fleet/cells_state.h
+++ b/src/fleet/cells_state.h
@@ -39,7 +39,9 @@
 	struct rng rng;
 	bool workers_read_in_flight;
 	int64_t next_reports_at;
-	uint64_t config_version; /* that heartbeats were last sent for */
+	/* What heartbeats were last sent for. */
+	uint64_t config_version;
+	uint64_t n_evacuation_changes;
 };
 
 /* cell_fleet.c */
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -199,6 +199,7 @@
 	f->drive = drive_new(&drive);
 	map_sync_init(f, now);
 	config_sync_init(f, now);
+	evacuation_init(f, now);
 	table_init(&f->jobs, sizeof(struct home_job));
 	return f;
 }
@@ -222,6 +223,7 @@
 		f->role = fleet_role(f, now);
 	map_sync_tick(f, now);
 	config_sync_tick(f, now);
+	evacuation_tick(f, now);
 	heartbeat_tick(f, now);
 	if (!fleet_is_divided(f))
 		election_tick(f, now);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -52,6 +52,16 @@
 	const char *config_key; /* of the configuration in the store */
 	/* In force within this time of its confirmation by the store. */
 	uint32_t config_apply_ms;
+	/*
+	 * Key of the evacuated failure domains, one a line. Its index is
+	 * that of the whole store.
+	 */
+	const char *evacuations_key;
+	/*
+	 * No task is started on their workers later than this time after the
+	 * store has accepted the request; zero: there are no evacuations.
+	 */
+	uint32_t evacuation_apply_ms;
 	/* The fleet is divided into cells from this number of workers on... */
 	uint32_t divided_workers_min;
 	/* ...if each failure domain has this number; zero: never. */
@@ -121,6 +131,17 @@
  */
 int64_t fleet_config_age_ms(const struct fleet *f);
 
+/* The failure domains whose workers get no tasks. */
+struct fleet_evacuations {
+	bool is_in_use; /* the settings have them */
+	bool is_known; /* until then, no task is started */
+	int64_t age_ms; /* as fleet_config_age_ms */
+	struct drive_domains domains;
+};
+
+/* Of the whole fleet, which keeps them for its cells. */
+void fleet_get_evacuations(const struct fleet *f, struct fleet_evacuations *e);
+
 /*
  * Passes in the answer to a hold. The answers to starts and stops are passed
  * to the driver, fleet_get_drive.
--- a/src/fleet/fleet_dump.c
+++ b/src/fleet/fleet_dump.c
@@ -17,6 +17,23 @@
 		counts->links += f->peers[i].link_up;
 }
 
+/* What is known of evacuations; null: it is not known, or not in use. */
+static json_t *dump_evacuations(const struct fleet *f)
+{
+	struct fleet_evacuations e;
+	json_t *list;
+	size_t i;
+
+	fleet_get_evacuations(f->whole, &e);
+	if (!e.is_known)
+		return json_null();
+	list = json_array();
+	for (i = 0; i < e.domains.n; i++)
+		json_array_append_new(list, json_string(e.domains.names[i]));
+	return json_pack("{s:I, s:o}", "age_ms", (json_int_t)e.age_ms,
+			 "domains", list);
+}
+
 char *fleet_dump(const struct fleet *f, int64_t now)
 {
 	json_t *root, *peers = json_array(), *drive;
@@ -42,7 +59,7 @@
 	}
 	root = json_pack(
 		"{s:I, s:I, s:I, s:b, s:i, s:b, s:i, s:I, s:I, s:I, "
-		"s:o, s:o}",
+		"s:o, s:o, s:o}",
 		"id", (json_int_t)f->opt.self.id, "driver",
 		(json_int_t)f->driver, "epoch", (json_int_t)f->epoch,
 		"store_away", f->store_unreachable, "members",
@@ -52,7 +69,8 @@
 		(json_int_t)f->whole->config_version, "config_age_ms",
 		(json_int_t)key_watch_age_ms(&f->whole->config_watch, now),
 		"map_age_ms", (json_int_t)key_watch_age_ms(&f->map_watch, now),
-		"peers", peers, "drive", drive);
+		"evacuated", dump_evacuations(f), "peers", peers, "drive",
+		drive);
 	text = json_dumps(root, JSON_INDENT(1));
 	json_decref(root);
 	return text;
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -3,6 +3,7 @@
 #define FLEET_FLEET_STATE_H
 
 #include "drive/losses.h"
+#include "fleet/evacuation.h"
 #include "fleet/fleet.h"
 #include "fleet/fleet_map.h"
 #include "fleet/key_watch.h"
@@ -155,6 +156,10 @@
 	void *config;
 	size_t config_len;
 
+	/* evacuation.c */
+	struct evacuations evacuations; /* of the whole fleet alone */
+	uint64_t evacuations_told; /* the change that the drive knows */
+
 	int probes_in_flight; /* calls to workers of other domains */
 	uint32_t n_yields; /* that no instance took up, in a row */
 	/* This instance drives and lets a stronger one take over. */
@@ -234,6 +239,16 @@
 void heartbeat_add_pause(struct fleet *f, int64_t paused_ms);
 void heartbeat_tick(struct fleet *f, int64_t now);
 void heartbeat_send_all(struct fleet *f, int64_t now);
+/* The age of a key's value for peers; zero: it was never confirmed. */
+uint64_t heartbeat_get_age_ms(const struct key_watch *w, int64_t now);
+/*
+ * Accepts the peer's word for the age of what this instance knows too. The
+ * heartbeat may have been held back on its way, so the age counts from when this
+ * instance sent the heartbeat that the peer had received before, `echo_ms` after
+ * its start.
+ */
+void heartbeat_accept_age(const struct fleet *f, struct key_watch *w,
+			  int64_t echo_ms, int64_t age_ms);
 /* Gives up the jobs of peers that sent no heartbeat for too long. */
 void heartbeat_check_timeouts(struct fleet *f, int64_t now);
 bool heartbeat_receive(struct fleet *f, int64_t now, struct fleet_peer *p,
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -64,8 +64,7 @@
 	return p->heartbeat_at && now - p->heartbeat_at <= RECENT_MS;
 }
 
-/* The age of a key's value for peers; zero: it was never confirmed. */
-static uint64_t get_age_ms(const struct key_watch *w, int64_t now)
+uint64_t heartbeat_get_age_ms(const struct key_watch *w, int64_t now)
 {
 	int64_t age_ms = key_watch_age_ms(w, now);
 
@@ -83,7 +82,8 @@
 	if (drive_is_active(f->drive))
 		drive_get_room(f->drive, now, &room);
 
-	wire_begin(&w, SYC_PEER_FLEET_HEARTBEAT, HEARTBEAT_FIELDS);
+	wire_begin(&w, SYC_PEER_FLEET_HEARTBEAT,
+		   HEARTBEAT_FIELDS + evacuation_count_fields(f));
 	wire_put_u64(&w, (uint64_t)(now - f->started_at));
 	wire_put_u64(&w, f->epoch);
 	wire_put_u64(&w, f->driver);
@@ -97,12 +97,13 @@
 	wire_put_u64(&w, room.free_cpu_milli);
 	wire_put_bool(&w, fleet_is_divided(f));
 	wire_put_u64(&w, p ? p->sent_at_ms : 0);
-	wire_put_u64(&w, get_age_ms(&f->whole->config_watch, now));
+	wire_put_u64(&w, heartbeat_get_age_ms(&f->whole->config_watch, now));
 	wire_put_u64(&w, f->map.index);
-	wire_put_u64(&w, get_age_ms(&f->map_watch, now));
+	wire_put_u64(&w, heartbeat_get_age_ms(&f->map_watch, now));
 	wire_put_u64(&w, f->whole->map.index);
-	wire_put_u64(&w, get_age_ms(&f->whole->map_watch, now));
+	wire_put_u64(&w, heartbeat_get_age_ms(&f->whole->map_watch, now));
 	wire_put_bool(&w, true); /* it reads reports of lost runs */
+	evacuation_put_fields(f, now, &w);
 	if (f->opt.send(f->opt.ctx, to, wire_bytes(&w)) && p)
 		p->knows_division = fleet_is_divided(f);
 }
@@ -209,13 +210,8 @@
 	f->missed_division |= p->is_divided;
 }
 
-/*
- * Accepts the peer's word for the age of what both know. The heartbeat may have
- * been held back on its way, so the age counts from when this instance sent the
- * heartbeat that the peer had received before, `echo_ms` after its start.
- */
-static void accept_age(const struct fleet *f, struct key_watch *w,
-		       int64_t echo_ms, int64_t age_ms)
+void heartbeat_accept_age(const struct fleet *f, struct key_watch *w,
+			  int64_t echo_ms, int64_t age_ms)
 {
 	if (echo_ms && age_ms)
 		key_watch_confirm(w, f->started_at + echo_ms - age_ms);
@@ -226,7 +222,7 @@
 			 int64_t echo_ms, uint64_t index, int64_t age_ms)
 {
 	if (index && index == g->map.index)
-		accept_age(f, &g->map_watch, echo_ms, age_ms);
+		heartbeat_accept_age(f, &g->map_watch, echo_ms, age_ms);
 	else if (index > g->map.index)
 		key_watch_note_newer(&g->map_watch);
 }
@@ -241,7 +237,8 @@
 	if (w->failed)
 		return;
 	if (p->config_version && p->config_version == f->whole->config_version)
-		accept_age(f, &f->whole->config_watch, echo_ms, config_age_ms);
+		heartbeat_accept_age(f, &f->whole->config_watch, echo_ms,
+				     config_age_ms);
 	read_map_age(f, f, echo_ms, map_index, map_age_ms);
 	if (!wire_has_more(w))
 		return;
@@ -251,6 +248,8 @@
 		read_map_age(f, f->whole, echo_ms, map_index, map_age_ms);
 	if (wire_has_more(w))
 		p->knows_losses = wire_bool(w);
+	if (wire_has_more(w))
+		evacuation_read_fields(f, echo_ms, w);
 }
 
 static void log_newer_config(const struct fleet *f, const struct fleet_peer *p,
--- a/src/fleet/key_watch.c
+++ b/src/fleet/key_watch.c
@@ -86,7 +86,8 @@
 	w->learned_at = now;
 	w->wants_read = false;
 	/* A watch that waits for an older index reports nothing new. */
-	replace_watches(w);
+	if (!w->opt.index_rises)
+		replace_watches(w);
 }
 
 void key_watch_call_ended(struct key_watch *w, int64_t sent_at,
@@ -274,7 +275,7 @@
 	w->wants_read = true;
 }
 
-void key_watch_written(struct key_watch *w, int64_t now, uint64_t index)
+void key_watch_learned(struct key_watch *w, int64_t now, uint64_t index)
 {
 	set_index(w, now, index);
 }
--- a/src/fleet/key_watch.h
+++ b/src/fleet/key_watch.h
@@ -36,9 +36,14 @@
 	struct syc_clock clock;
 	char key[KEY_MAX];
 	uint32_t bound_ms; /* an older value is reported in the log */
+	/*
+	 * The index is the store's, so it rises without a change of the value,
+	 * and a watch that waits for an older index still reports all changes.
+	 */
+	bool index_rises;
 	uint64_t id; /* of the instance; spreads the reads of the fleet */
 	void *ctx;
-	/* The key has another value or, with SYC_PLATFORM_ABSENT, none. */
+	/* The key has another index or, with SYC_PLATFORM_ABSENT, no value. */
 	void (*changed)(void *ctx, const struct syc_platform_value *v);
 	/* The store does not answer any more, or answers again. */
 	void (*reachable)(void *ctx, bool reachable, const char *why);
@@ -82,8 +87,8 @@
 /* A peer knows a newer value, so a read is due. */
 void key_watch_note_newer(struct key_watch *w);
 
-/* The caller's own write has set the key's value. */
-void key_watch_written(struct key_watch *w, int64_t now, uint64_t index);
+/* The caller knows the value of this index, by a write of its own or a peer. */
+void key_watch_learned(struct key_watch *w, int64_t now, uint64_t index);
 
 /* A call to the store that was sent at `sent_at` ended with this result. */
 void key_watch_call_ended(struct key_watch *w, int64_t sent_at,
--- a/src/fleet/map_sync.c
+++ b/src/fleet/map_sync.c
@@ -134,7 +134,7 @@
 	key_watch_call_ended(&f->map_watch, f->write_sent_at, v);
 	if (v->status == SYC_PLATFORM_OK && v->index) {
 		f->pending_map.index = v->index;
-		key_watch_written(&f->map_watch, now, v->index);
+		key_watch_learned(&f->map_watch, now, v->index);
 		apply_map(f, now, &f->pending_map);
 		return;
 	}
--- a/test/deploy.sh
+++ b/test/deploy.sh
@@ -22,6 +22,8 @@
 	-e 's/{{limits.linkMbps}}/1000.0/' \
 	-e 's/{{[#/]bounds.configApplyMs}}//g' \
 	-e 's/{{bounds.configApplyMs}}/2000/' \
+	-e 's/{{[#/]bounds.evacuationMs}}//g' \
+	-e 's/{{bounds.evacuationMs}}/5000/' \
 	-e 's/{{bounds.holdMaxMs}}/1000/' deploy/fleet.ini >"$dir/fleet.ini"
 if grep '{{' "$dir/fleet.ini"
 then
