Test evacuations in whole fleets, in random runs and at the store's adapter

Cause: the evacuation of a failure domain has to hold when drivers die, the store is silent, deaf or forgets its history, and domains are cut off.

Change: the model of the fleet learns evacuations. It counts a start in an evacuated domain later than the bound, by an instance that runs without a pause and reaches the store or an instance that does (n_late_evacuations). Random runs have two further modes with evacuations, so the seeds of the others mean what they did.

--- a/test/sim/fake_store.c
+++ b/test/sim/fake_store.c
@@ -68,6 +68,13 @@
 	put_value(s, find_or_add_key(s, key), value, strlen(value));
 }
 
+void fake_store_put_set(struct fake_store *s, const char *key,
+			const char *value)
+{
+	fake_store_put(s, key, value);
+	find_key(s, key)->is_set = true;
+}
+
 void fake_store_restore(struct fake_store *s)
 {
 	size_t i;
@@ -224,7 +231,7 @@
 		v.value.p = k->old_val;
 		v.value.n = k->old_len;
 	} else {
-		v.index = k->index;
+		v.index = k->is_set ? ++s->index : k->index;
 		v.value.p = k->val;
 		v.value.n = k->len;
 	}
@@ -246,6 +253,8 @@
 
 	if (s->now >= c->wait_ends_at || s->ends_watches)
 		return false;
+	if (k && k->is_set)
+		return s->deaf || k->index <= c->index;
 	return s->deaf || (k ? k->index : 0) == c->index;
 }
 
--- a/test/sim/fake_store.h
+++ b/test/sim/fake_store.h
@@ -39,6 +39,7 @@
 		char *val, *old_val;
 		size_t len, old_len;
 		uint64_t index, old_index;
+		bool is_set; /* see fake_store_put_set */
 	} keys[FAKE_STORE_KEYS_MAX];
 	size_t n_keys;
 	struct fake_call *calls[FAKE_STORE_CALLS_MAX];
@@ -72,6 +73,12 @@
 /* Sets each key back to its content before its last write. */
 void fake_store_restore(struct fake_store *s);
 void fake_store_put(struct fake_store *s, const char *key, const char *value);
+/*
+ * The same for a value that stands for a set of keys. Its index is that of the
+ * store, which rises with each read, as other keys change all the time.
+ */
+void fake_store_put_set(struct fake_store *s, const char *key,
+			const char *value);
 void fake_store_free(struct fake_store *s);
 
 #endif
--- a/test/sim/fleet_random.c
+++ b/test/sim/fleet_random.c
@@ -24,6 +24,7 @@
 	bool is_mixed;
 	unsigned pause_driver, cut_worker, lose_answers, reconnect_worker;
 	unsigned change_config;
+	unsigned evacuate, end_evacuation;
 	unsigned silence, silence_one, deafen, be_busy, delay_replies;
 	unsigned cut_watches, end_store_fault;
 	unsigned late_percent;
@@ -159,6 +160,18 @@
 		fsim_put_config(s);
 }
 
+static void change_evacuations(struct fsim *s, const struct fault_rates *rates)
+{
+	int domain = (int)rng_below(&s->rng, FSIM_DOMAINS);
+
+	if (!store_takes_changes(s))
+		return;
+	if (happens(s, rates->evacuate))
+		fsim_put_evacuation(s, domain);
+	if (happens(s, rates->end_evacuation))
+		fsim_end_evacuation(s, domain);
+}
+
 /* Plain runs lack these faults, so that their old seeds stay reproducible. */
 static void inject_mixed_faults(struct fsim *s, const struct fault_rates *rates)
 {
@@ -180,6 +193,8 @@
 		s->workers[k].loses_answers = false;
 	}
 	inject_store_faults(s, rates);
+	if (s->evacuates)
+		change_evacuations(s, rates);
 }
 
 static void inject_faults(struct fsim *s, const struct fault_rates *rates)
@@ -233,8 +248,10 @@
 	s->store.down = false;
 	end_store_faults(s);
 	s->late_percent = 0;
-	for (k = 0; k < FSIM_DOMAINS; k++)
+	for (k = 0; k < FSIM_DOMAINS; k++) {
 		fsim_cut_domain(s, k, false);
+		fsim_end_evacuation(s, k);
+	}
 	for (k = 0; k < FSIM_WORKERS; k++) {
 		fsim_set_listed(s, k, true);
 		s->workers[k].cut = false;
@@ -283,18 +300,36 @@
 	return true;
 }
 
+static struct fsim *new_fleet(uint64_t seed, enum fsim_mode mode)
+{
+	if (mode >= FSIM_EVACUATING)
+		return fsim_new_evacuating(seed,
+					   mode == FSIM_DIVIDED_EVACUATING);
+	if (mode == FSIM_DIVIDED || mode == FSIM_DIVIDED_CRASHING)
+		return fsim_new_divided(seed);
+	return fsim_new(seed);
+}
+
+static bool has_failed_check(const struct fsim *s)
+{
+	return s->n_double_runs || s->n_false_refusals || s->n_late_configs ||
+	       s->n_over_budget || s->n_false_failures || s->n_late_evacuations;
+}
+
 bool fsim_run_random(uint64_t seed, int64_t ms, enum fsim_mode mode,
 		     char *message, size_t size)
 {
-	bool divided = mode == FSIM_DIVIDED || mode == FSIM_DIVIDED_CRASHING;
-	struct fsim *s = divided ? fsim_new_divided(seed) : fsim_new(seed);
+	struct fsim *s = new_fleet(seed, mode);
 	int64_t until = s->now + ms;
 	struct fault_rates rates = plain_rates;
 	bool ok;
 
 	if (mode != FSIM_PLAIN)
 		vary_all_rates(s, &rates);
-	if (mode >= FSIM_CRASHING) {
+	if (s->evacuates) {
+		rates.evacuate = 10;
+		rates.end_evacuation = 20;
+	} else if (mode >= FSIM_CRASHING) {
 		rates.crashing = 30;
 		rates.crash_worker = vary_rate(s, 8);
 	}
@@ -307,8 +342,7 @@
 	repair_all(s);
 	log_info("healed", LOG_I("now", s->now));
 	fsim_run(s, QUIET_MS);
-	ok = !s->n_double_runs && !s->n_false_refusals && !s->n_late_configs &&
-	     !s->n_over_budget && !s->n_false_failures;
+	ok = !has_failed_check(s);
 	snprintf(message, size, "%s", s->message);
 	if (ok)
 		ok = check_jobs_are_served(s, message, size);
--- a/test/sim/fleet_sim.c
+++ b/test/sim/fleet_sim.c
@@ -298,6 +298,8 @@
 		.store = fake_store_ops(i->store),
 		.config_key = "config",
 		.config_apply_ms = FSIM_CONFIG_APPLY_MS,
+		.evacuations_key = "evacuations",
+		.evacuation_apply_ms = s->evacuates ? FSIM_CONFIG_APPLY_MS : 0,
 		.divided_workers_min = FSIM_WORKERS -
 				       FSIM_WORKERS / FSIM_DOMAINS,
 		.cell_workers_min = s->divided ? FSIM_WORKERS / FSIM_DOMAINS
@@ -527,23 +529,30 @@
 	return n;
 }
 
-static struct fsim *sim_create(uint64_t seed, bool divided, bool first_is_old,
-			       int n_instances)
+struct sim_options {
+	bool divided, first_is_old, evacuates;
+	int n_instances;
+};
+
+static struct fsim *sim_create(uint64_t seed, const struct sim_options *opt)
 {
 	struct fsim *s = xcalloc(1, sizeof(*s));
 	int k;
 
-	s->divided = divided;
+	s->divided = opt->divided;
 	s->damaged = -1;
-	s->first_is_old = first_is_old;
+	s->first_is_old = opt->first_is_old;
+	s->evacuates = opt->evacuates;
 	s->objective_add_ms = 1000;
-	s->n_instances = n_instances;
+	s->n_instances = opt->n_instances;
 
 	s->rng.state = seed;
 	s->store.rng.state = seed + 1;
 	s->store.delay_ms = 2;
 	s->store.timeout_ms = STORE_TIMEOUT_MS;
 	fsim_put_config(s);
+	if (s->evacuates)
+		fsim_init_evacuations(s);
 	s->now = 1000000;
 	s->store.now = s->now;
 	for (k = 0; k < FSIM_WORKERS; k++) {
@@ -553,7 +562,7 @@
 	for (k = 0; k < s->n_instances; k++) {
 		s->instances[k].sim = s;
 		/* The earlier version is not to decide on the division. */
-		s->instances[k].capacity = first_is_old && k;
+		s->instances[k].capacity = s->first_is_old && k;
 		s->instances[k].domain = k % FSIM_DOMAINS;
 		snprintf(s->instances[k].instance.domain, SYC_NAME_MAX, "d%d",
 			 k % FSIM_DOMAINS);
@@ -562,10 +571,9 @@
 	return s;
 }
 
-static struct fsim *sim_new(uint64_t seed, bool divided, bool first_is_old,
-			    int n_instances)
+static struct fsim *sim_new(uint64_t seed, const struct sim_options *opt)
 {
-	struct fsim *s = sim_create(seed, divided, first_is_old, n_instances);
+	struct fsim *s = sim_create(seed, opt);
 
 	fsim_run(s, START_MS);
 	return s;
@@ -573,27 +581,55 @@
 
 struct fsim *fsim_new(uint64_t seed)
 {
-	return sim_new(seed, false, false, FSIM_INSTANCES);
+	const struct sim_options opt = {.n_instances = FSIM_INSTANCES};
+
+	return sim_new(seed, &opt);
 }
 
 struct fsim *fsim_new_divided(uint64_t seed)
 {
-	return sim_new(seed, true, false, FSIM_INSTANCES_DIVIDED);
+	const struct sim_options opt = {
+		.divided = true,
+		.n_instances = FSIM_INSTANCES_DIVIDED,
+	};
+
+	return sim_new(seed, &opt);
 }
 
 struct fsim *fsim_new_divided_with_old(uint64_t seed)
 {
-	return sim_new(seed, true, true, FSIM_INSTANCES_DIVIDED);
+	const struct sim_options opt = {
+		.divided = true,
+		.first_is_old = true,
+		.n_instances = FSIM_INSTANCES_DIVIDED,
+	};
+
+	return sim_new(seed, &opt);
+}
+
+struct fsim *fsim_new_evacuating(uint64_t seed, bool divided)
+{
+	const struct sim_options opt = {
+		.divided = divided,
+		.evacuates = true,
+		.n_instances = divided ? FSIM_INSTANCES_DIVIDED
+				       : FSIM_INSTANCES,
+	};
+
+	return sim_new(seed, &opt);
 }
 
 struct fsim *fsim_new_large(uint64_t seed, int n)
 {
-	return sim_new(seed, true, false, n);
+	const struct sim_options opt = {.divided = true, .n_instances = n};
+
+	return sim_new(seed, &opt);
 }
 
 struct fsim *fsim_new_without_workers(uint64_t seed, int n)
 {
-	struct fsim *s = sim_create(seed, true, false, n);
+	const struct sim_options opt = {.divided = true, .n_instances = n};
+	struct fsim *s = sim_create(seed, &opt);
 	int k;
 
 	for (k = FSIM_DOMAINS - 1; k < FSIM_WORKERS; k += FSIM_DOMAINS)
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -22,7 +22,7 @@
 	FSIM_ENDS = 64, /* ended runs of one worker, not acknowledged yet */
 	FSIM_JOBS = 4096,
 	FSIM_CONFIGS = 1024,
-	FSIM_CONFIG_APPLY_MS = 2000
+	FSIM_CONFIG_APPLY_MS = 2000, /* also the bound of evacuations */
 };
 
 struct fsim;
@@ -68,6 +68,7 @@
 	bool listed;
 	bool cut; /* cut off from all instances */
 	int64_t restarts_at; /* it has crashed and refuses calls; zero: not */
+	int64_t last_start_at; /* when a task began */
 	int64_t over_capacity_at; /* when a start last exceeded its capacity */
 	bool loses_answers; /* carries out calls, but its answers are lost */
 	uint64_t fence;
@@ -108,6 +109,7 @@
 	struct rng rng;
 	struct fake_store store;
 	bool divided; /* into cells, one for each domain */
+	bool evacuates; /* its deployment has evacuations */
 	bool first_is_old; /* it sends heartbeats of an earlier version */
 	int n_instances;
 	struct fsim_instance instances[FSIM_INSTANCES_MAX];
@@ -132,6 +134,8 @@
 	/* When the store confirmed each version; the last is the newest. */
 	int64_t config_put_at[FSIM_CONFIGS];
 	uint64_t n_configs;
+	/* When the store accepted the domain's evacuation; zero: none. */
+	int64_t evacuated_at[FSIM_DOMAINS];
 	struct fsim_client *clients; /* of the store, for all incarnations */
 	struct fsim_event *events; /* in the order of their times */
 	uint64_t next_id;
@@ -139,6 +143,7 @@
 	unsigned n_double_runs; /* two runs of a task at one time */
 	unsigned n_false_refusals; /* answered as not run after a start */
 	unsigned n_late_configs; /* instances with too old a configuration */
+	unsigned n_late_evacuations; /* starts in evacuated domains */
 	unsigned n_over_budget; /* starts of tasks that crash workers */
 	unsigned n_false_failures; /* failed, though no task had crashed two */
 	char message[160]; /* describes the first failed check */
@@ -150,6 +155,8 @@
 struct fsim *fsim_new_divided(uint64_t seed);
 /* The same, but instance 0 runs an earlier version, as its heartbeats show. */
 struct fsim *fsim_new_divided_with_old(uint64_t seed);
+/* A fleet, divided or not, whose deployment has evacuations. */
+struct fsim *fsim_new_evacuating(uint64_t seed, bool divided);
 /* `n` instances, of which each domain has the same part. */
 struct fsim *fsim_new_large(uint64_t seed, int n);
 /* The same, but no workers of the last domain are listed. */
@@ -174,6 +181,9 @@
 
 /* Puts a newer configuration into the store. */
 void fsim_put_config(struct fsim *s);
+/* Requests that no task be started on workers of the domain, or ends that. */
+void fsim_put_evacuation(struct fsim *s, int domain);
+void fsim_end_evacuation(struct fsim *s, int domain);
 /* Whether an instance runs, and the store answers it. */
 bool fsim_reaches_store(const struct fsim *s, const struct fsim_instance *i);
 
@@ -187,7 +197,9 @@
 	FSIM_MIXED,
 	FSIM_DIVIDED, /* mixed, with a fleet that is divided into cells */
 	FSIM_CRASHING, /* mixed, with tasks that crash workers */
-	FSIM_DIVIDED_CRASHING
+	FSIM_DIVIDED_CRASHING,
+	FSIM_EVACUATING, /* mixed, with evacuations of domains */
+	FSIM_DIVIDED_EVACUATING
 };
 
 /*
--- a/test/sim/fleet_sim_calls.c
+++ b/test/sim/fleet_sim_calls.c
@@ -204,6 +204,8 @@
 	else
 		result = fsim_worker_hold(s, w, e->fence, e->cursor,
 					  e->lease_expires_at);
+	if (e->call_kind == CALL_START && result == DRIVE_CALL_DONE)
+		fsim_check_evacuation(s, e);
 	if (e->late || w->loses_answers) {
 		fsim_event_free(e);
 		return;
--- a/test/sim/fleet_sim_config.c
+++ b/test/sim/fleet_sim_config.c
@@ -81,6 +81,12 @@
 		 (unsigned long long)due);
 }
 
+bool fsim_is_in_touch(const struct fsim *s, const struct fsim_instance *i)
+{
+	return is_up_to_date(s, i) ||
+	       s->now - i->peer_reached_since >= FSIM_CONFIG_APPLY_MS;
+}
+
 void fsim_check_configs(struct fsim *s)
 {
 	uint64_t due = due_config(s);
@@ -93,8 +99,7 @@
 			i->store_reached_since = s->now;
 		if (!reaches_peer(s, k))
 			i->peer_reached_since = s->now;
-		if (is_up_to_date(s, i) ||
-		    s->now - i->peer_reached_since >= FSIM_CONFIG_APPLY_MS)
+		if (fsim_is_in_touch(s, i))
 			check_config(s, k, due);
 	}
 }
--- a/test/sim/fleet_sim_internal.h
+++ b/test/sim/fleet_sim_internal.h
@@ -90,5 +90,13 @@
 uint64_t fsim_on_config(void *ctx, struct syc_bytes text, const char *from);
 /* Checks that the instances that the store answers are up to date. */
 void fsim_check_configs(struct fsim *s);
+/* Whether that instance has to know what the store accepted a bound ago. */
+bool fsim_is_in_touch(const struct fsim *s, const struct fsim_instance *i);
+
+/* fleet_sim_evacuation.c */
+/* Creates the set of evacuated domains, which is empty, in the store. */
+void fsim_init_evacuations(struct fsim *s);
+/* Checks the start that a call has just made. */
+void fsim_check_evacuation(struct fsim *s, const struct fsim_event *e);
 
 #endif
--- a/test/sim/fleet_sim_worker.c
+++ b/test/sim/fleet_sim_worker.c
@@ -158,7 +158,7 @@
 	memset(r, 0, sizeof(*r));
 	r->task = *task;
 	r->number = run;
-	r->began_at = s->now;
+	r->began_at = w->last_start_at = s->now;
 	r->ends_at = s->now + j->run_ms;
 	if (w->n_runs * FSIM_TASK_CPU_MILLI > w->info.cpu_milli)
 		w->over_capacity_at = s->now;
--- a/test/unit/fleet_random_test.c
+++ b/test/unit/fleet_random_test.c
@@ -2,8 +2,9 @@
  * Tests of whole fleets under random faults: no task has two runs at one time,
  * no job is answered as not run after a start, and all jobs are served after
  * the faults. FLEET_SEEDS="first last" selects the seeds, FLEET_MIXED leaves out
- * the plain runs, FLEET_DIVIDED the mixed runs of an undivided fleet, and
- * FLEET_CRASHING those of a divided one without tasks that crash workers.
+ * the plain runs, FLEET_DIVIDED the mixed runs of an undivided fleet,
+ * FLEET_CRASHING those of a divided one without tasks that crash workers, and
+ * FLEET_EVACUATING those with such tasks, which leaves the evacuations.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -23,8 +24,15 @@
 	log_init(&opt);
 }
 
-static const char *const mode_names[] = {"", " mixed", " divided", " crashing",
-					 " divided crashing"};
+static const char *const mode_names[] = {
+	"",
+	" mixed",
+	" divided",
+	" crashing",
+	" divided crashing",
+	" evacuating",
+	" divided evacuating",
+};
 
 static void run_seed(unsigned long seed, enum fsim_mode mode)
 {
@@ -69,9 +77,15 @@
 		if (!getenv("FLEET_CRASHING"))
 			run_seed(seed, FSIM_DIVIDED);
 	for (seed = first; seed <= last; seed++)
-		run_seed(seed, FSIM_CRASHING);
+		if (!getenv("FLEET_EVACUATING"))
+			run_seed(seed, FSIM_CRASHING);
 	for (seed = first; seed <= last; seed++)
-		run_seed(seed, FSIM_DIVIDED_CRASHING);
+		if (!getenv("FLEET_EVACUATING"))
+			run_seed(seed, FSIM_DIVIDED_CRASHING);
+	for (seed = first; seed <= last; seed++)
+		run_seed(seed, FSIM_EVACUATING);
+	for (seed = first; seed <= last; seed++)
+		run_seed(seed, FSIM_DIVIDED_EVACUATING);
 }
 
 SUITE(fleet_random)
--- a/test/unit/platform_store_test.c
+++ b/test/unit/platform_store_test.c
@@ -4,6 +4,7 @@
 #include "platform/store.h"
 #include "transport_help.h"
 #include "unit.h"
+#include "util/log.h"
 
 enum {
 	POOLED = 3,
@@ -23,6 +24,9 @@
 	bool was_used[FDS_MAX], is_silent[FDS_MAX]; /* by descriptor */
 	bool answers_watch; /* the next answer is that of a watch */
 	int store_revision; /* in the next answer */
+	const char *const *bodies; /* the next answers; NULL: as above */
+	uint64_t index; /* of the last call to end */
+	char value[64];
 };
 
 static void on_done(void *arg, const struct syc_platform_value *v)
@@ -32,12 +36,15 @@
 	f->n_done++;
 	f->n_ok += v->status == SYC_PLATFORM_OK;
 	f->status = v->status;
+	f->index = v->index;
+	snprintf(f->value, sizeof(f->value), "%.*s", (int)v->value.n,
+		 v->value.p ? (const char *)v->value.p : "");
 }
 
 static void answer(struct raw_server *s, int fd)
 {
 	struct fixture *f = s->ctx;
-	char body[128], text[256];
+	char body[512], text[640];
 
 	f->was_used[fd] = true;
 	if (f->is_silent[fd])
@@ -49,6 +56,8 @@
 			   "config\",\"value\":\"eA==\",\"revision\":5,"
 			   "\"storeRevision\":%d}",
 		 f->store_revision);
+	if (f->bodies)
+		snprintf(body, sizeof(body), "%s", *f->bodies++);
 	snprintf(text, sizeof(text),
 		 "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
 		 strlen(body), body);
@@ -163,8 +172,131 @@
 	teardown(&f);
 }
 
+/* Reads the evacuations, which the answers `bodies` hold. */
+static void read_evacuations(struct fixture *f, const char *const *bodies)
+{
+	int n_done = f->n_done;
+
+	f->bodies = bodies;
+	f->ops.get(f->ops.ctx, PLATFORM_EVACUATIONS, on_done, f);
+	CU_ASSERT(run_until(f->loop, &f->n_done, n_done + 1));
+}
+
+static void evacuations_of_all_pages_are_one_value(void)
+{
+	static const char *const pages[] = {
+		"{\"items\":[{\"key\":\"op/evacuate/a\"},"
+		"{\"key\":\"op/evacuate/b-1\"}],\"hasMore\":true,"
+		"\"storeRevision\":30}",
+		"{\"items\":[{\"key\":\"op/evacuate/c\"}],"
+		"\"storeRevision\":33}",
+		"{\"items\":[],\"storeRevision\":34}",
+	};
+	struct fixture f;
+
+	setup(&f);
+	read_evacuations(&f, pages);
+	CU_ASSERT_EQUAL(f.status, SYC_PLATFORM_OK);
+	CU_ASSERT_STRING_EQUAL(f.value, "a\nb-1\nc\n");
+	CU_ASSERT_EQUAL(f.index, 30);
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(f.server.in.data, "after=op/evacuate/b-1"));
+	read_evacuations(&f, pages + 2);
+	CU_ASSERT_EQUAL(f.status, SYC_PLATFORM_OK);
+	CU_ASSERT_STRING_EQUAL(f.value, "");
+	CU_ASSERT_EQUAL(f.index, 34);
+	teardown(&f);
+}
+
+static void unusable_evacuation_keys_are_ignored(void)
+{
+	static const char *const page[] = {
+		"{\"items\":[{\"key\":\"op/evacuate/\"},"
+		"{\"key\":\"op/evacuate/two\\nlines\"},"
+		"{\"key\":\"op/evacuate/"
+		"a-name-of-more-bytes-than-any-domain-has\"},"
+		"{\"key\":\"op/evacuate/good\"}],\"storeRevision\":30}",
+	};
+	struct fixture f;
+
+	log_level_set(LOG_ERROR);
+	setup(&f);
+	read_evacuations(&f, page);
+	CU_ASSERT_EQUAL(f.status, SYC_PLATFORM_OK);
+	CU_ASSERT_STRING_EQUAL(f.value, "good\n");
+	teardown(&f);
+}
+
+/* Otherwise a domain would be taken as not evacuated. */
+static void damaged_answers_about_evacuations_are_errors(void)
+{
+	static const char *const damaged[] = {
+		"{\"items\":[{\"key\":\"op/evacuate/a\"}]}",
+		"{\"storeRevision\":40}",
+		"{\"items\":{},\"storeRevision\":41}",
+		"{\"items\":[{\"kex\":\"op/evacuate/a\"}],"
+		"\"storeRevision\":42}",
+		"{\"items\":[{\"key\":\"op/evacuatf/a\"}],"
+		"\"storeRevision\":43}",
+		"{\"items\":[],\"hasMore\":true,\"storeRevision\":44}",
+		"{\"items\":[{\"key\":\"op/evacuate/a&b\"}],"
+		"\"hasMore\":true,\"storeRevision\":45}",
+		"{\"items\":[],\"storeRevi",
+		"",
+		"{\"items\":[],\"storeRevision\":12}",
+	};
+	struct fixture f;
+	size_t i;
+
+	setup(&f);
+	for (i = 0; i < sizeof(damaged) / sizeof(*damaged); i++) {
+		read_evacuations(&f, &damaged[i]);
+		CU_ASSERT_EQUAL(f.status, SYC_PLATFORM_ERROR);
+	}
+	teardown(&f);
+}
+
+static void watch_evacuations(struct fixture *f, const char *const *bodies)
+{
+	int n_done = f->n_done;
+
+	f->bodies = bodies;
+	f->ops.watch(f->ops.ctx, PLATFORM_EVACUATIONS, 25, LATE_MS, on_done, f);
+	CU_ASSERT(run_until(f->loop, &f->n_done, n_done + 1));
+}
+
+static void watch_that_reports_an_evacuation_is_followed_by_a_read(void)
+{
+	static const char *const answers[] = {
+		"{\"events\":[],\"storeRevision\":29}",
+		"{\"events\":[{\"key\":\"op/evacuate/a\",\"deleted\":true}],"
+		"\"storeRevision\":30}",
+		"{\"items\":[{\"key\":\"op/evacuate/b\"}],"
+		"\"storeRevision\":31}",
+		"{\"storeRevision\":32}",
+	};
+	struct fixture f;
+
+	setup(&f);
+	watch_evacuations(&f, answers);
+	CU_ASSERT_EQUAL(f.status, SYC_PLATFORM_OK);
+	CU_ASSERT_EQUAL(f.index, 25);
+	watch_evacuations(&f, answers + 1);
+	CU_ASSERT_EQUAL(f.status, SYC_PLATFORM_OK);
+	CU_ASSERT_EQUAL(f.index, 31);
+	CU_ASSERT_STRING_EQUAL(f.value, "b\n");
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.server.in.data, "after=25"));
+	watch_evacuations(&f, answers + 3);
+	CU_ASSERT_EQUAL(f.status, SYC_PLATFORM_ERROR);
+	teardown(&f);
+}
+
 SUITE(platform_store)
 {
+	TEST(evacuations_of_all_pages_are_one_value);
+	TEST(unusable_evacuation_keys_are_ignored);
+	TEST(damaged_answers_about_evacuations_are_errors);
+	TEST(watch_that_reports_an_evacuation_is_followed_by_a_read);
 	TEST(watch_begins_before_a_change_that_the_last_one_missed);
 	TEST(older_answer_than_an_earlier_one_is_an_error);
 	TEST(silent_idle_connections_delay_a_repeated_read_only_once);
