Evacuate domains of the platform's stand-in, and test it with processes

Cause: the adapter's reads and watches of evacuations, the settings and the metrics were tested without a whole process.

--- a/test/standin/fleet.c
+++ b/test/standin/fleet.c
@@ -15,7 +15,6 @@
 	CONNS_MAX = 1024,
 	IDLE_S = 60,
 	TICK_MS = 5,
-	DOMAINS = 2,
 	FIRST_VERSION = 3, /* of the configuration */
 	RESTART_S = 2 /* from a worker's crash to its next life */
 };
@@ -109,7 +108,7 @@
 		"{s:s, s:o, s:o, s:s, s:{s:i, s:i, s:i}, s:[s]}",
 		WORKER_SERVICE, "s", WORKER_ADDRESS,
 		json_sprintf("127.0.0.1:%u", w->registered_port), WORKER_DOMAIN,
-		json_sprintf("d%zu", w->number % DOMAINS), WORKER_STATE,
+		json_sprintf("d%zu", w->number % FLEET_DOMAINS), WORKER_STATE,
 		"ready", WORKER_CAPACITY, SIZE_CPU, 16000, SIZE_MEMORY, 65536,
 		SIZE_ACCELERATORS, 0, WORKER_LABELS, "a");
 	text = json_dumps(entry, 0);
--- a/test/standin/fleet.h
+++ b/test/standin/fleet.h
@@ -20,7 +20,9 @@
 	FLEET_WATCHES_MAX = 512,
 	FLEET_TASKS_MAX = 8, /* of a job, of which crashes are counted */
 	FLEET_JOBS_MAX = 65536, /* further jobs are not counted */
-	FLEET_HOLDS_MAX = 8 /* waiting holds of one worker */
+	FLEET_HOLDS_MAX = 8, /* waiting holds of one worker */
+	FLEET_REMOVED_MAX = 16, /* removed keys that watches report */
+	FLEET_DOMAINS = 2 /* of the workers, d0 and d1 */
 };
 
 struct fleet_item {
@@ -29,6 +31,12 @@
 	uint64_t revision;
 };
 
+/* A key that was removed. */
+struct fleet_removed {
+	char key[200];
+	uint64_t revision;
+};
+
 struct fleet_watch {
 	uint64_t request; /* zero: the entry is free */
 	char prefix[200];
@@ -98,11 +106,14 @@
 	uint64_t revision;
 	struct fleet_item items[FLEET_KEYS_MAX];
 	size_t n_items;
+	struct fleet_removed removed[FLEET_REMOVED_MAX]; /* the latest */
+	size_t n_removed; /* ever */
 	struct fleet_watch watches[FLEET_WATCHES_MAX];
 	struct fleet_worker workers[FLEET_WORKERS_MAX];
 	size_t n_workers;
 	/* counts for the tests */
 	unsigned starts, done, concurrent_starts;
+	unsigned evacuated_starts; /* while the domain was evacuated */
 	unsigned starts_over_budget; /* more than one after the third crash */
 	struct fleet_job jobs[FLEET_JOBS_MAX];
 	size_t n_jobs;
@@ -135,6 +146,9 @@
 /* Removes a key, as the platform itself does. */
 void fleet_store_remove(struct fleet_platform *p, const char *key);
 
+/* Whether the operator's request to evacuate the domain of that number stands. */
+bool fleet_is_evacuated(struct fleet_platform *p, size_t domain);
+
 /* fleet.c: crashes the worker, which restarts 2 s later, and restarts it. */
 void fleet_worker_crash(struct fleet_worker *w);
 void fleet_worker_restart(struct fleet_worker *w);
--- a/test/standin/fleet_store.c
+++ b/test/standin/fleet_store.c
@@ -1,5 +1,6 @@
 /* The store of the platform's stand-in: keys, ranges, watches and writes. */
 #include <sodium.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -43,9 +44,13 @@
 void fleet_store_remove(struct fleet_platform *p, const char *key)
 {
 	struct fleet_item *item = find_item(p, key);
+	struct fleet_removed *removed;
 
 	if (!item)
 		return;
+	removed = &p->removed[p->n_removed++ % FLEET_REMOVED_MAX];
+	copy_text(removed->key, sizeof(removed->key), key);
+	removed->revision = p->revision + 1;
 	free(item->value);
 	*item = p->items[--p->n_items];
 	p->items[p->n_items].value = NULL;
@@ -105,6 +110,47 @@
 			      (json_int_t)p->revision));
 }
 
+/* The events after a revision: items as they are now, and removals. */
+static json_t *events_json(const struct fleet_platform *p, const char *prefix,
+			   uint64_t after)
+{
+	json_t *list = items_json(p, prefix, after);
+	const struct fleet_removed *r;
+	size_t i;
+
+	for (i = 0; i < p->n_removed && i < FLEET_REMOVED_MAX; i++) {
+		r = &p->removed[i];
+		if (r->revision > after &&
+		    !strncmp(r->key, prefix, strlen(prefix)))
+			json_array_append_new(
+				list, json_pack("{s:s, s:I, s:b}", ITEM_KEY,
+						r->key, ITEM_REVISION,
+						(json_int_t)r->revision,
+						ITEM_DELETED, 1));
+	}
+	return list;
+}
+
+bool fleet_is_evacuated(struct fleet_platform *p, size_t domain)
+{
+	char key[64];
+
+	snprintf(key, sizeof(key), STORE_EVACUATIONS_PREFIX "d%zu", domain);
+	return find_item(p, key) != NULL;
+}
+
+static void set_evacuation(struct fleet_platform *p, const char *domain,
+			   bool evacuated)
+{
+	char key[64];
+
+	snprintf(key, sizeof(key), STORE_EVACUATIONS_PREFIX "%s", domain);
+	if (evacuated)
+		fleet_store_put(p, key, "{}");
+	else
+		fleet_store_remove(p, key);
+}
+
 static void add_watch(struct fleet_platform *p, uint64_t id,
 		      const struct http_request *req)
 {
@@ -170,8 +216,9 @@
 static void reply_counts(struct fleet_platform *p, uint64_t id)
 {
 	fleet_reply(p->store, id, 200,
-		    json_pack("{s:i, s:i, s:i, s:i}", "starts", (int)p->starts,
-			      "done", (int)p->done, "twice",
+		    json_pack("{s:i, s:i, s:i, s:i, s:i}", "evacuated_starts",
+			      (int)p->evacuated_starts, "starts",
+			      (int)p->starts, "done", (int)p->done, "twice",
 			      (int)p->concurrent_starts, "over_budget",
 			      (int)p->starts_over_budget));
 }
@@ -199,6 +246,8 @@
 	const char *deaf = http_query(req, "deaf");
 	const char *config = http_query(req, "config");
 	const char *run_ms = http_query(req, "run_ms");
+	const char *evacuate = http_query(req, "evacuate");
+	const char *evacuate_end = http_query(req, "evacuate_end");
 
 	if (down)
 		p->down = *down == '1';
@@ -208,6 +257,10 @@
 		p->deaf = *deaf == '1';
 	if (config)
 		fleet_put_config(p, strtol(config, NULL, 10));
+	if (evacuate)
+		set_evacuation(p, evacuate, true);
+	if (evacuate_end)
+		set_evacuation(p, evacuate_end, false);
 	if (run_ms)
 		p->run_ms = (int)strtol(run_ms, NULL, 10);
 	fleet_reply(p->store, id, 200, json_object());
@@ -257,7 +310,7 @@
 	if (!id)
 		return;
 	events = p->deaf ? json_array()
-			 : items_json(p, w->prefix, w->after_revision);
+			 : events_json(p, w->prefix, w->after_revision);
 	if (!json_array_size(events) && ev_now(p->loop) < w->deadline) {
 		json_decref(events);
 		return;
--- a/test/standin/fleet_worker.c
+++ b/test/standin/fleet_worker.c
@@ -163,6 +163,8 @@
 		return;
 	}
 	w->platform->starts++;
+	if (fleet_is_evacuated(w->platform, w->number % FLEET_DOMAINS))
+		w->platform->evacuated_starts++;
 	fleet_count_start(w->platform, task);
 	w->platform->concurrent_starts += is_running_anywhere(w->platform,
 							      task);
