Submit no job to a cell whose domain is evacuated

Cause: a home chose cells by their drivers' last report of free capacity. That was from before the request for up to 100 ms, as the heartbeat that tells of a change was sent before the cell's drive had been told.

Change: a home that knows of the evacuation counts the cell without capacity, and changes are announced at the end of a tick.

--- a/src/fleet/cell_jobs.c
+++ b/src/fleet/cell_jobs.c
@@ -63,6 +63,9 @@
 		.is_own = fleet_is_eligible(f),
 	};
 	get_report(cell, v, &reported_at, now);
+	/* Its driver's report may be from before the request. */
+	if (evacuation_has(f->whole, f->opt.cell))
+		v->cpu_milli = v->free_cpu_milli = 0;
 	if (reported_at != cell->reported_at)
 		cell->taken_cpu_milli = 0;
 	cell->reported_at = reported_at;
--- a/src/fleet/cells.c
+++ b/src/fleet/cells.c
@@ -117,10 +117,11 @@
 	choose_readers(c, now);
 	fleet_tick(c->whole.fleet, now);
 	open_cells(c, now);
-	announce_changes(c, now);
 	cell_reports_tick(c, now);
 	for (i = 0; i < c->n; i++)
 		fleet_tick(c->cells[i].fleet, now);
+	/* Heartbeats carry the room too, which these changes may have changed. */
+	announce_changes(c, now);
 }
 
 void cells_peer_up(struct cells *c, int64_t now,
--- a/src/fleet/evacuation.c
+++ b/src/fleet/evacuation.c
@@ -238,6 +238,11 @@
 		log_last_start(f, &e->list[i], now);
 }
 
+bool evacuation_has(const struct fleet *f, const char *domain)
+{
+	return find(&f->evacuations, domain) != NULL;
+}
+
 size_t evacuation_count_fields(const struct fleet *f)
 {
 	return is_in_use(f) ? N_FIELDS : 0;
--- a/src/fleet/evacuation.h
+++ b/src/fleet/evacuation.h
@@ -33,6 +33,9 @@
 /* Keeps the set known, and tells the drive of `f` when it has changed. */
 void evacuation_tick(struct fleet *f, int64_t now);
 
+/* Whether the domain is evacuated, as far as the whole fleet `f` knows. */
+bool evacuation_has(const struct fleet *f, const char *domain);
+
 /* The fields that a heartbeat has more if evacuations are in use. */
 size_t evacuation_count_fields(const struct fleet *f);
 void evacuation_put_fields(const struct fleet *f, int64_t now,
--- a/test/unit/fleet_evacuation_test.c
+++ b/test/unit/fleet_evacuation_test.c
@@ -88,6 +88,37 @@
 	check_calm(true);
 }
 
+/* Jobs that the driver of the domain's cell has refused. */
+static uint64_t count_refused(const struct fsim *s, int domain)
+{
+	struct drive_counts c;
+	struct fleet *own;
+	uint64_t n = 0;
+	int k;
+
+	for (k = domain; k < s->n_instances; k += FSIM_DOMAINS) {
+		own = cells_own(s->instances[k].cells);
+		drive_get_counts(fleet_get_drive(own), &c);
+		n += fleet_is_driver(own) ? c.refused : 0;
+	}
+	return n;
+}
+
+static void homes_leave_an_evacuated_cell_out_at_once(void)
+{
+	struct fsim *s = start_fleet(true);
+	uint64_t refused;
+
+	run_loaded(s, 500);
+	fsim_put_evacuation(s, 0);
+	/* A watch, and a tick of each instance. */
+	fsim_run(s, 20);
+	refused = count_refused(s, 0);
+	run_loaded(s, 1000);
+	CU_ASSERT_EQUAL(count_refused(s, 0), refused);
+	check_and_free(s);
+}
+
 static void several_domains_and_a_request_that_comes_again(void)
 {
 	struct fsim *s = start_fleet(false);
@@ -291,6 +322,21 @@
 	check_and_free(s);
 }
 
+/* The damaged copies come besides the whole ones. */
+static void damaged_heartbeats_stop_no_process(void)
+{
+	struct fsim *s = start_fleet(false);
+	int k;
+
+	fsim_put_evacuation(s, 0);
+	for (k = 0; k < s->n_instances; k++) {
+		s->damaged = k;
+		run_loaded(s, 500);
+		CU_ASSERT_PTR_NOT_NULL(s->instances[k].fleet);
+	}
+	fsim_free(s);
+}
+
 /* Drive alone: domain d0 has the first of two workers. */
 
 static void evacuate(struct drive_fake *f, size_t n, const char *name)
@@ -366,6 +412,7 @@
 SUITE(fleet_evacuation)
 {
 	TEST(request_is_honoured_at_once_and_others_serve);
+	TEST(homes_leave_an_evacuated_cell_out_at_once);
 	TEST(several_domains_and_a_request_that_comes_again);
 	TEST(all_domains_evacuated_start_nothing);
 	TEST(new_driver_honours_it);
@@ -376,6 +423,7 @@
 	TEST(new_instance_learns_it_without_the_store);
 	TEST(nothing_is_started_until_it_is_known);
 	TEST(rising_index_causes_no_further_calls);
+	TEST(damaged_heartbeats_stop_no_process);
 	TEST(ends_on_evacuated_workers_are_no_capacity);
 	TEST(job_for_evacuated_workers_alone_is_refused_with_a_time);
 	TEST(job_waits_until_it_is_known_what_is_evacuated);
