Read when a worker's life began, and entries of other writers

Cause: nothing read `born` or `coldRemainingMs`, and an entry without labels, or with a field of another type, named a worker to use.

Change: entries and answers name the life; absent in earlier deployments, it is zero. An entry whose born, coldRemainingMs, version, slots or sequence has another type, or that lacks labels, names no worker; the others hold.

--- a/test/unit/platform_reader_test.c
+++ b/test/unit/platform_reader_test.c
@@ -83,6 +83,8 @@
 		"\"state\":\"ready\",\"capacity\":{\"cpu\":1,\"memMb\":1}}",
 		"{\"service\":7,\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
 		"\"state\":\"ready\",\"capacity\":{\"cpu\":1,\"memMb\":1}}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+		"\"state\":\"ready\",\"capacity\":{\"cpu\":1,\"memMb\":1}}",
 	};
 	struct drive_worker w;
 	size_t i;
@@ -92,6 +94,73 @@
 	CU_ASSERT_FALSE(platform_worker_read("", bytes_of(worker_text), &w));
 }
 
+/* Reads a valid entry to which a field was added. */
+static bool read_with_field(const char *field, struct drive_worker *w)
+{
+	char text[TEXT_MAX];
+
+	snprintf(text, sizeof(text),
+		 "{%s,\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+		 "\"zone\":\"z\",\"state\":\"ready\",\"labels\":[\"a\"],"
+		 "\"capacity\":{\"cpu\":1,\"memMb\":1}}",
+		 field);
+	return read_worker(text, w);
+}
+
+static void life_of_a_worker_is_read(void)
+{
+	struct drive_worker w;
+
+	CU_ASSERT(read_worker(worker_text, &w));
+	CU_ASSERT_EQUAL(w.born_ms, 0);
+	CU_ASSERT(read_with_field("\"born\":1701705600123", &w));
+	CU_ASSERT_EQUAL(w.born_ms, 1701705600123);
+	CU_ASSERT_EQUAL(w.cold_ms, 0);
+	CU_ASSERT(read_with_field("\"born\":1701705600123.0", &w));
+	CU_ASSERT_EQUAL(w.born_ms, 1701705600123);
+	CU_ASSERT(read_with_field("\"coldRemainingMs\":1500", &w));
+	CU_ASSERT_EQUAL(w.cold_ms, 1500);
+}
+
+static void entry_with_a_field_of_another_type_is_rejected(void)
+{
+	static const char *const fields[] = {
+		"\"born\":\"1701705600123\"",
+		"\"born\":1701705600123.5",
+		"\"born\":-1",
+		"\"born\":1e300",
+		"\"born\":null",
+		"\"born\":[]",
+		"\"coldRemainingMs\":\"1\"",
+		"\"coldRemainingMs\":null",
+		"\"version\":1",
+		"\"slots\":\"8\"",
+		"\"slots\":-1",
+		"\"sequence\":{}",
+	};
+	struct drive_worker w;
+	size_t i;
+
+	CU_ASSERT(read_with_field("\"version\":\"v1\",\"slots\":8", &w));
+	for (i = 0; i < sizeof(fields) / sizeof(*fields); i++)
+		CU_ASSERT_FALSE(read_with_field(fields[i], &w));
+}
+
+static void answer_names_the_life_of_its_worker(void)
+{
+	static const char with[] = "{\"clockMs\":7,\"born\":1701705600123}";
+	static const char invalid[] = "{\"clockMs\":7,\"born\":\"x\"}";
+	struct drive_call_answer a;
+
+	platform_answer_read(200, bytes_of(with), &a);
+	CU_ASSERT_EQUAL(a.born_ms, 1701705600123);
+	CU_ASSERT_EQUAL(a.clock_ms, 7);
+	platform_answer_read(200, bytes_of(invalid), &a);
+	CU_ASSERT_EQUAL(a.born_ms, 0);
+	platform_answer_read(200, bytes_of("{}"), &a);
+	CU_ASSERT_EQUAL(a.born_ms, 0);
+}
+
 static void config_is_read_and_routes_are_found(void)
 {
 	struct fleet_routes routes;
@@ -290,6 +359,9 @@
 {
 	TEST(worker_entry_is_read);
 	TEST(invalid_worker_entry_is_rejected);
+	TEST(life_of_a_worker_is_read);
+	TEST(entry_with_a_field_of_another_type_is_rejected);
+	TEST(answer_names_the_life_of_its_worker);
 	TEST(config_is_read_and_routes_are_found);
 	TEST(invalid_route_is_skipped_and_the_others_are_kept);
 	TEST(invalid_and_unsupported_jobs_are_distinguished);
