Keep what is known of a worker by its incarnation

Cause: a worker may start again under its id. The driver skipped the ends of the new life up to the old cursor, acknowledged them unread, computed leases with the old clock, and kept ejections, refusals and the runs.

An answer to a call that was sent to the present one shows the next; late answers and failures of earlier ones count for nothing; an entry of the list only has the worker asked. Fences go on rising, and runs of the earlier life, answered or not, end by a list of the new one that must name them. An unconfirmed worker is sent cursor zero. Losses are of an incarnation.

Ruled out: comparing times of birth, as a clock may be set back; ending runs by an entry of the list, as one wrong entry would start tasks twice.

--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -221,6 +221,7 @@
 	uint64_t ejections, adopted;
 	uint64_t refused_late; /* as this driver was late */
 	uint64_t silences; /* workers that stopped answering */
+	uint64_t restarts; /* workers that began again under their name */
 	uint64_t runs_lost; /* with their worker */
 	uint64_t given_up; /* jobs with a task that crashes its workers */
 	uint64_t exclusive_starts; /* starts apart from other tasks */
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -42,12 +42,15 @@
 	uint32_t cpu_milli, memory_mb,
 		accelerators; /* reserved on the worker */
 	uint64_t fence; /* of its start; zero: adopted */
+	/* Incarnation that it was started at, or that listed it last. */
+	int64_t born_ms;
 	int64_t sent_at; /* when its start was sent, or when it was adopted */
 	int64_t running_at; /* when its start was answered or it was listed */
 	uint32_t percent; /* of its work that is done */
 	int64_t percent_at; /* when `percent` last changed */
 	bool is_orphan; /* adopted, and its job is not open here */
 	bool is_exclusive; /* no other run may start beside it */
+	bool is_lost; /* with an earlier incarnation of its worker */
 	bool stopping;
 	bool stop_in_flight;
 	int64_t next_stop_at; /* when the next stop may be sent */
@@ -59,6 +62,7 @@
 /* A hold that has no answer yet. */
 struct hold_call {
 	uint64_t worker; /* handle */
+	int64_t born_ms; /* the worker's incarnation when it was sent */
 	uint64_t fence;
 	int64_t sent_at;
 	bool is_probe; /* sent beside the regular hold; answered at once */
@@ -67,7 +71,10 @@
 
 struct worker {
 	uint64_t handle;
-	struct drive_worker info;
+	struct drive_worker info; /* `born_ms`: the present incarnation */
+	int64_t earlier_born_ms; /* the incarnation before the present one */
+	int64_t asked_born_ms; /* listed, and the worker was asked about it */
+	bool has_left; /* the earlier incarnation had told that it leaves */
 	int64_t unlisted_at;
 	bool listed;
 	bool is_replaced; /* another incarnation answered at its address */
@@ -294,7 +301,30 @@
 void job_tick(struct drive *d, struct job *j, int64_t now);
 void job_drop(struct drive *d, struct job *j);
 
+/* incarnation.c */
+/* What the incarnation that an answer names says about the answer. */
+enum answer_source {
+	ANSWER_PRESENT, /* it may be handled */
+	ANSWER_OTHER /* it comes from an incarnation that is not present */
+};
+
+/*
+ * Takes note of the incarnation that an answer names, if any. `sent_to` is the
+ * one that was present when the call was sent.
+ */
+enum answer_source incarnation_check(struct drive *d, struct worker *w,
+				     int64_t sent_to,
+				     const struct drive_call_answer *answer,
+				     int64_t now);
+/* Takes over an entry of the list, but for an incarnation that it names. */
+void incarnation_note_listed(struct drive *d, struct worker *w,
+			     const struct drive_worker *info, int64_t now);
+/* Whether the run was last known at an earlier incarnation of the worker. */
+bool incarnation_is_earlier(const struct worker *w, const struct run *r);
+
 /* lost_runs.c */
+/* Records the runs marked as lost with an earlier incarnation of the worker. */
+void lost_runs_record_marked(struct drive *d, struct worker *w, int64_t now);
 /* Records the runs of a worker that is lost; `cause` holds if they are there. */
 void lost_runs_record(struct drive *d, struct worker *w, enum loss_cause cause,
 		      int64_t now);
--- a/src/drive/hold.c
+++ b/src/drive/hold.c
@@ -21,13 +21,22 @@
 
 static const uint32_t no_wait_ms = 0;
 
+/*
+ * An unconfirmed worker may have started again. If so, the cursor would make it
+ * forget ends that nobody has recorded, as it counts them anew.
+ */
+static uint64_t acknowledged(const struct drive *d, const struct worker *w)
+{
+	return worker_is_confirmed(d, w) ? w->cursor : 0;
+}
+
 static void send_hold(struct drive *d, struct worker *w, uint32_t wait_ms,
 		      bool probe, int64_t now)
 {
 	struct drive_hold call = {
 		.worker = &w->info,
 		.fence = worker_fence(d, w),
-		.cursor = w->cursor,
+		.cursor = acknowledged(d, w),
 		.wait_ms = wait_ms,
 	};
 	struct hold_call *h;
@@ -43,6 +52,7 @@
 	call.call = table_add(&d->holds, &item);
 	h = item;
 	h->worker = w->handle;
+	h->born_ms = w->info.born_ms;
 	h->fence = call.fence;
 	h->sent_at = now;
 	h->is_probe = probe;
@@ -106,6 +116,13 @@
 		 LOG_I("started_ms_ago", now - r->sent_at));
 }
 
+static void finish_lost_run(struct drive *d, const struct worker *w,
+			    struct run *r, int64_t now)
+{
+	record_lost_run(d, w, r, now);
+	run_finish(d, r, DRIVE_RUN_EXPIRED, now);
+}
+
 void hold_finish_runs(struct drive *d, struct worker *w, int64_t now,
 		      const char *why)
 {
@@ -119,8 +136,7 @@
 	{
 		struct run *r = LIST_ITEM(pos, struct run, worker_link);
 
-		record_lost_run(d, w, r, now);
-		run_finish(d, r, DRIVE_RUN_EXPIRED, now);
+		finish_lost_run(d, w, r, now);
 	}
 }
 
@@ -130,7 +146,7 @@
 
 	w->is_replaced = true;
 	lost_runs_record(d, w, cause, now);
-	losses_explain(d->losses, w->info.name, cause);
+	losses_explain(d->losses, &w->info, cause);
 	hold_finish_runs(d, w, now, "other_life");
 }
 
@@ -162,10 +178,11 @@
 	}
 }
 
-static void update_running(struct run *r, const struct drive_active_run *row,
-			   int64_t now)
+static void update_running(const struct worker *w, struct run *r,
+			   const struct drive_active_run *row, int64_t now)
 {
 	run_mark_running(r, now);
+	r->born_ms = w->info.born_ms;
 	if (row->percent != r->percent)
 		r->percent_at = now;
 	r->percent = row->percent;
@@ -182,7 +199,7 @@
 
 		r = run_find_on_worker(d, w, &row->task, row->run);
 		if (r)
-			update_running(r, row, now);
+			update_running(w, r, row, now);
 		else
 			run_adopt(d, w, row, now);
 	}
@@ -211,6 +228,42 @@
 	return r->fence < h->fence;
 }
 
+static bool has_ended(const struct run *r,
+		      const struct drive_hold_answer *lists)
+{
+	size_t i;
+
+	for (i = 0; i < lists->n_ended; i++)
+		if (lists->ended[i].run == r->number &&
+		    !memcmp(&lists->ended[i].task, &r->task, sizeof(r->task)))
+			return true;
+	return false;
+}
+
+/*
+ * Marks the runs that were lost with an earlier incarnation: the present one
+ * has not carried out their starts, and will not.
+ */
+static void mark_lost_runs(struct drive *d, struct worker *w,
+			   const struct hold_call *h,
+			   const struct drive_hold_answer *lists, int64_t now)
+{
+	struct list *pos, *after;
+	bool any = false;
+
+	LIST_EACH(pos, after, &w->runs)
+	{
+		struct run *r = LIST_ITEM(pos, struct run, worker_link);
+
+		r->is_lost = incarnation_is_earlier(w, r) &&
+			     list_covers(r, h) && !is_in_list(r, lists) &&
+			     !has_ended(r, lists);
+		any |= r->is_lost;
+	}
+	if (any)
+		lost_runs_record_marked(d, w, now);
+}
+
 static void finish_missing_runs(struct drive *d, struct worker *w,
 				const struct hold_call *h,
 				const struct drive_hold_answer *lists,
@@ -222,18 +275,24 @@
 	{
 		struct run *r = LIST_ITEM(pos, struct run, worker_link);
 
-		if (!list_covers(r, h) || is_in_list(r, lists))
-			continue;
-		run_finish(d, r, DRIVE_RUN_OTHER, now);
+		if (r->is_lost)
+			finish_lost_run(d, w, r, now);
+		else if (list_covers(r, h) && !is_in_list(r, lists))
+			run_finish(d, r, DRIVE_RUN_OTHER, now);
 	}
 }
 
-/* The worker has not ended, so none of the runs lost with it has ended it. */
+/*
+ * This incarnation has not ended, so none of the runs lost with it has ended it.
+ * Earlier ones have.
+ */
 static void note_still_runs(struct drive *d, struct worker *w)
 {
 	if (w->losses_seen == losses_version(d->losses))
 		return;
-	losses_explain(d->losses, w->info.name, LOSS_OTHER);
+	losses_explain(d->losses, &w->info, LOSS_OTHER);
+	losses_explain_earlier(d->losses, &w->info,
+			       w->has_left ? LOSS_OTHER : LOSS_CRASH);
 	w->losses_seen = losses_version(d->losses);
 }
 
@@ -247,6 +306,7 @@
 	if (w->unresponsive_since)
 		log_info("worker_answers", LOG_S("worker", w->info.name),
 			 LOG_I("silent_ms", now - w->unresponsive_since));
+	mark_lost_runs(d, w, h, lists, now);
 	note_still_runs(d, w);
 	w->unresponsive_since = 0;
 	w->refuses_since = 0;
@@ -309,6 +369,17 @@
 		w->epoch = epoch;
 }
 
+static void note_not_in_flight(struct worker *w, const struct hold_call *h)
+{
+	/* Calls to an earlier incarnation are not counted any more. */
+	if (h->born_ms && h->born_ms != w->info.born_ms)
+		return;
+	if (h->is_probe)
+		w->probe_in_flight = false;
+	else
+		w->hold_in_flight = false;
+}
+
 void drive_hold_answered(struct drive *d, int64_t now, uint64_t call,
 			 const struct drive_hold_answer *lists)
 {
@@ -323,12 +394,12 @@
 	w = worker_get(d, h.worker);
 	if (!w)
 		return;
-	if (h.is_probe)
-		w->probe_in_flight = false;
-	else
-		w->hold_in_flight = false;
+	note_not_in_flight(w, &h);
 	if (!d->active || h.fence < d->epoch * DRIVE_FENCES_PER_EPOCH)
 		return;
+	if (incarnation_check(d, w, h.born_ms, &lists->answer, now) ==
+	    ANSWER_OTHER)
+		return;
 	w->next_hold_at = now;
 	if (lists->answer.result == DRIVE_CALL_DONE) {
 		record_lists(d, w, &h, lists, now);
--- a/src/drive/losses.c
+++ b/src/drive/losses.c
@@ -77,7 +77,7 @@
 	uint32_t pos = 0;
 
 	while ((x = next_loss(l, &pos)))
-		if (x->run == wanted->run &&
+		if (x->run == wanted->run && x->born_ms == wanted->born_ms &&
 		    same_task(&x->task, &wanted->task) &&
 		    !strcmp(x->worker, wanted->worker))
 			return x;
@@ -159,13 +159,35 @@
 	log_loss("loss_recorded", x);
 }
 
-void losses_explain(struct losses *l, const char *worker, enum loss_cause cause)
+/* Whether both times of birth are known, and differ. */
+static bool is_other_incarnation(const struct loss *x,
+				 const struct drive_worker *worker)
+{
+	return x->born_ms && worker->born_ms && x->born_ms != worker->born_ms;
+}
+
+void losses_explain(struct losses *l, const struct drive_worker *worker,
+		    enum loss_cause cause)
+{
+	struct loss *x;
+	uint32_t pos = 0;
+
+	while ((x = next_loss(l, &pos)))
+		if (!strcmp(x->worker, worker->name) &&
+		    !is_other_incarnation(x, worker))
+			explain(l, x, cause);
+}
+
+void losses_explain_earlier(struct losses *l, const struct drive_worker *worker,
+			    enum loss_cause cause)
 {
 	struct loss *x;
 	uint32_t pos = 0;
 
 	while ((x = next_loss(l, &pos)))
-		if (!strcmp(x->worker, worker))
+		if (x->cause == LOSS_UNEXPLAINED &&
+		    !strcmp(x->worker, worker->name) &&
+		    is_other_incarnation(x, worker))
 			explain(l, x, cause);
 }
 
@@ -177,7 +199,9 @@
 	size_t i;
 
 	for (i = 0; i < n; i++) {
-		if (!strcmp(list[i].name, x->worker))
+		/* An entry of a younger incarnation speaks of a new process. */
+		if (!strcmp(list[i].name, x->worker) &&
+		    (!x->born_ms || list[i].born_ms <= x->born_ms))
 			return false;
 		reused |= list[i].addr.port == x->addr.port &&
 			  !strcmp(list[i].addr.ip, x->addr.ip);
--- a/src/drive/losses.h
+++ b/src/drive/losses.h
@@ -19,7 +19,8 @@
 struct loss {
 	struct drive_task task;
 	uint32_t run; /* number of the run that was lost */
-	char worker[SYC_NAME_MAX]; /* the incarnation that was lost */
+	char worker[SYC_NAME_MAX];
+	int64_t born_ms; /* names the incarnation that was lost; zero: not known */
 	struct syc_addr addr;
 	enum loss_cause cause;
 	bool alone; /* no other task ran there */
@@ -47,10 +48,14 @@
 /* Records the loss of a run; of a known one, what is new. */
 void losses_add(struct losses *l, int64_t now, const struct loss *loss);
 
-/* Sets the cause of all losses with the incarnation `worker`. */
-void losses_explain(struct losses *l, const char *worker,
+/* Sets the cause of all losses with that incarnation of the worker. */
+void losses_explain(struct losses *l, const struct drive_worker *worker,
 		    enum loss_cause cause);
 
+/* The same with its earlier incarnations, if they are not explained yet. */
+void losses_explain_earlier(struct losses *l, const struct drive_worker *worker,
+			    enum loss_cause cause);
+
 /* Explains losses by other incarnations at the addresses of lost workers. */
 void losses_check_list(struct losses *l, const struct drive_worker *list,
 		       size_t n);
--- a/src/drive/lost_runs.c
+++ b/src/drive/lost_runs.c
@@ -66,6 +66,7 @@
 		return;
 	loss->task = r->task;
 	loss->run = r->number;
+	loss->born_ms = r->born_ms;
 	loss->seen = was_seen(w, r, now);
 	/* The worker may have crashed without this run. */
 	if (!loss->seen && loss->cause == LOSS_CRASH)
@@ -75,12 +76,12 @@
 		blame_route(d, w, r, now);
 }
 
-void lost_runs_record(struct drive *d, struct worker *w, enum loss_cause cause,
-		      int64_t now)
+static void record_runs(struct drive *d, struct worker *w,
+			enum loss_cause cause, bool only_marked, int64_t now)
 {
 	const struct loss common = {
 		.addr = w->info.addr,
-		.cause = w->info.leaving ? LOSS_OTHER : cause,
+		.cause = cause,
 		.alone = w->n_runs == 1,
 		.refused = w->refuses_since != 0,
 		.at = now,
@@ -95,8 +96,21 @@
 		const struct run *r = LIST_ITEM(pos, struct run, worker_link);
 		struct loss loss = common;
 
+		if (only_marked && !r->is_lost)
+			continue;
 		copy_text(loss.worker, sizeof(loss.worker), w->info.name);
 		loss.newest = r->sent_at + STARTED_TOGETHER_MS >= last;
 		record_run(d, w, r, &loss, now);
 	}
 }
+
+void lost_runs_record(struct drive *d, struct worker *w, enum loss_cause cause,
+		      int64_t now)
+{
+	record_runs(d, w, w->info.leaving ? LOSS_OTHER : cause, false, now);
+}
+
+void lost_runs_record_marked(struct drive *d, struct worker *w, int64_t now)
+{
+	record_runs(d, w, w->has_left ? LOSS_OTHER : LOSS_CRASH, true, now);
+}
--- a/src/drive/run.c
+++ b/src/drive/run.c
@@ -162,6 +162,7 @@
 	r->state = RUN_STARTING;
 	r->sent_at = now;
 	r->fence = worker_fence(d, w);
+	r->born_ms = w->info.born_ms;
 	reserve_resources(w, r, j->cpu_milli, j->memory_mb, j->accelerators);
 	t->state = TASK_ACTIVE;
 	t->run_handle = r->handle;
@@ -231,6 +232,7 @@
 	r->state = RUN_RUNNING;
 	r->sent_at = r->running_at = r->percent_at = now;
 	r->percent = row->percent;
+	r->born_ms = w->info.born_ms;
 	reserve_resources(w, r, w->info.cpu_milli / 2, 0, 0);
 	worker_assume_renewed(d, w, now);
 	r->is_orphan = true;
--- a/src/drive/run_calls.c
+++ b/src/drive/run_calls.c
@@ -41,6 +41,16 @@
 	run_finish(d, r, DRIVE_RUN_OTHER, now);
 }
 
+/* Lets a list of the worker's present incarnation decide about the run. */
+static void await_list(struct drive *d, struct run *r, struct worker *w,
+		       int64_t now)
+{
+	if (r->state != RUN_STARTING)
+		return;
+	r->state = RUN_UNCONFIRMED;
+	hold_probe(d, w, now);
+}
+
 void drive_start_answered(struct drive *d, int64_t now, uint64_t call,
 			  const struct drive_call_answer *answer)
 {
@@ -49,10 +59,17 @@
 
 	if (!w || !d->active)
 		return;
+	if (incarnation_check(d, w, r->born_ms, answer, now) == ANSWER_OTHER) {
+		await_list(d, r, w, now);
+		queue_run(d, now);
+		return;
+	}
 	worker_record_clock(w, now, answer);
 	switch (answer->result) {
 	case DRIVE_CALL_DONE:
 		run_mark_running(r, now);
+		if (answer->born_ms)
+			r->born_ms = answer->born_ms;
 		break;
 	case DRIVE_CALL_UNANSWERED:
 		if (r->state == RUN_STARTING)
--- a/src/drive/worker.c
+++ b/src/drive/worker.c
@@ -221,13 +221,14 @@
 	return w;
 }
 
-static void update_worker(struct worker *w, const struct drive_worker *info)
+static void update_worker(struct drive *d, struct worker *w,
+			  const struct drive_worker *info, int64_t now)
 {
 	if (info->leaving && !w->info.leaving)
 		log_info("worker_leaving", LOG_S("worker", info->name),
 			 LOG_U("runs", w->n_runs));
-	w->info = *info;
 	w->listed = true;
+	incarnation_note_listed(d, w, info, now);
 }
 
 void drive_set_workers(struct drive *d, int64_t now,
@@ -246,7 +247,7 @@
 	for (i = 0; i < n; i++) {
 		w = find_worker(d, list[i].name);
 		if (w)
-			update_worker(w, &list[i]);
+			update_worker(d, w, &list[i], now);
 		else
 			add_worker(d, now, &list[i]);
 	}
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -135,6 +135,7 @@
 	int64_t workers_read_at; /* when the last read was sent */
 	int64_t next_workers_read_at;
 	int64_t workers_failed_at; /* the last failed read */
+	int64_t workers_listed_at; /* when the present list was taken over */
 	uint64_t workers_sent_epoch; /* in which all peers got the list */
 
 	/* workers_reader.c, at the driver */
@@ -345,6 +346,15 @@
 		       size_t n);
 /* The caller frees the list. */
 struct drive_worker *workers_unpack_list(struct wire_in *w, uint32_t *n);
+/*
+ * What a message says of the workers' lives follows its lists, as an earlier
+ * version refuses a longer row, but not a longer message. Its own messages have
+ * no lives, so those of the unpacked list stay unknown.
+ */
+void workers_pack_lives(struct wire_out *w, const struct drive_worker *list,
+			size_t n);
+void workers_unpack_lives(struct wire_in *w, struct drive_worker *list,
+			  uint32_t n);
 
 /* workers_reader.c */
 /* Asks another member to read the list; false: this instance must read. */
--- a/src/fleet/losses_msgs.c
+++ b/src/fleet/losses_msgs.c
@@ -1,4 +1,7 @@
-/* Packs and unpacks lost runs, for peers and for the store. */
+/*
+ * Packs and unpacks lost runs, for peers and for the store. The incarnations of
+ * their workers follow the list, as earlier versions refuse a longer row.
+ */
 #include "fleet/fleet_state.h"
 
 enum { LOSS_FIELDS = 13 };
@@ -51,18 +54,36 @@
 	wire_put_array(w, n);
 	for (i = 0; i < n; i++)
 		pack_loss(w, list[i], now);
+	wire_put_array(w, n);
+	for (i = 0; i < n; i++)
+		wire_put_i64(w, list[i]->born_ms);
+}
+
+/* Earlier versions send no list of incarnations. */
+static void unpack_incarnations(struct wire_in *w, struct loss *list,
+				uint32_t n)
+{
+	uint32_t i;
+
+	if (!wire_has_more(w))
+		return;
+	if (wire_enter(w, LOSSES_LIST_MAX) != n)
+		w->failed = true;
+	for (i = 0; i < n && !w->failed; i++)
+		list[i].born_ms = wire_i64(w);
+	wire_leave(w);
 }
 
 void losses_unpack_list(struct wire_in *w, struct losses *l, int64_t now)
 {
-	struct loss x;
+	struct loss list[LOSSES_LIST_MAX];
 	uint32_t i, n;
 
 	n = wire_enter(w, LOSSES_LIST_MAX);
-	for (i = 0; i < n && !w->failed; i++) {
-		unpack_loss(w, &x, now);
-		if (!w->failed)
-			losses_add(l, now, &x);
-	}
+	for (i = 0; i < n && !w->failed; i++)
+		unpack_loss(w, &list[i], now);
 	wire_leave(w);
+	unpack_incarnations(w, list, n);
+	for (i = 0; i < n && !w->failed; i++)
+		losses_add(l, now, &list[i]);
 }
--- a/src/fleet/losses_store.c
+++ b/src/fleet/losses_store.c
@@ -86,7 +86,7 @@
 		    x->version + LOSSES_LIST_MAX > version)
 			list[n++] = x;
 	get_key(f, key);
-	wire_begin(&w, SYC_STORED_LOSSES, 1);
+	wire_begin(&w, SYC_STORED_LOSSES, 2);
 	losses_pack_list(&w, list, n, now);
 	s->writing = version;
 	s->in_flight = true;
--- a/src/fleet/losses_sync.c
+++ b/src/fleet/losses_sync.c
@@ -10,7 +10,7 @@
 {
 	auto_wire_out struct wire_out w = {0};
 
-	wire_begin(&w, SYC_PEER_LOSSES, 1);
+	wire_begin(&w, SYC_PEER_LOSSES, 2);
 	losses_pack_list(&w, list, n, now);
 	return f->opt.send(f->opt.ctx, to, wire_bytes(&w));
 }
--- a/src/fleet/workers.c
+++ b/src/fleet/workers.c
@@ -18,7 +18,9 @@
 	/* An instance without a list waits for the driver's first. */
 	FIRST_READ_AFTER_MS = 1000,
 	/* After a failed read, entries may be missing for this time. */
-	KEEP_MISSING_MS = 2500
+	KEEP_MISSING_MS = 2500,
+	/* Times until which a worker is cold may differ by as much. */
+	COLD_TOLERANCE_MS = 1000
 };
 
 /*
@@ -84,9 +86,11 @@
 	n = drive_get_unlisted_workers(f->drive, syc_now(&f->opt.clock),
 				       unlisted, n);
 
-	wire_begin(&w, SYC_PEER_WORKERS, 2);
+	wire_begin(&w, SYC_PEER_WORKERS, 4);
 	workers_pack_list(&w, f->workers, f->n_workers);
 	workers_pack_list(&w, unlisted, n);
+	workers_pack_lives(&w, f->workers, f->n_workers);
+	workers_pack_lives(&w, unlisted, n);
 	f->opt.send(f->opt.ctx, to, wire_bytes(&w));
 }
 
@@ -116,7 +120,8 @@
 static bool is_same_worker(const struct drive_worker *a,
 			   const struct drive_worker *b)
 {
-	return !strcmp(a->name, b->name) && !strcmp(a->service, b->service) &&
+	return !strcmp(a->name, b->name) && a->born_ms == b->born_ms &&
+	       !strcmp(a->service, b->service) &&
 	       !strcmp(a->domain, b->domain) &&
 	       !strcmp(a->addr.ip, b->addr.ip) &&
 	       a->addr.port == b->addr.port && a->cpu_milli == b->cpu_milli &&
@@ -125,15 +130,30 @@
 	       has_same_labels(a, b);
 }
 
-static bool is_same_list(const struct fleet *f, const struct drive_worker *list,
-			 size_t n)
+/*
+ * Whether both workers are cold until about the same time, so that the list is
+ * not sent again as that time comes nearer.
+ */
+static bool is_same_cold(const struct fleet *f, int64_t now,
+			 const struct drive_worker *next,
+			 const struct drive_worker *known)
+{
+	int64_t left_ms = f->workers_listed_at + known->cold_ms - now;
+	int64_t difference_ms = next->cold_ms - (left_ms > 0 ? left_ms : 0);
+
+	return llabs(difference_ms) < COLD_TOLERANCE_MS;
+}
+
+static bool is_same_list(const struct fleet *f, int64_t now,
+			 const struct drive_worker *list, size_t n)
 {
 	size_t i;
 
 	if (n != f->n_workers)
 		return false;
 	for (i = 0; i < n; i++)
-		if (!is_same_worker(&list[i], &f->workers[i]))
+		if (!is_same_worker(&list[i], &f->workers[i]) ||
+		    !is_same_cold(f, now, &list[i], &f->workers[i]))
 			return false;
 	return true;
 }
@@ -146,6 +166,7 @@
 	f->workers = next;
 	f->n_workers = n;
 	f->workers_known = true;
+	f->workers_listed_at = now;
 	drive_set_workers(f->drive, now, next, n);
 }
 
@@ -170,6 +191,8 @@
 	wire_open(&w, msg);
 	listed = workers_unpack_list(&w, &n);
 	unlisted = workers_unpack_list(&w, &n_unlisted);
+	workers_unpack_lives(&w, listed, n);
+	workers_unpack_lives(&w, unlisted, n_unlisted);
 	if (!wire_close(&w))
 		return false;
 	if (fleet_is_driver(f))
@@ -211,7 +234,7 @@
 	    now - f->workers_failed_at < KEEP_MISSING_MS)
 		n = keep_missing_workers(f, next, n);
 	/* Instances that linked while there was no driver have no list. */
-	changed = !is_same_list(f, next, n) ||
+	changed = !is_same_list(f, now, next, n) ||
 		  f->workers_sent_epoch != f->epoch;
 	replace_list(f, now, next, n);
 	/* A fleet that is about to be divided has no use for the list. */
--- a/src/fleet/workers_msgs.c
+++ b/src/fleet/workers_msgs.c
@@ -6,7 +6,8 @@
 
 enum {
 	WORKER_FIELDS = 10,
-	LIST_MAX = 20000 /* workers in one message */
+	LIST_MAX = 20000, /* workers in one message */
+	LIFE_FIELDS = 2 /* numbers of each worker in a list of lives */
 };
 
 static void pack_worker(struct wire_out *w, const struct drive_worker *info)
@@ -60,6 +61,34 @@
 		pack_worker(w, &list[i]);
 }
 
+void workers_pack_lives(struct wire_out *w, const struct drive_worker *list,
+			size_t n)
+{
+	size_t i;
+
+	wire_put_array(w, n * LIFE_FIELDS);
+	for (i = 0; i < n; i++) {
+		wire_put_i64(w, list[i].born_ms);
+		wire_put_u64(w, list[i].cold_ms);
+	}
+}
+
+void workers_unpack_lives(struct wire_in *w, struct drive_worker *list,
+			  uint32_t n)
+{
+	uint32_t i;
+
+	if (!wire_has_more(w))
+		return;
+	if (wire_enter(w, LIST_MAX * LIFE_FIELDS) != n * LIFE_FIELDS)
+		w->failed = true;
+	for (i = 0; i < n && !w->failed; i++) {
+		list[i].born_ms = wire_i64(w);
+		list[i].cold_ms = (uint32_t)wire_u64(w);
+	}
+	wire_leave(w);
+}
+
 struct drive_worker *workers_unpack_list(struct wire_in *w, uint32_t *n)
 {
 	struct drive_worker *list;
--- a/test/unit/drive_fake.c
+++ b/test/unit/drive_fake.c
@@ -48,6 +48,7 @@
 
 	c->call = call->call;
 	c->worker = worker_number(call->worker);
+	c->born_ms = call->worker->born_ms;
 	c->fence = call->fence;
 	c->cursor = call->cursor;
 	c->lease_expires_at = call->lease_expires_at;
@@ -135,6 +136,7 @@
 	if (lists->answer.result == DRIVE_CALL_DONE) {
 		lists->answer.has_clock = true;
 		lists->answer.clock_ms = f->now;
+		lists->answer.born_ms = f->born_ms[c->worker];
 	}
 	drive_hold_answered(f->drive, f->now, c->call, lists);
 }
@@ -206,6 +208,8 @@
 {
 	struct drive_call_answer a = {.result = result};
 
+	if (result == DRIVE_CALL_DONE)
+		a.born_ms = f->born_ms[f->starts[start].worker];
 	f->starts[start].answered = true;
 	drive_start_answered(f->drive, f->now, f->starts[start].call, &a);
 }
@@ -271,3 +275,16 @@
 	drive_set_workers(f->drive, f->now, f->workers, f->n_workers);
 	drive_fake_answer_hold(f, worker, NULL, 0, NULL, 0);
 }
+
+void drive_fake_set_born(struct drive_fake *f, int worker, int64_t born_ms)
+{
+	f->workers[worker].born_ms = f->born_ms[worker] = born_ms;
+	drive_set_workers(f->drive, f->now, f->workers, f->n_workers);
+}
+
+void drive_fake_answer_call(struct drive_fake *f, size_t hold)
+{
+	struct drive_hold_answer lists = {.answer.result = DRIVE_CALL_DONE};
+
+	pass_hold_answer(f, &f->holds[hold], &lists);
+}
--- a/test/unit/drive_fake.h
+++ b/test/unit/drive_fake.h
@@ -19,6 +19,7 @@
 struct fake_call {
 	uint64_t call;
 	int worker;
+	int64_t born_ms; /* of the worker, as the driver knows it */
 	struct drive_task task;
 	uint32_t run;
 	uint64_t fence;
@@ -34,6 +35,8 @@
 	size_t n_workers;
 	struct drive_worker workers[FAKE_WORKERS_MAX];
 	unsigned n_restarts;
+	/* The incarnation that a worker's answers name; zero: none. */
+	int64_t born_ms[FAKE_WORKERS_MAX];
 	struct fake_call starts[FAKE_CALLS_MAX];
 	struct fake_call stops[FAKE_CALLS_MAX];
 	struct fake_call holds[FAKE_CALLS_MAX];
@@ -67,6 +70,10 @@
 			enum drive_run_result result);
 /* Replaces the worker by a new incarnation at its address, and lists it. */
 void drive_fake_restart_worker(struct drive_fake *f, int worker);
+/* The present incarnation of the worker, as the list and its answers say. */
+void drive_fake_set_born(struct drive_fake *f, int worker, int64_t born_ms);
+/* Answers a hold, which need not be the last, with empty lists. */
+void drive_fake_answer_call(struct drive_fake *f, size_t hold);
 /* Advances the time by `ms`; open holds are answered if `workers_answer`. */
 void drive_fake_advance(struct drive_fake *f, int64_t ms, bool workers_answer);
 
