Simulate workers that start again under their ids

Cause: the model gave each life of a worker a new name, so late calls to an earlier life never reached the next one.

A run is now lost by a crash only if its life has answered that it has it, and if by its pace it had not ended.

Limit: an order to an earlier life may be carried out before the first call of the driver.

--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -50,6 +50,7 @@
 	int64_t percent_at; /* when `percent` last changed */
 	bool is_orphan; /* adopted, and its job is not open here */
 	bool is_exclusive; /* no other run may start beside it */
+	bool is_located; /* `born_ms` has answered that it has the run */
 	bool is_lost; /* with an earlier incarnation of its worker */
 	bool stopping;
 	bool stop_in_flight;
--- a/src/drive/hold.c
+++ b/src/drive/hold.c
@@ -183,6 +183,7 @@
 {
 	run_mark_running(r, now);
 	r->born_ms = w->info.born_ms;
+	r->is_located = true;
 	if (row->percent != r->percent)
 		r->percent_at = now;
 	r->percent = row->percent;
--- a/src/drive/lost_runs.c
+++ b/src/drive/lost_runs.c
@@ -52,6 +52,24 @@
 	return now - seen_at <= SEEN_LATELY_MS;
 }
 
+/*
+ * Whether an earlier incarnation may have ended the run, by the pace that its
+ * last list showed, and the answer that said so was lost.
+ */
+static bool may_have_ended(const struct run *r, int64_t now)
+{
+	int64_t took_ms = r->percent_at - r->sent_at;
+
+	return r->percent && r->sent_at + took_ms * 100 / r->percent <= now;
+}
+
+/* Whether a restart shows that the run was lost by a crash. */
+static bool was_lost_by_restart(const struct run *r, int64_t now)
+{
+	/* The new incarnation may have begun and ended it, unseen. */
+	return r->is_located && !may_have_ended(r, now);
+}
+
 /* Whether this is the event at which the worker began to refuse connections. */
 static bool begins_to_refuse(const struct worker *w, int64_t now)
 {
@@ -98,6 +116,9 @@
 
 		if (only_marked && !r->is_lost)
 			continue;
+		if (only_marked && cause == LOSS_CRASH &&
+		    !was_lost_by_restart(r, now))
+			loss.cause = LOSS_UNEXPLAINED;
 		copy_text(loss.worker, sizeof(loss.worker), w->info.name);
 		loss.newest = r->sent_at + STARTED_TOGETHER_MS >= last;
 		record_run(d, w, r, &loss, now);
--- a/src/drive/run.c
+++ b/src/drive/run.c
@@ -233,6 +233,7 @@
 	r->sent_at = r->running_at = r->percent_at = now;
 	r->percent = row->percent;
 	r->born_ms = w->info.born_ms;
+	r->is_located = true;
 	reserve_resources(w, r, w->info.cpu_milli / 2, 0, 0);
 	worker_assume_renewed(d, w, now);
 	r->is_orphan = true;
--- a/src/drive/run_calls.c
+++ b/src/drive/run_calls.c
@@ -68,8 +68,10 @@
 	switch (answer->result) {
 	case DRIVE_CALL_DONE:
 		run_mark_running(r, now);
-		if (answer->born_ms)
+		if (answer->born_ms) {
 			r->born_ms = answer->born_ms;
+			r->is_located = true;
+		}
 		break;
 	case DRIVE_CALL_UNANSWERED:
 		if (r->state == RUN_STARTING)
--- a/src/drive/worker.c
+++ b/src/drive/worker.c
@@ -217,7 +217,8 @@
 	if (d->active)
 		log_info("worker_listed", LOG_S("worker", info->name),
 			 LOG_S("domain", info->domain),
-			 LOG_U("cpu", info->cpu_milli));
+			 LOG_U("cpu", info->cpu_milli),
+			 LOG_I("born_ms", info->born_ms));
 	return w;
 }
 
--- a/test/sim/fleet_sim_calls.c
+++ b/test/sim/fleet_sim_calls.c
@@ -30,6 +30,7 @@
 	e->worker = worker_index(s, w->name);
 	copy_text(e->worker_name, sizeof(e->worker_name), w->name);
 	e->call = call;
+	e->sent_at = s->now;
 	e->timeout_at = s->now + CALL_TIMEOUT_MS;
 	e->late = happens_percent(s, s->late_percent);
 	return e;
@@ -153,6 +154,9 @@
 	e->lists.answer.result = result;
 	e->lists.answer.has_clock = true;
 	e->lists.answer.clock_ms = s->now - s->now / 50 + w->clock_offset_ms;
+	/* Only lists are sure to say it. */
+	if (e->call_kind == CALL_HOLD || e->call % 2)
+		e->lists.answer.born_ms = w->info.born_ms;
 	if (e->call_kind == CALL_HOLD && result == DRIVE_CALL_DONE)
 		fill_lists(s, e, w);
 	e->kind = EVENT_ANSWER;
@@ -196,6 +200,7 @@
 		answer_call(s, e, DRIVE_CALL_OTHER_INCARNATION);
 		return;
 	}
+	w->call_sent_at = e->sent_at;
 	if (e->call_kind == CALL_START)
 		result = fsim_worker_start(s, w, &e->task, e->run, e->fence,
 					   e->lease_expires_at);
