Restart the stand-in's workers under their ids, and test it with processes

Cause: the stand-in gave a worker a new id after a crash, so no test with processes had a worker that starts again under its id.

--- a/test/process/fleet_lib.sh
+++ b/test/process/fleet_lib.sh
@@ -1,11 +1,13 @@
 # Functions for tests of a fleet of real processes, on the platform's stand-in.
-# Source it after case.sh. FLEET_SETTINGS holds further lines of settings.
+# Source it after case.sh. FLEET_SETTINGS holds further lines of settings, and
+# PLATFORM_OPTIONS those of the stand-in.
 
 n_jobs=0
 
 # start_platform WORKERS: the workers alternate between the domains d0 and d1.
 start_platform() {
-	spawn platform "$STANDIN" fleet --workers "$1" --run-ms 60
+	spawn platform "$STANDIN" fleet --workers "$1" --run-ms 60 \
+		$PLATFORM_OPTIONS
 	wait_for "$DIR/platform.out" listening "$(pid_of platform)" ||
 		die "the platform's stand-in did not start"
 	STORE=$(sed -n 's/^listening //p' "$DIR/platform.out")
--- a/test/standin/fleet.c
+++ b/test/standin/fleet.c
@@ -23,6 +23,7 @@
 static int opt_workers = 6;
 static int opt_run_ms = 60;
 static char *opt_ports;
+static int opt_same_ids;
 
 static struct poptOption options[] = {
 	{"workers", 'n', POPT_ARG_INT, &opt_workers, 0, "worker count", "N"},
@@ -30,6 +31,8 @@
 	 "MS"},
 	{"ports", 'p', POPT_ARG_STRING, &opt_ports, 0,
 	 "ports that the workers register, as proxies serve them", "N,..."},
+	{"same-ids", 's', POPT_ARG_NONE, &opt_same_ids, 0,
+	 "workers start again under the ids that they had", NULL},
 	POPT_AUTOHELP POPT_TABLEEND};
 
 void fleet_reply(struct http_server *s, uint64_t id, unsigned status,
@@ -106,18 +109,24 @@
 
 	get_worker_key(w, key, sizeof(key));
 	entry = json_pack(
-		"{s:s, s:o, s:o, s:s, s:{s:i, s:i, s:i}, s:[s]}",
+		"{s:s, s:o, s:o, s:s, s:{s:i, s:i, s:i}, s:[s], s:I}",
 		WORKER_SERVICE, "s", WORKER_ADDRESS,
 		json_sprintf("127.0.0.1:%u", w->registered_port), WORKER_DOMAIN,
 		json_sprintf("d%zu", w->number % DOMAINS), WORKER_STATE,
 		"ready", WORKER_CAPACITY, SIZE_CPU, 16000, SIZE_MEMORY, 65536,
-		SIZE_ACCELERATORS, 0, WORKER_LABELS, "a");
+		SIZE_ACCELERATORS, 0, WORKER_LABELS, "a", WORKER_BORN,
+		(json_int_t)w->born_ms);
 	text = json_dumps(entry, 0);
 	fleet_store_put(w->platform, key, text);
 	free(text);
 	json_decref(entry);
 }
 
+static int64_t wall_clock_ms(const struct fleet_worker *w)
+{
+	return (int64_t)(ev_now(w->platform->loop) * 1000);
+}
+
 static void add_worker(struct fleet_platform *p, size_t i)
 {
 	struct fleet_worker *w = &p->workers[i];
@@ -129,6 +138,7 @@
 	w->port = http_server_port(w->server);
 	w->registered_port = take_registered_port(w->port);
 	snprintf(w->name, sizeof(w->name), "w%zu", i);
+	w->born_ms = wall_clock_ms(w);
 	printf("worker %s %u\n", w->name, w->port);
 	register_worker(w);
 }
@@ -152,10 +162,14 @@
 {
 	char key[64];
 
-	get_worker_key(w, key, sizeof(key));
-	fleet_store_remove(w->platform, key);
-	snprintf(w->name, sizeof(w->name), "w%zu-%u", w->number,
-		 ++w->n_crashes);
+	w->n_crashes++;
+	w->born_ms = wall_clock_ms(w);
+	if (!w->platform->same_ids) {
+		get_worker_key(w, key, sizeof(key));
+		fleet_store_remove(w->platform, key);
+		snprintf(w->name, sizeof(w->name), "w%zu-%u", w->number,
+			 w->n_crashes);
+	}
 	w->restarts_at = 0;
 	w->server = listen_on(w->platform, w, (uint16_t)w->port,
 			      fleet_worker_request, fleet_worker_client_gone);
@@ -195,6 +209,7 @@
 	poptFreeContext(ctx);
 	p.loop = ev_default_loop(0);
 	p.run_ms = opt_run_ms;
+	p.same_ids = opt_same_ids;
 	p.store = listen_on(&p, &p, 0, fleet_store_request,
 			    fleet_store_client_gone);
 	for (i = 0; i < (size_t)opt_workers; i++)
--- a/test/standin/fleet.h
+++ b/test/standin/fleet.h
@@ -70,7 +70,8 @@
 struct fleet_worker {
 	struct fleet_platform *platform;
 	struct http_server *server;
-	char name[32]; /* of its present incarnation */
+	char name[32];
+	int64_t born_ms; /* its present life */
 	size_t number;
 	unsigned port; /* it listens on */
 	unsigned registered_port; /* as the store lists it */
@@ -91,6 +92,7 @@
 	struct http_server *store;
 	ev_timer tick;
 	int run_ms; /* run time of every task */
+	bool same_ids; /* workers start again under the names they had */
 	bool down; /* the store answers 503 to all calls */
 	/* Calls that reach the store, or are due, now get no answer at all. */
 	bool silent;
--- a/test/standin/fleet_worker.c
+++ b/test/standin/fleet_worker.c
@@ -20,15 +20,17 @@
 	return ev_now(w->platform->loop);
 }
 
+/* Each life has a clock of its own. */
 static json_int_t clock_ms(const struct fleet_worker *w)
 {
-	return (json_int_t)(loop_time_s(w) * 1000);
+	return (json_int_t)(loop_time_s(w) * 1000) - w->born_ms;
 }
 
 static void reply_result(struct fleet_worker *w, uint64_t id, unsigned status,
 			 const char *reason)
 {
-	json_t *body = json_pack("{s:I}", CALL_CLOCK, clock_ms(w));
+	json_t *body = json_pack("{s:I, s:I}", CALL_CLOCK, clock_ms(w),
+				 WORKER_BORN, (json_int_t)w->born_ms);
 
 	if (reason)
 		json_object_set_new(body, CALL_REASON, json_string(reason));
@@ -75,8 +77,9 @@
 						w->ends[i].task,
 						(json_int_t)w->ends[i].run,
 						w->ends[i].outcome, ""));
-	return json_pack("{s:I, s:o, s:o}", CALL_CLOCK, clock_ms(w),
-			 HELD_RUNNING, running, HELD_ENDED, ended);
+	return json_pack("{s:I, s:I, s:o, s:o}", CALL_CLOCK, clock_ms(w),
+			 WORKER_BORN, (json_int_t)w->born_ms, HELD_RUNNING,
+			 running, HELD_ENDED, ended);
 }
 
 static void drop_acknowledged_ends(struct fleet_worker *w, uint64_t cursor)
@@ -91,8 +94,9 @@
 
 static void extend_lease(struct fleet_worker *w, const json_t *body)
 {
-	double until = json_number_value(
-			       json_object_get(body, CALL_LEASE_ENDS_AT)) /
+	double until = (json_number_value(
+				json_object_get(body, CALL_LEASE_ENDS_AT)) +
+			(double)w->born_ms) /
 		       1000;
 
 	if (until > loop_time_s(w) + LEASE_MAX_S)
