Test that lives of workers reach the peers, also of an earlier version

Cause: the lists that instances send each other have gained fields.

Change: tests that the time of birth and of slowness reach all instances, that the passing of the latter sends no list, that an earlier version's lists are read and that its reader finds its two lists in ours; that crashes of workers that keep their ids are counted across drivers.

--- a/test/sim/fleet_sim.c
+++ b/test/sim/fleet_sim.c
@@ -158,6 +158,7 @@
 	if (!peer || !s->linked[a][peer - s->instances])
 		return false;
 	s->n_messages++;
+	s->n_lists += wire_type(msg) == SYC_PEER_WORKERS;
 	if (peer - s->instances == s->damaged && !carries_job(msg))
 		send_damaged(s, peer, i->instance.id, msg);
 	e = fsim_event_new(EVENT_MESSAGE, s->now + DELAY_MS, peer);
@@ -203,6 +204,18 @@
 	i->busy_until_us = i->sim->now * US_PER_MS + late_us(i) + us;
 }
 
+static struct drive_worker read_entry(const struct fsim *s,
+				      const struct fsim_worker *w)
+{
+	struct drive_worker entry = w->info;
+
+	if (s->now < w->new_entry_at)
+		return w->old_entry;
+	if (s->now < w->cold_until)
+		entry.cold_ms = (uint32_t)(w->cold_until - s->now);
+	return entry;
+}
+
 static void deliver_list(struct fsim *s, struct fsim_instance *i, bool lost)
 {
 	struct drive_worker list[FSIM_WORKERS];
@@ -215,9 +228,7 @@
 	}
 	for (k = 0; k < FSIM_WORKERS; k++)
 		if (s->workers[k].listed)
-			list[n++] = s->now < s->workers[k].new_entry_at
-					    ? s->workers[k].old_entry
-					    : s->workers[k].info;
+			list[n++] = read_entry(s, &s->workers[k]);
 	cells_set_workers(i->cells, s->now, list, n);
 }
 
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -75,6 +75,7 @@
 	/* The entry of its earlier life, which the list has until then. */
 	struct drive_worker old_entry;
 	int64_t new_entry_at;
+	int64_t cold_until; /* its entry says how much longer that is */
 	uint64_t fence;
 	int64_t lease_expires_at; /* on its clock */
 	int64_t clock_offset_ms;
@@ -126,6 +127,7 @@
 	int damaged;
 	int64_t links_due_at; /* those dialled last are opened then */
 	unsigned long n_messages; /* sent between instances */
+	unsigned long n_lists; /* lists of workers among them */
 	bool domain_cut[FSIM_DOMAINS]; /* cut off from the others */
 	bool callers_leave_early; /* if their home is not reachable */
 	/* Processor time of an instance; zero: it is always in time. */
--- a/test/unit/fleet_test.c
+++ b/test/unit/fleet_test.c
@@ -8,6 +8,8 @@
 #include "fleet/fleet_state.h"
 #include "sim/fleet_sim.h"
 #include "unit.h"
+#include "util/alloc.h"
+#include "util/cleanup.h"
 #include "util/log.h"
 
 enum { SEED = 11, DOMAINS = FSIM_DOMAINS };
@@ -555,6 +557,74 @@
 	check_and_free(s);
 }
 
+static void life_of_a_worker_is_sent_to_the_other_instances(void)
+{
+	enum { COLD_MS = 6000, MARGIN_MS = 1200 };
+	struct fsim *s = start_fleet();
+	const struct drive_worker *w;
+	unsigned long n_lists;
+	int k;
+
+	fsim_keep_names(s);
+	s->workers[3].cold_until = s->now + COLD_MS;
+	fsim_run(s, 700);
+	for (k = 0; k < FSIM_INSTANCES; k++) {
+		w = &s->instances[k].fleet->workers[3];
+		CU_ASSERT_EQUAL(w->born_ms, s->workers[3].info.born_ms);
+		CU_ASSERT(w->cold_ms > COLD_MS - MARGIN_MS);
+	}
+	/* That it is cold for less time is no reason to send the list again. */
+	n_lists = s->n_lists;
+	CU_ASSERT_NOT_EQUAL(n_lists, 0);
+	fsim_run(s, COLD_MS);
+	CU_ASSERT_EQUAL(s->n_lists, n_lists);
+	fsim_restart_worker(s, 3);
+	fsim_run(s, 1700);
+	CU_ASSERT(s->n_lists > n_lists);
+	for (k = 0; k < FSIM_INSTANCES; k++) {
+		w = &s->instances[k].fleet->workers[3];
+		CU_ASSERT_EQUAL(w->born_ms, s->workers[3].info.born_ms);
+	}
+	check_and_free(s);
+}
+
+/* An earlier version reads no more than the two lists, and sends no more. */
+static void lists_of_workers_are_exchanged_with_an_earlier_version(void)
+{
+	struct fsim *s = start_fleet();
+	int other = (fsim_find_driver(s) + 1) % FSIM_INSTANCES;
+	struct fleet *f = s->instances[other].fleet;
+	auto_free struct drive_worker *listed = NULL;
+	auto_free struct drive_worker *unlisted = NULL;
+	auto_wire_out struct wire_out sent = {0};
+	auto_wire_out struct wire_out old = {0};
+	uint32_t n, n_unlisted;
+	struct wire_in w;
+
+	f->workers[0].born_ms = 7;
+	wire_begin(&sent, SYC_PEER_WORKERS, 4);
+	workers_pack_list(&sent, f->workers, f->n_workers);
+	workers_pack_list(&sent, f->workers, 1);
+	workers_pack_lives(&sent, f->workers, f->n_workers);
+	workers_pack_lives(&sent, f->workers, 1);
+	wire_open(&w, wire_bytes(&sent));
+	listed = workers_unpack_list(&w, &n);
+	unlisted = workers_unpack_list(&w, &n_unlisted);
+	CU_ASSERT(wire_close(&w));
+	CU_ASSERT_EQUAL(n, FSIM_WORKERS);
+	CU_ASSERT_EQUAL(n_unlisted, 1);
+	CU_ASSERT_STRING_EQUAL(listed[3].name, f->workers[3].name);
+	wire_begin(&old, SYC_PEER_WORKERS, 2);
+	workers_pack_list(&old, f->workers, f->n_workers);
+	workers_pack_list(&old, f->workers, 1);
+	CU_ASSERT(workers_receive(f, s->now, wire_bytes(&old)));
+	CU_ASSERT_EQUAL(f->n_workers, FSIM_WORKERS);
+	CU_ASSERT_EQUAL(f->workers[0].born_ms, 0);
+	CU_ASSERT(workers_receive(f, s->now, wire_bytes(&sent)));
+	CU_ASSERT_EQUAL(f->workers[0].born_ms, 7);
+	check_and_free(s);
+}
+
 static void restarted_fleet_elects_a_driver(void)
 {
 	struct fsim *s = start_fleet();
@@ -571,12 +641,14 @@
 	check_and_free(s);
 }
 
-static void crashes_are_counted_across_drivers(void)
+static void count_crashes_across_drivers(bool keep_names)
 {
 	struct fsim *s = fsim_new(SEED);
 	const struct fsim_job *j = &s->jobs[0];
 	int driver, i;
 
+	if (keep_names)
+		fsim_keep_names(s);
 	fsim_submit_crashing(s, 0, 2);
 	for (i = 0; i < 8; i++) {
 		fsim_run(s, 1300);
@@ -595,6 +667,16 @@
 	fsim_free(s);
 }
 
+static void crashes_are_counted_across_drivers(void)
+{
+	count_crashes_across_drivers(false);
+}
+
+static void crashes_of_workers_that_keep_their_ids_are_counted(void)
+{
+	count_crashes_across_drivers(true);
+}
+
 static void crashes_are_counted_across_a_full_stop(void)
 {
 	struct fsim *s = fsim_new(SEED);
@@ -642,7 +724,10 @@
 	TEST(late_instances_do_not_replace_a_healthy_driver);
 	TEST(service_returns_when_an_overload_ends);
 	TEST(changed_worker_is_sent_to_the_other_instances);
+	TEST(life_of_a_worker_is_sent_to_the_other_instances);
+	TEST(lists_of_workers_are_exchanged_with_an_earlier_version);
 	TEST(restarted_fleet_elects_a_driver);
 	TEST(crashes_are_counted_across_drivers);
+	TEST(crashes_of_workers_that_keep_their_ids_are_counted);
 	TEST(crashes_are_counted_across_a_full_stop);
 }
