Send a cursor only until the worker has acknowledged it

Cause: each hold carried the cursor of all ends received, so the first hold that reached a life which began unnoticed, between two holds of an idle worker, made it forget its first ends; those tasks ran again.

Change: a cursor is sent until a hold with it is answered, and zero after that: the worker has forgotten those ends already.

--- a/src/drive/drive.c
+++ b/src/drive/drive.c
@@ -76,7 +76,7 @@
 	w->exclusive_lost_at = 0;
 	w->lease_held_until = 0;
 	w->lease_expired_at = 0;
-	w->cursor = 0;
+	w->cursor = w->acknowledged = 0;
 }
 
 void drive_begin(struct drive *d, int64_t now, uint64_t epoch)
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -65,6 +65,7 @@
 	uint64_t worker; /* handle */
 	int64_t born_ms; /* the worker's incarnation when it was sent */
 	uint64_t fence;
+	uint64_t cursor;
 	int64_t sent_at;
 	bool is_probe; /* sent beside the regular hold; answered at once */
 	bool has_lease; /* it renews the lease */
@@ -104,7 +105,8 @@
 	int64_t clock_offset_at; /* when `clock_offset_ms` was learned */
 	int64_t lease_held_until; /* our clock: the earliest end of the lease */
 	int64_t lease_expired_at; /* our clock: the latest end of the lease */
-	uint64_t cursor;
+	uint64_t cursor; /* sequence of the last end that was received */
+	uint64_t acknowledged; /* the highest cursor of an answered hold */
 	/* health */
 	uint32_t failures_in_row;
 	uint32_t ejections_in_row;
--- a/src/drive/hold.c
+++ b/src/drive/hold.c
@@ -22,12 +22,15 @@
 static const uint32_t no_wait_ms = 0;
 
 /*
- * An unconfirmed worker may have started again. If so, the cursor would make it
- * forget ends that nobody has recorded, as it counts them anew.
+ * The ends to acknowledge. A worker that has started again would forget ends that
+ * nobody has recorded, as it counts them anew. So each cursor is sent until it is
+ * answered, and none to an unconfirmed worker.
  */
-static uint64_t acknowledged(const struct drive *d, const struct worker *w)
+static uint64_t cursor_to_send(const struct drive *d, const struct worker *w)
 {
-	return worker_is_confirmed(d, w) ? w->cursor : 0;
+	if (!worker_is_confirmed(d, w) || w->cursor == w->acknowledged)
+		return 0;
+	return w->cursor;
 }
 
 static void send_hold(struct drive *d, struct worker *w, uint32_t wait_ms,
@@ -36,7 +39,7 @@
 	struct drive_hold call = {
 		.worker = &w->info,
 		.fence = worker_fence(d, w),
-		.cursor = acknowledged(d, w),
+		.cursor = cursor_to_send(d, w),
 		.wait_ms = wait_ms,
 	};
 	struct hold_call *h;
@@ -54,6 +57,7 @@
 	h->worker = w->handle;
 	h->born_ms = w->info.born_ms;
 	h->fence = call.fence;
+	h->cursor = call.cursor;
 	h->sent_at = now;
 	h->is_probe = probe;
 	h->has_lease = call.lease_expires_at != 0;
@@ -316,6 +320,8 @@
 		w->confirmed_fence = h->fence;
 	if (h->sent_at > w->confirmed_at)
 		w->confirmed_at = h->sent_at;
+	if (h->cursor > w->acknowledged)
+		w->acknowledged = h->cursor;
 	w->listed_runs_at = now;
 	record_ends(d, w, lists, now);
 	record_running(d, w, lists, now);
--- a/src/drive/incarnation.c
+++ b/src/drive/incarnation.c
@@ -20,7 +20,7 @@
 	w->next_hold_at = now;
 	w->has_clock = false;
 	w->lease_held_until = 0;
-	w->cursor = 0;
+	w->cursor = w->acknowledged = 0;
 	w->losses_seen = 0;
 	w->exclusive_lost_at = 0;
 	w->failures_in_row = w->ejections_in_row = 0;
--- a/test/unit/drive_incarnation_test.c
+++ b/test/unit/drive_incarnation_test.c
@@ -99,6 +99,29 @@
 	drive_fake_free(&f);
 }
 
+/* A worker that restarts unnoticed would forget its first ends. */
+static void cursor_is_sent_until_it_is_acknowledged(void)
+{
+	struct drive_fake f;
+
+	begin(&f, 1);
+	drive_fake_answer_start(&f, start_on_first(&f), DRIVE_CALL_DONE);
+	drive_fake_advance(&f, 50, false);
+	CU_ASSERT_EQUAL(f.holds[last_hold(&f, 0)].cursor, 0);
+	drive_fake_end_run(&f, 0, 1, DRIVE_RUN_DONE);
+	drive_fake_fail_hold(&f, 0, DRIVE_CALL_UNANSWERED);
+	drive_fake_advance(&f, 50, false);
+	/* It may have restarted meanwhile. */
+	CU_ASSERT_EQUAL(f.holds[last_hold(&f, 0)].cursor, 0);
+	drive_fake_answer_hold(&f, 0, NULL, 0, NULL, 0);
+	drive_fake_advance(&f, 1200, false);
+	CU_ASSERT_EQUAL(f.holds[last_hold(&f, 0)].cursor, 1);
+	drive_fake_answer_hold(&f, 0, NULL, 0, NULL, 0);
+	drive_fake_advance(&f, 1200, false);
+	CU_ASSERT_EQUAL(f.holds[last_hold(&f, 0)].cursor, 0);
+	drive_fake_free(&f);
+}
+
 static void listed_incarnation_is_asked_and_ends_no_run(void)
 {
 	struct drive_active_run row;
@@ -316,6 +339,7 @@
 {
 	TEST(run_is_lost_when_a_hold_shows_another_incarnation);
 	TEST(ends_of_the_new_incarnation_count_from_one);
+	TEST(cursor_is_sent_until_it_is_acknowledged);
 	TEST(listed_incarnation_is_asked_and_ends_no_run);
 	TEST(restart_that_the_list_shows_first_is_confirmed_by_an_answer);
 	TEST(old_answer_and_old_entry_do_not_bring_the_earlier_one_back);
--- a/test/unit/fleet_test.c
+++ b/test/unit/fleet_test.c
@@ -613,6 +613,7 @@
 	CU_ASSERT(wire_close(&w));
 	CU_ASSERT_EQUAL(n, FSIM_WORKERS);
 	CU_ASSERT_EQUAL(n_unlisted, 1);
+	CU_ASSERT_STRING_EQUAL(unlisted[0].name, f->workers[0].name);
 	CU_ASSERT_STRING_EQUAL(listed[3].name, f->workers[3].name);
 	wire_begin(&old, SYC_PEER_WORKERS, 2);
 	workers_pack_list(&old, f->workers, f->n_workers);
