--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -76,9 +76,9 @@
 	struct drive_worker info; /* `born_ms`: the present incarnation */
 	int64_t earlier_born_ms; /* the incarnation before the present one */
 	int64_t asked_born_ms; /* listed, and the worker was asked about it */
-	bool has_left; /* the earlier incarnation had told that it leaves */
 	int64_t unlisted_at;
 	bool listed;
+	bool has_left; /* the earlier incarnation had told that it leaves */
 	bool is_replaced; /* another incarnation answered at its address */
 	bool is_reserved; /* for a run that must be alone, once it is empty */
 	uint32_t used_cpu_milli, used_memory_mb, used_accelerators;
