--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -43,12 +43,16 @@
 	uint32_t cpu_milli, memory_mb,
 		accelerators; /* reserved on the worker */
 	uint64_t fence; /* of its start; zero: adopted */
+	/* Incarnation that it was started at, or that listed it last. */
+	int64_t born_ms;
 	int64_t sent_at; /* when its start was sent, or when it was adopted */
 	int64_t running_at; /* when its start was answered or it was listed */
 	uint32_t percent; /* of its work that is done */
 	int64_t percent_at; /* when `percent` last changed */
 	bool is_orphan; /* adopted, and its job is not open here */
 	bool is_exclusive; /* no other run may start beside it */
+	bool is_located; /* `born_ms` has answered that it has the run */
+	bool is_lost; /* with an earlier incarnation of its worker */
 	bool stopping;
 	bool stop_in_flight;
 	int64_t next_stop_at; /* when the next stop may be sent */
@@ -60,7 +64,9 @@
 /* A hold that has no answer yet. */
 struct hold_call {
 	uint64_t worker; /* handle */
+	int64_t born_ms; /* the worker's incarnation when it was sent */
 	uint64_t fence;
+	uint64_t cursor;
 	int64_t sent_at;
 	bool is_probe; /* sent beside the regular hold; answered at once */
 	bool has_lease; /* it renews the lease */
@@ -68,9 +74,12 @@
 
 struct worker {
 	uint64_t handle;
-	struct drive_worker info;
+	struct drive_worker info; /* `born_ms`: the present incarnation */
+	int64_t earlier_born_ms; /* the incarnation before the present one */
+	int64_t asked_born_ms; /* listed, and the worker was asked about it */
 	int64_t unlisted_at;
 	bool listed;
+	bool has_left; /* the earlier incarnation had told that it leaves */
 	bool is_replaced; /* another incarnation answered at its address */
 	bool is_slow; /* it has turned slow, see progress.c */
 	bool is_reserved; /* for a run that must be alone, once it is empty */
@@ -99,7 +108,8 @@
 	int64_t clock_offset_at; /* when `clock_offset_ms` was learned */
 	int64_t lease_held_until; /* our clock: the earliest end of the lease */
 	int64_t lease_expired_at; /* our clock: the latest end of the lease */
-	uint64_t cursor;
+	uint64_t cursor; /* sequence of the last end that was received */
+	uint64_t acknowledged; /* the highest cursor of an answered hold */
 	/* health */
 	uint32_t failures_in_row;
 	uint32_t ejections_in_row;
@@ -301,7 +311,30 @@
 void job_tick(struct drive *d, struct job *j, int64_t now);
 void job_drop(struct drive *d, struct job *j);
 
+/* incarnation.c */
+/* What the incarnation that an answer names says about the answer. */
+enum answer_source {
+	ANSWER_PRESENT, /* it may be handled */
+	ANSWER_OTHER /* it comes from an incarnation that is not present */
+};
+
+/*
+ * Takes note of the incarnation that an answer names, if any. `sent_to` is the
+ * one that was present when the call was sent.
+ */
+enum answer_source incarnation_check(struct drive *d, struct worker *w,
+				     int64_t sent_to,
+				     const struct drive_call_answer *answer,
+				     int64_t now);
+/* Takes over an entry of the list, but for an incarnation that it names. */
+void incarnation_note_listed(struct drive *d, struct worker *w,
+			     const struct drive_worker *info, int64_t now);
+/* Whether the run was last known at an earlier incarnation of the worker. */
+bool incarnation_is_earlier(const struct worker *w, const struct run *r);
+
 /* lost_runs.c */
+/* Records the runs marked as lost with an earlier incarnation of the worker. */
+void lost_runs_record_marked(struct drive *d, struct worker *w, int64_t now);
 /* Records the runs of a worker that is lost; `cause` holds if they are there. */
 void lost_runs_record(struct drive *d, struct worker *w, enum loss_cause cause,
 		      int64_t now);
--- a/src/drive/worker.c
+++ b/src/drive/worker.c
@@ -217,17 +217,19 @@
 	if (d->active)
 		log_info("worker_listed", LOG_S("worker", info->name),
 			 LOG_S("domain", info->domain),
-			 LOG_U("cpu", info->cpu_milli));
+			 LOG_U("cpu", info->cpu_milli),
+			 LOG_I("born_ms", info->born_ms));
 	return w;
 }
 
-static void update_worker(struct worker *w, const struct drive_worker *info)
+static void update_worker(struct drive *d, struct worker *w,
+			  const struct drive_worker *info, int64_t now)
 {
 	if (info->leaving && !w->info.leaving)
 		log_info("worker_leaving", LOG_S("worker", info->name),
 			 LOG_U("runs", w->n_runs));
-	w->info = *info;
 	w->listed = true;
+	incarnation_note_listed(d, w, info, now);
 }
 
 void drive_set_workers(struct drive *d, int64_t now,
@@ -246,7 +248,7 @@
 	for (i = 0; i < n; i++) {
 		w = find_worker(d, list[i].name);
 		if (w)
-			update_worker(w, &list[i]);
+			update_worker(d, w, &list[i], now);
 		else
 			add_worker(d, now, &list[i]);
 	}
@@ -290,7 +292,6 @@
 	if (domains)
 		d->evacuated = *domains;
 	d->capacity_changed = true;
-	queue_run(d, now);
 }
 
 int64_t drive_get_last_start(const struct drive *d, const char *domain)
--- a/test/sim/fleet_random.c
+++ b/test/sim/fleet_random.c
@@ -302,10 +302,11 @@
 
 static struct fsim *new_fleet(uint64_t seed, enum fsim_mode mode)
 {
-	if (mode >= FSIM_EVACUATING)
+	if (mode == FSIM_EVACUATING || mode == FSIM_DIVIDED_EVACUATING)
 		return fsim_new_evacuating(seed,
 					   mode == FSIM_DIVIDED_EVACUATING);
-	if (mode == FSIM_DIVIDED || mode == FSIM_DIVIDED_CRASHING)
+	if (mode == FSIM_DIVIDED || mode == FSIM_DIVIDED_CRASHING ||
+	    mode == FSIM_DIVIDED_REBORN)
 		return fsim_new_divided(seed);
 	return fsim_new(seed);
 }
@@ -333,6 +334,10 @@
 		rates.crashing = 30;
 		rates.crash_worker = vary_rate(s, 8);
 	}
+	if (mode >= FSIM_REBORN) {
+		fsim_keep_names(s);
+		rates.restart_worker = 4 * plain_rates.restart_worker;
+	}
 	s->callers_leave_early = rates.callers_leave_early;
 	while (s->now < until) {
 		inject_faults(s, &rates);
--- a/test/sim/fleet_sim.c
+++ b/test/sim/fleet_sim.c
@@ -158,6 +158,7 @@
 	if (!peer || !s->linked[a][peer - s->instances])
 		return false;
 	s->n_messages++;
+	s->n_lists += wire_type(msg) == SYC_PEER_WORKERS;
 	if (peer - s->instances == s->damaged && !carries_job(msg))
 		send_damaged(s, peer, i->instance.id, msg);
 	e = fsim_event_new(EVENT_MESSAGE, s->now + DELAY_MS, peer);
@@ -203,6 +204,18 @@
 	i->busy_until_us = i->sim->now * US_PER_MS + late_us(i) + us;
 }
 
+static struct drive_worker read_entry(const struct fsim *s,
+				      const struct fsim_worker *w)
+{
+	struct drive_worker entry = w->info;
+
+	if (s->now < w->new_entry_at)
+		return w->old_entry;
+	if (s->now < w->cold_until)
+		entry.cold_ms = (uint32_t)(w->cold_until - s->now);
+	return entry;
+}
+
 static void deliver_list(struct fsim *s, struct fsim_instance *i, bool lost)
 {
 	struct drive_worker list[FSIM_WORKERS];
@@ -215,7 +228,7 @@
 	}
 	for (k = 0; k < FSIM_WORKERS; k++)
 		if (s->workers[k].listed)
-			list[n++] = s->workers[k].info;
+			list[n++] = read_entry(s, &s->workers[k]);
 	cells_set_workers(i->cells, s->now, list, n);
 }
 
@@ -377,14 +390,28 @@
 	s->instances[instance].cut = cut;
 }
 
+/* Another life of the worker, which mostly is the younger one by its clock. */
+static void keep_name(struct fsim *s, struct fsim_worker *w,
+		      const struct drive_worker *earlier)
+{
+	w->old_entry = *earlier;
+	w->new_entry_at = s->now + (int64_t)rng_below(&s->rng, ENTRY_LAG_MS);
+	copy_text(w->info.name, sizeof(w->info.name), earlier->name);
+	w->info.born_ms = s->now;
+	if (!rng_below(&s->rng, 4))
+		w->info.born_ms -= (int64_t)rng_below(&s->rng, BORN_SPREAD_MS);
+}
+
 void fsim_restart_worker(struct fsim *s, int worker)
 {
 	struct fsim_worker *w = &s->workers[worker];
+	struct drive_worker earlier = w->info;
 	int domain = w->domain;
 	bool cut = w->cut;
 
 	fsim_count_crash(s, w);
 	memset(w, 0, sizeof(*w));
+	w->began_at = s->now;
 	w->domain = domain;
 	w->cut = cut;
 	w->up = w->listed = true;
@@ -397,6 +424,19 @@
 	copy_text(w->info.service, sizeof(w->info.service), "s");
 	copy_text(w->info.addr.ip, sizeof(w->info.addr.ip), "10.0.0.1");
 	w->info.addr.port = (uint16_t)(worker + 1);
+	if (s->keeps_names)
+		keep_name(s, w, &earlier);
+}
+
+void fsim_keep_names(struct fsim *s)
+{
+	int k;
+
+	s->keeps_names = true;
+	for (k = 0; k < FSIM_WORKERS; k++)
+		s->workers[k].info.born_ms = s->now;
+	/* Until all instances have a list that says it. */
+	fsim_run(s, LIST_MS);
 }
 
 void fsim_crash_worker(struct fsim *s, int worker)
--- a/test/unit/fleet_random_test.c
+++ b/test/unit/fleet_random_test.c
@@ -4,7 +4,8 @@
  * the faults. FLEET_SEEDS="first last" selects the seeds, FLEET_MIXED leaves out
  * the plain runs, FLEET_DIVIDED the mixed runs of an undivided fleet,
  * FLEET_CRASHING those of a divided one without tasks that crash workers, and
- * FLEET_EVACUATING those with such tasks, which leaves the evacuations.
+ * FLEET_EVACUATING those with such tasks, which leaves the evacuations and the
+ * workers that start again under their names; FLEET_REBORN the evacuations too.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -24,14 +25,21 @@
 	log_init(&opt);
 }
 
-static const char *const mode_names[] = {
-	"",
-	" mixed",
-	" divided",
-	" crashing",
-	" divided crashing",
-	" evacuating",
-	" divided evacuating",
+/* By mode. It runs unless the variable `left_out_by` is set. */
+static const struct {
+	enum fsim_mode mode;
+	const char *name;
+	const char *left_out_by;
+} modes[] = {
+	{FSIM_PLAIN, "", "FLEET_MIXED"},
+	{FSIM_MIXED, " mixed", "FLEET_DIVIDED"},
+	{FSIM_DIVIDED, " divided", "FLEET_CRASHING"},
+	{FSIM_CRASHING, " crashing", "FLEET_EVACUATING"},
+	{FSIM_DIVIDED_CRASHING, " divided crashing", "FLEET_EVACUATING"},
+	{FSIM_EVACUATING, " evacuating", "FLEET_REBORN"},
+	{FSIM_DIVIDED_EVACUATING, " divided evacuating", "FLEET_REBORN"},
+	{FSIM_REBORN, " reborn", NULL},
+	{FSIM_DIVIDED_REBORN, " divided reborn", NULL},
 };
 
 static void run_seed(unsigned long seed, enum fsim_mode mode)
@@ -41,7 +49,7 @@
 
 	CU_ASSERT(ok);
 	if (!ok)
-		printf("\nfleet seed %lu%s: %s\n", seed, mode_names[mode],
+		printf("\nfleet seed %lu%s: %s\n", seed, modes[mode].name,
 		       message);
 }
 
@@ -50,6 +58,7 @@
 {
 	static const unsigned long seeds[] = {5353, 9849};
 	static const unsigned long mixed[] = {624, 840, 2420};
+	static const unsigned long reborn[] = {13, 29};
 	size_t i;
 
 	init_log();
@@ -57,35 +66,25 @@
 		run_seed(seeds[i], FSIM_PLAIN);
 	for (i = 0; i < sizeof(mixed) / sizeof(*mixed); i++)
 		run_seed(mixed[i], FSIM_MIXED);
+	for (i = 0; i < sizeof(reborn) / sizeof(*reborn); i++)
+		run_seed(reborn[i], FSIM_DIVIDED_REBORN);
 }
 
 static void random_faults(void)
 {
 	unsigned long first = SEED_FIRST, last = SEED_LAST, seed;
 	const char *env = getenv("FLEET_SEEDS");
+	size_t i;
 
 	init_log();
 	if (env)
 		sscanf(env, "%lu %lu", &first, &last);
-	for (seed = first; seed <= last; seed++)
-		if (!getenv("FLEET_MIXED"))
-			run_seed(seed, FSIM_PLAIN);
-	for (seed = first; seed <= last; seed++)
-		if (!getenv("FLEET_DIVIDED"))
-			run_seed(seed, FSIM_MIXED);
-	for (seed = first; seed <= last; seed++)
-		if (!getenv("FLEET_CRASHING"))
-			run_seed(seed, FSIM_DIVIDED);
-	for (seed = first; seed <= last; seed++)
-		if (!getenv("FLEET_EVACUATING"))
-			run_seed(seed, FSIM_CRASHING);
-	for (seed = first; seed <= last; seed++)
-		if (!getenv("FLEET_EVACUATING"))
-			run_seed(seed, FSIM_DIVIDED_CRASHING);
-	for (seed = first; seed <= last; seed++)
-		run_seed(seed, FSIM_EVACUATING);
-	for (seed = first; seed <= last; seed++)
-		run_seed(seed, FSIM_DIVIDED_EVACUATING);
+	for (i = 0; i < sizeof(modes) / sizeof(*modes); i++) {
+		if (modes[i].left_out_by && getenv(modes[i].left_out_by))
+			continue;
+		for (seed = first; seed <= last; seed++)
+			run_seed(seed, modes[i].mode);
+	}
 }
 
 SUITE(fleet_random)
