Learn the time limits of calls, and ask for ends that are due

Each call had a limit of 120 ms, and a hold 200 ms more. While workers leave 6.5% of the orders unanswered, a lost start cost a job of an objective of 156 ms most of it, and a lost answer to a hold hid the ends of a worker for 320 ms and then took the worker out of use.

A start that takes longer than nearly all answers do (most answers, while many calls are lost) is followed by a list under a raised fence; its call goes on, so slow answers are still learned from. A lost list is followed by the next at once. While one call in 100 is lost, a list is asked for beside the waiting hold when an end is due. A hold is not held against a worker that has answered a later call, and three in a row make it unresponsive. No run is adopted from a list that a newer one has overtaken. The fence is raised only if a run in doubt was started under the present one, and past the last one of an epoch it goes on with a higher epoch for that worker.

Two tests of drive failed one hold to make a worker unresponsive; they now leave its calls unanswered until it is, as one lost answer no longer does it. drive_calls says when it does.

--- a/src/cmd/fleet_metrics.c
+++ b/src/cmd/fleet_metrics.c
@@ -78,6 +78,17 @@
 			 c.stops},
 			{"sycamoreshore_holds_total",
 			 "Renewals of leases sent.", c.holds},
+			{"sycamoreshore_starts_hedged_total",
+			 "Starts whose answer took longer than usual, so that "
+			 "a list was requested.",
+			 c.starts_hedged},
+			{"sycamoreshore_lists_due_total",
+			 "Lists requested as a run's end was due.",
+			 c.lists_due},
+			{"sycamoreshore_holds_replaced_total",
+			 "Holds sent again while their worker answered other "
+			 "calls.",
+			 c.holds_replaced},
 			{"sycamoreshore_stalls_total",
 			 "Tasks stopped as they made no progress.", c.stalls},
 			{"sycamoreshore_jobs_refused_late_total",
--- a/src/drive/drive.c
+++ b/src/drive/drive.c
@@ -69,6 +69,10 @@
 	w->confirmed_fence = 0;
 	w->confirmed_at = 0;
 	w->hold_in_flight = w->probe_in_flight = false;
+	w->hold_overdue_at = 0;
+	w->limit.misses = 0;
+	w->lists_missed = 0;
+	w->answered_at = 0;
 	w->next_hold_at = now;
 	w->unresponsive_since = 0;
 	w->refuses_since = 0;
@@ -153,6 +157,7 @@
 {
 	if (!d->active)
 		return;
+	d->n_ticks++;
 	tick_workers(d, now);
 	tick_runs(d, now);
 	tick_jobs(d, now);
--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -221,6 +221,10 @@
 	uint64_t ejections, adopted;
 	uint64_t refused_late; /* as this driver was late */
 	uint64_t silences; /* workers that stopped answering */
+	uint64_t starts_hedged; /* a list was requested before their limit */
+	uint64_t lists_due; /* requested as an end was due */
+	/* Holds sent again while their worker answered other calls. */
+	uint64_t holds_replaced;
 	uint64_t runs_lost; /* with their worker */
 	uint64_t given_up; /* jobs with a task that crashes its workers */
 	uint64_t exclusive_starts; /* starts apart from other tasks */
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -4,6 +4,7 @@
 
 #include "drive/drive.h"
 #include "drive/losses.h"
+#include "policy/call_limit.h"
 #include "policy/run_time.h"
 #include "util/index.h"
 #include "util/list.h"
@@ -44,6 +45,9 @@
 	uint64_t fence; /* of its start; zero: adopted */
 	int64_t sent_at; /* when its start was sent, or when it was adopted */
 	int64_t running_at; /* when its start was answered or it was listed */
+	uint64_t sent_tick; /* the driver's last tick before its start */
+	bool is_unanswered; /* its start was not answered in time */
+	int64_t due_at; /* when its end should have been reported */
 	uint32_t percent; /* of its work that is done */
 	int64_t percent_at; /* when `percent` last changed */
 	bool is_orphan; /* adopted, and its job is not open here */
@@ -60,7 +64,9 @@
 struct hold_call {
 	uint64_t worker; /* handle */
 	uint64_t fence;
+	uint64_t cursor; /* the ends that were known when it was sent */
 	int64_t sent_at;
+	uint32_t wait_ms;
 	bool is_probe; /* sent beside the regular hold; answered at once */
 	bool has_lease; /* it renews the lease */
 };
@@ -88,7 +94,15 @@
 	int64_t listed_runs_at; /* when its last lists were read */
 	bool hold_in_flight; /* the regular hold, which may await a run's end */
 	bool probe_in_flight;
+	uint64_t
+		hold_call; /* the regular hold in flight; others are outdated */
+	/* When that hold is replaced, as it has not reported a known end. */
+	int64_t hold_overdue_at; /* zero: it is not overdue */
 	int64_t next_hold_at; /* when the next regular hold may be sent */
+	int64_t next_list_at; /* when the next list for a due end may be */
+	struct call_limit limit;
+	uint32_t lists_missed; /* holds in a row without an answer */
+	int64_t answered_at; /* when the last answered call was sent */
 	int64_t unresponsive_since; /* zero: the last hold was answered */
 	int64_t refuses_since; /* zero: it refused no connection since then */
 	bool has_clock;
@@ -157,6 +171,7 @@
 	struct drive_options opt;
 	struct drive_counts counts;
 	bool active;
+	uint64_t n_ticks;
 	uint64_t epoch;
 	struct table workers, runs, jobs, holds;
 	struct index worker_names, run_tasks, job_ids;
@@ -167,6 +182,7 @@
 	bool has_suspects; /* a worker may be reserved */
 	struct list all_jobs;
 	struct run_times run_times;
+	struct call_limits call_limits;
 	char domain_limit[SYC_NAME_MAX]; /* failure domain; empty: all */
 	int64_t workers_known_since; /* all workers listed since are known */
 	bool forgot_worker; /* an unlisted worker was removed */
@@ -227,12 +243,28 @@
 			   int64_t now);
 /* The fence for the next call to the worker. */
 uint64_t worker_fence(const struct drive *d, const struct worker *w);
+void worker_raise_fence(const struct drive *d, struct worker *w);
+/*
+ * Whether holds were left unanswered and no call since was answered, but too
+ * few to call the worker unresponsive.
+ */
+bool worker_is_in_doubt(const struct worker *w);
+/* The time limit of a list that the worker can answer at once. */
+uint32_t worker_limit_ms(const struct drive *d, const struct worker *w);
+/* The worker has answered a call; `at_once_ms`: in that time, or -1. */
+void worker_record_answer(struct drive *d, struct worker *w, int64_t sent_at,
+			  int64_t at_once_ms);
+/* A call that was sent then was not answered. */
+void worker_record_miss(struct drive *d, struct worker *w, int64_t sent_at);
 /* Removes the worker if it left the list long ago. */
 void worker_remove_unlisted(struct drive *d, struct worker *w, int64_t now);
 
 /* hold.c */
 void hold_tick(struct drive *d, struct worker *w, int64_t now);
-/* Requests the worker's lists at once, under a raised fence. */
+/*
+ * Requests the worker's lists at once, under a fence that is above those of its
+ * runs that are in doubt.
+ */
 void hold_probe(struct drive *d, struct worker *w, int64_t now);
 /* Finishes the worker's runs: its lease or its incarnation has ended. */
 void hold_finish_runs(struct drive *d, struct worker *w, int64_t now,
@@ -242,6 +274,14 @@
 /* Finishes the worker's runs, as another process answers at its address. */
 void hold_mark_replaced(struct drive *d, struct worker *w, int64_t now);
 
+/* due.c */
+/* Sets when the end of a run that is started is due. */
+void due_set(struct run *r, const struct job *j);
+/* A list has named the run, with its progress. */
+void due_note_running(struct run *r, int64_t now);
+/* Requests the worker's lists if the end of the run is due. */
+void due_tick(struct drive *d, struct worker *w, struct run *r, int64_t now);
+
 /* run.c */
 struct run *run_get(const struct drive *d, uint64_t handle);
 /* The run of `task`, or NULL. */
@@ -307,6 +347,14 @@
 bool bulkhead_is_closed(const struct drive *d, const struct run_time *rt,
 			int64_t now);
 
+/* run_calls.c */
+/*
+ * Requests the worker's lists if the answer to the run's start takes longer
+ * than answers do.
+ */
+void run_hedge_start(struct drive *d, struct run *r, struct worker *w,
+		     int64_t now);
+
 /* suspects.c */
 /*
  * Decides what becomes of a task that waits: it is queued, set apart, or its job
--- a/src/drive/hold.c
+++ b/src/drive/hold.c
@@ -16,7 +16,9 @@
 	HOLD_SLOW_RETRY_MS = 150, /* after SLOW_RETRY_AFTER_MS without answer */
 	SLOW_RETRY_AFTER_MS = 500,
 	/* A list requested this long after a start's answer names the run. */
-	START_LISTED_AFTER_MS = 10
+	START_LISTED_AFTER_MS = 10,
+	/* Holds in a row without an answer that make a worker unresponsive. */
+	MISSES_TO_SILENT = 3
 };
 
 static const uint32_t no_wait_ms = 0;
@@ -44,9 +46,16 @@
 	h = item;
 	h->worker = w->handle;
 	h->fence = call.fence;
+	h->cursor = call.cursor;
+	h->wait_ms = wait_ms;
 	h->sent_at = now;
 	h->is_probe = probe;
 	h->has_lease = call.lease_expires_at != 0;
+	/* Nothing waits for the answers to other holds. */
+	if (probe)
+		call.timeout_ms = worker_limit_ms(d, w);
+	else
+		w->hold_call = call.call;
 	d->counts.holds++;
 	d->opt.hold(d->opt.ctx, &call);
 }
@@ -63,12 +72,30 @@
 	return w->has_clock && worker_is_confirmed(d, w) && !is_idle(d, w);
 }
 
+/*
+ * Gives up the regular hold if another list has brought an end that it should
+ * have reported long since.
+ */
+static void drop_overdue_hold(struct drive *d, struct worker *w, int64_t now)
+{
+	if (!w->hold_overdue_at || now < w->hold_overdue_at)
+		return;
+	w->hold_overdue_at = 0;
+	w->hold_in_flight = false;
+	d->counts.holds_replaced++;
+}
+
 void hold_tick(struct drive *d, struct worker *w, int64_t now)
 {
 	if (!d->active || !worker_is_driven(d, w))
 		return;
 	if (w->n_runs && w->lease_expired_at && now > w->lease_expired_at)
 		hold_finish_runs(d, w, now, "lease_ended");
+	if (worker_is_in_doubt(w)) {
+		hold_probe(d, w, now);
+		return;
+	}
+	drop_overdue_hold(d, w, now);
 	if (w->hold_in_flight || now < w->next_hold_at)
 		return;
 	if (!w->listed && !w->n_runs && !worker_may_hide_runs(d, w, 0, now))
@@ -80,12 +107,30 @@
 		  false, now);
 }
 
+/* Whether a run is in doubt that the present fence does not shut out. */
+static bool needs_higher_fence(const struct drive *d, const struct worker *w)
+{
+	struct list *pos, *after;
+
+	LIST_EACH(pos, after, &w->runs)
+	{
+		const struct run *r = LIST_ITEM(pos, struct run, worker_link);
+
+		if (r->fence < worker_fence(d, w))
+			continue;
+		if (r->state == RUN_UNCONFIRMED ||
+		    (r->state == RUN_STARTING && r->stopping))
+			return true;
+	}
+	return false;
+}
+
 void hold_probe(struct drive *d, struct worker *w, int64_t now)
 {
 	if (!d->active || w->probe_in_flight || !worker_is_driven(d, w))
 		return;
-	if (w->fence_step + 1 < DRIVE_FENCES_PER_EPOCH)
-		w->fence_step++;
+	if (needs_higher_fence(d, w))
+		worker_raise_fence(d, w);
 	w->probe_in_flight = true;
 	send_hold(d, w, no_wait_ms, true, now);
 }
@@ -166,13 +211,15 @@
 			   int64_t now)
 {
 	run_mark_running(r, now);
+	due_note_running(r, now);
 	if (row->percent != r->percent)
 		r->percent_at = now;
 	r->percent = row->percent;
 }
 
 static void record_running(struct drive *d, struct worker *w,
-			   const struct drive_hold_answer *lists, int64_t now)
+			   const struct drive_hold_answer *lists,
+			   bool is_outdated, int64_t now)
 {
 	struct run *r;
 	size_t i;
@@ -183,7 +230,7 @@
 		r = run_find_on_worker(d, w, &row->task, row->run);
 		if (r)
 			update_running(r, row, now);
-		else
+		else if (!is_outdated)
 			run_adopt(d, w, row, now);
 	}
 }
@@ -211,6 +258,21 @@
 	return r->fence < h->fence;
 }
 
+/* The start was not carried out, and will not be. */
+static void record_lost_start(struct drive *d, struct worker *w,
+			      const struct run *r, int64_t now)
+{
+	if (!r->is_unanswered) {
+		d->counts.starts_unanswered++;
+		worker_record_miss(d, w, r->sent_at);
+	}
+	log_info("start_lost", LOG_S("job", r->task.job),
+		 LOG_U("task", r->task.index), LOG_U("run", r->number),
+		 LOG_S("worker", w->info.name),
+		 LOG_I("after_ms", now - r->sent_at));
+	worker_record_failure(d, w, now, "start_lost");
+}
+
 static void finish_missing_runs(struct drive *d, struct worker *w,
 				const struct hold_call *h,
 				const struct drive_hold_answer *lists,
@@ -224,6 +286,8 @@
 
 		if (!list_covers(r, h) || is_in_list(r, lists))
 			continue;
+		if (r->state == RUN_UNCONFIRMED)
+			record_lost_start(d, w, r, now);
 		run_finish(d, r, DRIVE_RUN_OTHER, now);
 	}
 }
@@ -237,10 +301,46 @@
 	w->losses_seen = losses_version(d->losses);
 }
 
+/*
+ * Whether the list is older than one that was read before, as it knows fewer
+ * ends. A run that only such a list names may have ended since.
+ */
+static bool is_list_outdated(const struct worker *w, const struct hold_call *h,
+			     const struct drive_hold_answer *lists)
+{
+	uint64_t newest = h->cursor;
+	size_t i;
+
+	for (i = 0; i < lists->n_ended; i++)
+		if (lists->ended[i].sequence > newest)
+			newest = lists->ended[i].sequence;
+	return newest < w->cursor;
+}
+
+/*
+ * How long the answer took; -1: it waited for an end, or it would not have been
+ * read if it had taken longer.
+ */
+static int64_t answer_time(const struct hold_call *h, int64_t now)
+{
+	return h->is_probe || h->wait_ms ? -1 : now - h->sent_at;
+}
+
+/* The waiting hold should bring the same end, unless its answer is lost. */
+static void expect_hold(struct drive *d, struct worker *w, int64_t now)
+{
+	if (w->hold_in_flight && !w->hold_overdue_at)
+		w->hold_overdue_at = now + worker_limit_ms(d, w);
+}
+
 static void record_lists(struct drive *d, struct worker *w,
 			 const struct hold_call *h,
 			 const struct drive_hold_answer *lists, int64_t now)
 {
+	bool is_outdated = is_list_outdated(w, h, lists);
+	uint64_t cursor = w->cursor;
+
+	worker_record_answer(d, w, h->sent_at, answer_time(h, now));
 	worker_record_clock(w, now, &lists->answer);
 	if (h->has_lease)
 		extend_lease(d, w, h->sent_at);
@@ -257,7 +357,9 @@
 		w->confirmed_at = h->sent_at;
 	w->listed_runs_at = now;
 	record_ends(d, w, lists, now);
-	record_running(d, w, lists, now);
+	if (h->is_probe && w->cursor > cursor)
+		expect_hold(d, w, now);
+	record_running(d, w, lists, is_outdated, now);
 	finish_missing_runs(d, w, h, lists, now);
 	d->capacity_changed = true;
 }
@@ -294,6 +396,41 @@
 	mark_refusing(d, w, now);
 }
 
+static bool has_unconfirmed_run(const struct worker *w)
+{
+	struct list *pos, *after;
+
+	LIST_EACH(pos, after, &w->runs)
+	if (LIST_ITEM(pos, struct run, worker_link)->state == RUN_UNCONFIRMED)
+		return true;
+	return false;
+}
+
+static void set_retry(struct worker *w, int64_t now)
+{
+	bool is_slow = now - w->unresponsive_since >= SLOW_RETRY_AFTER_MS;
+
+	w->next_hold_at = now + (is_slow ? HOLD_SLOW_RETRY_MS : HOLD_RETRY_MS);
+}
+
+/* Handles a hold that was not answered in time. */
+static void handle_miss(struct drive *d, struct worker *w,
+			const struct hold_call *h, int64_t now)
+{
+	worker_record_miss(d, w, h->sent_at);
+	if (w->answered_at > h->sent_at && !w->unresponsive_since) {
+		w->lists_missed = 0;
+		d->counts.holds_replaced += !h->is_probe;
+		if (has_unconfirmed_run(w))
+			hold_probe(d, w, now);
+	} else if (++w->lists_missed >= MISSES_TO_SILENT ||
+		   w->unresponsive_since) {
+		mark_unresponsive(d, w, now);
+		set_retry(w, now);
+	}
+	hold_tick(d, w, now);
+}
+
 static void handle_fenced(struct drive *d, struct worker *w,
 			  const struct hold_call *h, int64_t now)
 {
@@ -309,12 +446,27 @@
 		w->epoch = epoch;
 }
 
+/* Frees the place of a call in flight, unless another call has taken it. */
+static void mark_arrived(struct worker *w, uint64_t call,
+			 const struct hold_call *h)
+{
+	if (h->is_probe) {
+		w->probe_in_flight = false;
+		return;
+	}
+	if (call != w->hold_call)
+		return;
+	w->hold_in_flight = false;
+	w->hold_overdue_at = 0;
+}
+
 void drive_hold_answered(struct drive *d, int64_t now, uint64_t call,
 			 const struct drive_hold_answer *lists)
 {
 	struct hold_call *found = table_get(&d->holds, call);
 	struct hold_call h;
 	struct worker *w;
+	bool is_replaced;
 
 	if (!found)
 		return;
@@ -323,29 +475,26 @@
 	w = worker_get(d, h.worker);
 	if (!w)
 		return;
-	if (h.is_probe)
-		w->probe_in_flight = false;
-	else
-		w->hold_in_flight = false;
+	is_replaced = !h.is_probe && call != w->hold_call;
+	mark_arrived(w, call, &h);
 	if (!d->active || h.fence < d->epoch * DRIVE_FENCES_PER_EPOCH)
 		return;
 	w->next_hold_at = now;
 	if (lists->answer.result == DRIVE_CALL_DONE) {
 		record_lists(d, w, &h, lists, now);
+		if (has_unconfirmed_run(w))
+			hold_probe(d, w, now);
 		hold_tick(d, w, now);
 	} else if (lists->answer.result == DRIVE_CALL_OTHER_INCARNATION) {
 		hold_mark_replaced(d, w, now);
 	} else if (lists->answer.result == DRIVE_CALL_FENCED) {
+		worker_record_answer(d, w, h.sent_at, -1);
 		handle_fenced(d, w, &h, now);
-	} else {
-		if (lists->answer.result == DRIVE_CALL_NO_LISTENER)
-			hold_mark_refusing(d, w, now);
-		else
-			mark_unresponsive(d, w, now);
-		w->next_hold_at = now + (now - w->unresponsive_since <
-							 SLOW_RETRY_AFTER_MS
-						 ? HOLD_RETRY_MS
-						 : HOLD_SLOW_RETRY_MS);
+	} else if (lists->answer.result == DRIVE_CALL_NO_LISTENER) {
+		hold_mark_refusing(d, w, now);
+		set_retry(w, now);
+	} else if (!is_replaced) {
+		handle_miss(d, w, &h, now);
 	}
 	queue_run(d, now);
 }
--- a/src/drive/run.c
+++ b/src/drive/run.c
@@ -162,6 +162,8 @@
 	r->state = RUN_STARTING;
 	r->sent_at = now;
 	r->fence = worker_fence(d, w);
+	r->sent_tick = d->n_ticks;
+	due_set(r, j);
 	reserve_resources(w, r, j->cpu_milli, j->memory_mb, j->accelerators);
 	t->state = TASK_ACTIVE;
 	t->run_handle = r->handle;
@@ -367,6 +369,8 @@
 	}
 	if (!w)
 		return;
+	if (r->state == RUN_STARTING)
+		run_hedge_start(d, r, w, now);
 	if (r->state == RUN_UNCONFIRMED)
 		hold_probe(d, w, now);
 	if (!r->job && now - r->sent_at > ORPHAN_STOP_AFTER_MS)
@@ -375,4 +379,6 @@
 		run_stop(d, r, now);
 	else if (!w->unresponsive_since && is_run_stalled(d, r, w, now))
 		stop_stalled_run(d, r, now);
+	else if (r->state == RUN_RUNNING)
+		due_tick(d, w, r, now);
 }
--- a/src/drive/run_calls.c
+++ b/src/drive/run_calls.c
@@ -3,19 +3,44 @@
 
 enum {
 	/* Added to the run number when a worker has seen a higher one. */
-	OLD_RUN_SKIP = 64
+	OLD_RUN_SKIP = 64,
+	/* An answer that arrived by the first tick is read before the second. */
+	TICKS_TO_READ = 2
 };
 
-static void mark_unconfirmed(struct drive *d, struct run *r, struct worker *w,
-			     int64_t now)
+static void handle_unanswered(struct drive *d, struct run *r, struct worker *w,
+			      int64_t now)
 {
-	r->state = RUN_UNCONFIRMED;
 	d->counts.starts_unanswered++;
+	r->is_unanswered = true;
 	log_info("start_unanswered", LOG_S("job", r->task.job),
 		 LOG_U("task", r->task.index), LOG_U("run", r->number),
 		 LOG_S("worker", w->info.name),
 		 LOG_I("after_ms", now - r->sent_at));
-	worker_record_failure(d, w, now, "start_unanswered");
+	worker_record_miss(d, w, r->sent_at);
+	/* Otherwise a list has decided or is about to. */
+	if (r->state != RUN_STARTING)
+		return;
+	r->state = RUN_UNCONFIRMED;
+	hold_probe(d, w, now);
+}
+
+void run_hedge_start(struct drive *d, struct run *r, struct worker *w,
+		     int64_t now)
+{
+	int64_t waited_ms = now - r->sent_at;
+	uint32_t limit_ms;
+
+	if (waited_ms < CALL_LIMIT_MIN_MS ||
+	    d->n_ticks - r->sent_tick < TICKS_TO_READ)
+		return;
+	limit_ms = call_limit_start_ms(&d->call_limits, &w->limit,
+				       d->opt.get_late_ms(d->opt.ctx));
+	/* The call itself ends at the longest limit. */
+	if (waited_ms < limit_ms || limit_ms >= CALL_LIMIT_MAX_MS)
+		return;
+	r->state = RUN_UNCONFIRMED;
+	d->counts.starts_hedged++;
 	hold_probe(d, w, now);
 }
 
@@ -36,11 +61,24 @@
 		worker_record_full(w, now);
 		hold_probe(d, w, now);
 	}
+	/* It was not connected within the limit. */
+	if (result == DRIVE_CALL_NOT_SENT) {
+		worker_record_miss(d, w, r->sent_at);
+		hold_probe(d, w, now);
+	}
 	if (result == DRIVE_CALL_NO_LISTENER)
 		hold_mark_refusing(d, w, now);
 	run_finish(d, r, DRIVE_RUN_OTHER, now);
 }
 
+static bool is_from_worker(enum drive_call_result result)
+{
+	return result != DRIVE_CALL_UNANSWERED &&
+	       result != DRIVE_CALL_NOT_SENT &&
+	       result != DRIVE_CALL_NO_LISTENER &&
+	       result != DRIVE_CALL_OTHER_INCARNATION;
+}
+
 void drive_start_answered(struct drive *d, int64_t now, uint64_t call,
 			  const struct drive_call_answer *answer)
 {
@@ -50,13 +88,14 @@
 	if (!w || !d->active)
 		return;
 	worker_record_clock(w, now, answer);
+	if (is_from_worker(answer->result))
+		worker_record_answer(d, w, r->sent_at, now - r->sent_at);
 	switch (answer->result) {
 	case DRIVE_CALL_DONE:
 		run_mark_running(r, now);
 		break;
 	case DRIVE_CALL_UNANSWERED:
-		if (r->state == RUN_STARTING)
-			mark_unconfirmed(d, r, w, now);
+		handle_unanswered(d, r, w, now);
 		break;
 	case DRIVE_CALL_OTHER_INCARNATION:
 		hold_mark_replaced(d, w, now);
--- a/src/drive/worker.c
+++ b/src/drive/worker.c
@@ -31,6 +31,45 @@
 	return worker_epoch(d, w) * DRIVE_FENCES_PER_EPOCH + w->fence_step;
 }
 
+void worker_raise_fence(const struct drive *d, struct worker *w)
+{
+	if (++w->fence_step < DRIVE_FENCES_PER_EPOCH)
+		return;
+	w->epoch = worker_epoch(d, w) + 1;
+	w->fence_step = 0;
+}
+
+bool worker_is_in_doubt(const struct worker *w)
+{
+	return w->lists_missed && !w->unresponsive_since;
+}
+
+uint32_t worker_limit_ms(const struct drive *d, const struct worker *w)
+{
+	return call_limit_ms(&d->call_limits, &w->limit,
+			     d->opt.get_late_ms(d->opt.ctx));
+}
+
+void worker_record_answer(struct drive *d, struct worker *w, int64_t sent_at,
+			  int64_t at_once_ms)
+{
+	if (sent_at > w->answered_at)
+		w->answered_at = sent_at;
+	w->lists_missed = 0;
+	call_limit_answered(&d->call_limits, &w->limit);
+	if (at_once_ms >= 0)
+		call_limit_sample(&d->call_limits, &w->limit, at_once_ms);
+}
+
+void worker_record_miss(struct drive *d, struct worker *w, int64_t sent_at)
+{
+	if (w->answered_at <= sent_at)
+		call_limit_missed(&w->limit);
+	/* That a worker does not answer says nothing about the others. */
+	if (!w->unresponsive_since)
+		call_limits_missed(&d->call_limits);
+}
+
 bool worker_is_confirmed(const struct drive *d, const struct worker *w)
 {
 	return w->confirmed_fence >=
@@ -81,7 +120,7 @@
 	    !worker_is_confirmed(d, w))
 		return false;
 	/* The worker needs no lease beforehand: a start carries one. */
-	if (w->unresponsive_since)
+	if (w->unresponsive_since || worker_is_in_doubt(w))
 		return false;
 	if (now < w->ejected_until || now < w->full_until)
 		return false;
--- a/test/sim/fleet_sim_calls.c
+++ b/test/sim/fleet_sim_calls.c
@@ -75,6 +75,13 @@
 	fsim_event_push(s, e);
 }
 
+static void set_limit(struct fsim_event *e, const struct fsim *s,
+		      uint32_t timeout_ms)
+{
+	if (timeout_ms)
+		e->timeout_at = s->now + timeout_ms;
+}
+
 void fsim_on_start(void *ctx, const struct drive_start *call)
 {
 	struct fsim_instance *i = ctx;
@@ -85,6 +92,7 @@
 	e->run = call->run;
 	e->fence = call->fence;
 	e->lease_expires_at = call->lease_expires_at;
+	set_limit(e, i->sim, call->timeout_ms);
 	fsim_use_processor(i, i->sim->start_us);
 	send_call(i->sim, e);
 }
@@ -109,6 +117,7 @@
 	e->cursor = call->cursor;
 	e->lease_expires_at = call->lease_expires_at;
 	e->wait_until = i->sim->now + call->wait_ms;
+	set_limit(e, i->sim, call->timeout_ms);
 	e->timeout_at += call->wait_ms;
 	send_call(i->sim, e);
 }
--- a/test/unit/drive_fake.c
+++ b/test/unit/drive_fake.c
@@ -28,6 +28,7 @@
 	c->run = call->run;
 	c->fence = call->fence;
 	c->lease_expires_at = call->lease_expires_at;
+	c->timeout_ms = call->timeout_ms;
 }
 
 static void on_stop(void *ctx, const struct drive_stop *call)
@@ -52,6 +53,7 @@
 	c->cursor = call->cursor;
 	c->lease_expires_at = call->lease_expires_at;
 	c->wait_ms = call->wait_ms;
+	c->timeout_ms = call->timeout_ms;
 }
 
 static void on_job_done(void *ctx, const struct drive_job_done *done)
@@ -201,6 +203,17 @@
 	pass_hold_answer(f, c, &lists);
 }
 
+void drive_fake_silence(struct drive_fake *f, int worker)
+{
+	struct drive_counts before, counts;
+
+	drive_get_counts(f->drive, &before);
+	do {
+		drive_fake_fail_hold(f, worker, DRIVE_CALL_UNANSWERED);
+		drive_get_counts(f->drive, &counts);
+	} while (counts.silences == before.silences);
+}
+
 void drive_fake_answer_start(struct drive_fake *f, size_t start,
 			     enum drive_call_result result)
 {
--- a/test/unit/drive_fake.h
+++ b/test/unit/drive_fake.h
@@ -25,6 +25,7 @@
 	uint64_t cursor;
 	int64_t lease_expires_at;
 	uint32_t wait_ms;
+	uint32_t timeout_ms;
 	bool answered;
 };
 
@@ -60,6 +61,8 @@
 /* Answers the last open hold of `worker` with that result. */
 void drive_fake_fail_hold(struct drive_fake *f, int worker,
 			  enum drive_call_result result);
+/* Leaves the worker's calls unanswered until it is unresponsive. */
+void drive_fake_silence(struct drive_fake *f, int worker);
 void drive_fake_answer_start(struct drive_fake *f, size_t start,
 			     enum drive_call_result result);
 /* Reports the end of the run of that start in the answer to a hold. */
