Start a task elsewhere at once if its hedged start was refused

A hedged start counted as one whose answer may be missing, so a refusal, or that it was never sent, was left to the next list. If the worker could not be reached either, the task waited 1.1 s for its lease. A run has one start call, so a refusal proves that it cannot begin.

--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -101,7 +101,6 @@
 	int64_t next_hold_at; /* when the next regular hold may be sent */
 	int64_t next_list_at; /* when the next list for a due end may be */
 	struct call_limit limit;
-	uint32_t lists_missed; /* holds in a row without an answer */
 	int64_t answered_at; /* when the last answered call was sent */
 	int64_t unresponsive_since; /* zero: the last hold was answered */
 	int64_t refuses_since; /* zero: it refused no connection since then */
@@ -116,6 +115,7 @@
 	uint32_t ejections_in_row;
 	int64_t ejected_until;
 	uint32_t full_in_row; /* starts that it refused for want of capacity */
+	uint32_t lists_missed; /* holds in a row without an answer */
 	int64_t full_until; /* it gets none before */
 	bool on_probation; /* one task at a time until a task succeeds */
 };
--- a/src/drive/run_calls.c
+++ b/src/drive/run_calls.c
@@ -41,6 +41,10 @@
 		return;
 	r->state = RUN_UNCONFIRMED;
 	d->counts.starts_hedged++;
+	log_info("start_hedged", LOG_S("job", r->task.job),
+		 LOG_U("task", r->task.index), LOG_U("run", r->number),
+		 LOG_S("worker", w->info.name), LOG_I("after_ms", waited_ms),
+		 LOG_U("limit_ms", limit_ms));
 	hold_probe(d, w, now);
 }
 
@@ -101,8 +105,11 @@
 		hold_mark_replaced(d, w, now);
 		break;
 	default:
-		/* A list decides about a run that is active or unconfirmed. */
-		if (r->state == RUN_STARTING)
+		/*
+		 * The only start of the run had no effect. A list decides about
+		 * a run that it has shown to be active.
+		 */
+		if (r->state != RUN_RUNNING)
 			handle_refusal(d, r, w, answer->result, now);
 		break;
 	}
--- a/test/unit/drive_calls_test.c
+++ b/test/unit/drive_calls_test.c
@@ -277,6 +277,28 @@
 	drive_fake_free(&f);
 }
 
+/* No connection: nothing was sent, so no list has to prove it. */
+static void hedged_start_that_was_not_sent_starts_elsewhere(void)
+{
+	struct drive_fake f;
+	uint64_t i;
+	size_t n;
+
+	drive_fake_init(&f, 2);
+	for (i = 1; i <= 80; i++) {
+		submit(&f, i, "a", 1);
+		drive_fake_answer_start(&f, f.n_starts - 1, DRIVE_CALL_DONE);
+		drive_fake_end_run(&f, f.n_starts - 1, i, DRIVE_RUN_DONE);
+	}
+	submit(&f, 100, "b", 1);
+	n = f.n_starts;
+	drive_fake_advance(&f, 30, false);
+	CU_ASSERT_EQUAL(counts_of(&f).starts_hedged, 1);
+	drive_fake_answer_start(&f, n - 1, DRIVE_CALL_NOT_SENT);
+	CU_ASSERT_EQUAL(f.n_starts, n + 1);
+	drive_fake_free(&f);
+}
+
 /* A late driver may not have read the answer. */
 static void late_driver_hedges_later(void)
 {
@@ -312,5 +334,6 @@
 	TEST(due_end_costs_nothing_while_answers_come);
 	TEST(overtaken_list_brings_no_run_back);
 	TEST(start_that_takes_longer_than_usual_is_hedged);
+	TEST(hedged_start_that_was_not_sent_starts_elsewhere);
 	TEST(late_driver_hedges_later);
 }
