Eject workers for lost starts later while all lose calls, ask sooner

While a tenth of all orders is lost, two lost starts in a row on one worker are chance: 7 to 8 of 48 workers were ejected at a time, for a second each. While calls to all workers are lost it takes four.

An end is asked for when the expected run time has passed, not a deviation later: a list costs less than the wait, and it tells how far the run is.

--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -220,6 +220,8 @@
 /* Ejects the worker after too many failures in a row. */
 void worker_record_failure(struct drive *d, struct worker *w, int64_t now,
 			   const char *why);
+/* The same for a start that was proved not to have been carried out. */
+void worker_record_lost_start(struct drive *d, struct worker *w, int64_t now);
 /* It has refused a start for want of capacity, so it gets none for a while. */
 void worker_record_full(struct worker *w, int64_t now);
 /* Gives the worker no new tasks for a while. */
@@ -276,7 +278,8 @@
 
 /* due.c */
 /* Sets when the end of a run that is started is due. */
-void due_set(struct run *r, const struct job *j);
+void due_set(const struct drive *d, const struct worker *w, struct run *r,
+	     const struct job *j);
 /* A list has named the run, with its progress. */
 void due_note_running(struct run *r, int64_t now);
 /* Requests the worker's lists if the end of the run is due. */
--- a/src/drive/due.c
+++ b/src/drive/due.c
@@ -12,12 +12,10 @@
 	LATE_MAX_MS = 50 /* a driver that is later has other things to do */
 };
 
-void due_set(struct run *r, const struct job *j)
+void due_set(const struct drive *d, const struct worker *w, struct run *r,
+	     const struct job *j)
 {
-	double usual_ms = run_time_expected_ms(j->run_time, j->estimate_ms) +
-			  run_time_deviation_ms(j->run_time, j->estimate_ms);
-
-	r->due_at = r->sent_at + (int64_t)usual_ms;
+	r->due_at = r->sent_at + (int64_t)worker_expected_ms(d, w, j);
 }
 
 void due_note_running(struct run *r, int64_t now)
--- a/src/drive/hold.c
+++ b/src/drive/hold.c
@@ -270,7 +270,7 @@
 		 LOG_U("task", r->task.index), LOG_U("run", r->number),
 		 LOG_S("worker", w->info.name),
 		 LOG_I("after_ms", now - r->sent_at));
-	worker_record_failure(d, w, now, "start_lost");
+	worker_record_lost_start(d, w, now);
 }
 
 static void finish_missing_runs(struct drive *d, struct worker *w,
--- a/src/drive/run.c
+++ b/src/drive/run.c
@@ -163,7 +163,7 @@
 	r->sent_at = now;
 	r->fence = worker_fence(d, w);
 	r->sent_tick = d->n_ticks;
-	due_set(r, j);
+	due_set(d, w, r, j);
 	reserve_resources(w, r, j->cpu_milli, j->memory_mb, j->accelerators);
 	t->state = TASK_ACTIVE;
 	t->run_handle = r->handle;
--- a/src/drive/worker.c
+++ b/src/drive/worker.c
@@ -5,6 +5,8 @@
 
 enum {
 	FAILURES_TO_EJECT = 2, /* in a row */
+	/* The same for a lost start while calls to all workers are lost. */
+	LOST_TO_EJECT = 4,
 	EJECT_MS = 1000, /* doubled with each ejection in a row */
 	EJECT_MAX_MS = 8000,
 	FULL_MS = 20, /* after a start refused for want of capacity; doubled */
@@ -176,14 +178,28 @@
 		 LOG_U("runs", w->n_runs));
 }
 
-void worker_record_failure(struct drive *d, struct worker *w, int64_t now,
-			   const char *why)
+static void record_failure(struct drive *d, struct worker *w, int64_t now,
+			   const char *why, uint32_t to_eject)
 {
 	w->failures_in_row++;
-	if (w->on_probation || w->failures_in_row >= FAILURES_TO_EJECT)
+	if (w->on_probation || w->failures_in_row >= to_eject)
 		worker_eject(d, w, now, why);
 }
 
+void worker_record_failure(struct drive *d, struct worker *w, int64_t now,
+			   const char *why)
+{
+	record_failure(d, w, now, why, FAILURES_TO_EJECT);
+}
+
+void worker_record_lost_start(struct drive *d, struct worker *w, int64_t now)
+{
+	bool lossy = call_limits_lossy(&d->call_limits);
+
+	record_failure(d, w, now, "start_lost",
+		       lossy ? LOST_TO_EJECT : FAILURES_TO_EJECT);
+}
+
 /*
  * The clock in an answer was read no later than now, so it gives a lower
  * bound of the offset, and a lease computed from it never ends too late.
--- a/src/policy/run_time.c
+++ b/src/policy/run_time.c
@@ -29,7 +29,6 @@
 	rt = xcalloc(1, sizeof(*rt));
 	copy_text(rt->route, sizeof(rt->route), route);
 	rt->ratio = 1;
-	rt->deviation = 1;
 	rt->next = t->first;
 	t->first = rt;
 	return rt;
@@ -90,10 +89,6 @@
 	if (!declared_ms)
 		return;
 	expected_ms = run_time_expected_ms(rt, declared_ms);
-	if (rt->n_samples >= SAMPLES_MIN)
-		rt->deviation += (fabs(actual_ms / expected_ms - 1) -
-				  rt->deviation) /
-				 SAMPLES_WINDOW;
 	if (k && rt->n_samples >= SAMPLES_MIN)
 		add_sample(&k->factor, &k->n_samples, actual_ms / expected_ms);
 	actual_ms /= run_time_kind_factor(t, kind_name);
@@ -107,11 +102,6 @@
 	return declared_ms * ratio;
 }
 
-double run_time_deviation_ms(const struct run_time *rt, uint32_t declared_ms)
-{
-	return run_time_expected_ms(rt, declared_ms) * rt->deviation;
-}
-
 static double decayed_crashes(const struct run_time *rt, int64_t now)
 {
 	return rt->n_crashes *
--- a/src/policy/run_time.h
+++ b/src/policy/run_time.h
@@ -15,7 +15,6 @@
 	struct run_time *next;
 	char route[64];
 	double ratio; /* observed over declared, on a worker of factor 1 */
-	double deviation; /* mean distance of observed over expected from 1 */
 	uint32_t n_samples;
 	/* Workers that crashed just after a start; half after CRASH_HALF_MS. */
 	double n_crashes;
@@ -49,8 +48,6 @@
 
 /* The expected run time on a worker of factor 1, in milliseconds. */
 double run_time_expected_ms(const struct run_time *rt, uint32_t declared_ms);
-/* How far run times usually are from the expected one, in milliseconds. */
-double run_time_deviation_ms(const struct run_time *rt, uint32_t declared_ms);
 /* A worker crashed soon after the start of a task of this route. */
 void run_time_add_crash(struct run_time *rt, int64_t now);
 /* Whether several workers crashed lately just after starts of this route. */
