--- a/src/drive/incarnation.c
+++ b/src/drive/incarnation.c
@@ -17,6 +17,11 @@
 	w->confirmed_fence = 0;
 	w->confirmed_at = 0;
 	w->hold_in_flight = w->probe_in_flight = false;
+	w->hold_call = 0;
+	w->hold_overdue_at = 0;
+	w->lists_missed = 0;
+	w->limit = (struct call_limit){0};
+	w->answered_at = 0;
 	w->next_hold_at = now;
 	w->has_clock = false;
 	w->lease_held_until = 0;
@@ -55,6 +60,7 @@
 	if (w->n_runs)
 		worker_assume_renewed(d, w, now);
 	/* No start that was sent to the earlier one may begin any more. */
+	worker_raise_fence(d, w);
 	hold_probe(d, w, now);
 }
 
@@ -108,5 +114,6 @@
 	}
 	/* An entry ends no run: the worker is asked. */
 	w->confirmed_fence = 0;
+	worker_raise_fence(d, w);
 	hold_probe(d, w, now);
 }
--- a/src/drive/worker.c
+++ b/src/drive/worker.c
@@ -5,6 +5,8 @@
 
 enum {
 	FAILURES_TO_EJECT = 2, /* in a row */
+	/* The same for a lost start while calls to all workers are lost. */
+	LOST_TO_EJECT = 4,
 	EJECT_MS = 1000, /* doubled with each ejection in a row */
 	EJECT_MAX_MS = 8000,
 	FULL_MS = 20, /* after a start refused for want of capacity; doubled */
@@ -31,6 +33,45 @@
 	return worker_epoch(d, w) * DRIVE_FENCES_PER_EPOCH + w->fence_step;
 }
 
+void worker_raise_fence(const struct drive *d, struct worker *w)
+{
+	if (++w->fence_step < DRIVE_FENCES_PER_EPOCH)
+		return;
+	w->epoch = worker_epoch(d, w) + 1;
+	w->fence_step = 0;
+}
+
+bool worker_is_in_doubt(const struct worker *w)
+{
+	return w->lists_missed && !w->unresponsive_since;
+}
+
+uint32_t worker_limit_ms(const struct drive *d, const struct worker *w)
+{
+	return call_limit_ms(&d->call_limits, &w->limit,
+			     d->opt.get_late_ms(d->opt.ctx));
+}
+
+void worker_record_answer(struct drive *d, struct worker *w, int64_t sent_at,
+			  int64_t at_once_ms)
+{
+	if (sent_at > w->answered_at)
+		w->answered_at = sent_at;
+	w->lists_missed = 0;
+	call_limit_answered(&d->call_limits, &w->limit);
+	if (at_once_ms >= 0)
+		call_limit_sample(&d->call_limits, &w->limit, at_once_ms);
+}
+
+void worker_record_miss(struct drive *d, struct worker *w, int64_t sent_at)
+{
+	if (w->answered_at <= sent_at)
+		call_limit_missed(&w->limit);
+	/* That a worker does not answer says nothing about the others. */
+	if (!w->unresponsive_since)
+		call_limits_missed(&d->call_limits);
+}
+
 bool worker_is_confirmed(const struct drive *d, const struct worker *w)
 {
 	return w->confirmed_fence >=
@@ -81,7 +122,7 @@
 	    !worker_is_confirmed(d, w))
 		return false;
 	/* The worker needs no lease beforehand: a start carries one. */
-	if (w->unresponsive_since)
+	if (w->unresponsive_since || worker_is_in_doubt(w))
 		return false;
 	if (now < w->ejected_until || now < w->full_until)
 		return false;
@@ -137,14 +178,28 @@
 		 LOG_U("runs", w->n_runs));
 }
 
-void worker_record_failure(struct drive *d, struct worker *w, int64_t now,
-			   const char *why)
+static void record_failure(struct drive *d, struct worker *w, int64_t now,
+			   const char *why, uint32_t to_eject)
 {
 	w->failures_in_row++;
-	if (w->on_probation || w->failures_in_row >= FAILURES_TO_EJECT)
+	if (w->on_probation || w->failures_in_row >= to_eject)
 		worker_eject(d, w, now, why);
 }
 
+void worker_record_failure(struct drive *d, struct worker *w, int64_t now,
+			   const char *why)
+{
+	record_failure(d, w, now, why, FAILURES_TO_EJECT);
+}
+
+void worker_record_lost_start(struct drive *d, struct worker *w, int64_t now)
+{
+	bool lossy = call_limits_lossy(&d->call_limits);
+
+	record_failure(d, w, now, "start_lost",
+		       lossy ? LOST_TO_EJECT : FAILURES_TO_EJECT);
+}
+
 /*
  * The clock in an answer was read no later than now, so it gives a lower
  * bound of the offset, and a lease computed from it never ends too late.
@@ -285,15 +340,6 @@
 	d->forgot_worker = false;
 }
 
-void drive_set_evacuated(struct drive *d, int64_t now,
-			 const struct drive_domains *domains)
-{
-	d->awaits_evacuated = !domains;
-	if (domains)
-		d->evacuated = *domains;
-	d->capacity_changed = true;
-}
-
 int64_t drive_get_last_start(const struct drive *d, const char *domain)
 {
 	const struct worker *w;
