--- a/src/policy/run_progress.c
+++ b/src/policy/run_progress.c
@@ -2,8 +2,8 @@
 
 enum {
 	PERCENT = 100,
-	/* Runs this many times as long as usual are behind. */
-	BEHIND_FACTOR = 2,
+	/* Longer than by declared times that are off and by chance. */
+	BEHIND_FACTOR = 3,
 	/* A run shows its pace after this part of the usual time. */
 	SHOWS_DIVISOR = 8,
 	SHOWS_MIN_MS = 40,
