--- a/test/unit/drive_fake.c
+++ b/test/unit/drive_fake.c
@@ -135,7 +135,7 @@
 	c->answered = true;
 	if (lists->answer.result == DRIVE_CALL_DONE) {
 		lists->answer.has_clock = true;
-		lists->answer.clock_ms = f->now;
+		lists->answer.clock_ms = f->now - f->clock_behind_ms;
 		lists->answer.born_ms = f->born_ms[c->worker];
 	}
 	drive_hold_answered(f->drive, f->now, c->call, lists);
--- a/test/unit/drive_fake.h
+++ b/test/unit/drive_fake.h
@@ -37,6 +37,7 @@
 	unsigned n_restarts;
 	/* The incarnation that a worker's answers name; zero: none. */
 	int64_t born_ms[FAKE_WORKERS_MAX];
+	int64_t clock_behind_ms; /* the workers' clocks, behind `now` */
 	struct fake_call starts[FAKE_CALLS_MAX];
 	struct fake_call stops[FAKE_CALLS_MAX];
 	struct fake_call holds[FAKE_CALLS_MAX];
--- a/test/unit/drive_incarnation_test.c
+++ b/test/unit/drive_incarnation_test.c
@@ -214,6 +214,23 @@
 	drive_fake_free(&f);
 }
 
+static void leases_are_counted_on_the_new_clock(void)
+{
+	struct drive_fake f;
+
+	begin(&f, 1);
+	drive_fake_advance(&f, 1200, false);
+	f.born_ms[0] = PRESENT;
+	f.clock_behind_ms = f.now;
+	drive_fake_answer_hold(&f, 0, NULL, 0, NULL, 0);
+	drive_fake_answer_all_holds(&f);
+	start_on_first(&f);
+	CU_ASSERT(f.starts[0].lease_expires_at > f.now - f.clock_behind_ms);
+	CU_ASSERT(f.starts[0].lease_expires_at <=
+		  f.now - f.clock_behind_ms + 1000);
+	drive_fake_free(&f);
+}
+
 /* A start that has no answer may begin at the new incarnation. */
 static void open_start_waits_for_a_list_under_a_higher_fence(void)
 {
@@ -344,6 +361,7 @@
 	TEST(restart_that_the_list_shows_first_is_confirmed_by_an_answer);
 	TEST(old_answer_and_old_entry_do_not_bring_the_earlier_one_back);
 	TEST(incarnation_whose_clock_was_set_back_is_recognised);
+	TEST(leases_are_counted_on_the_new_clock);
 	TEST(open_start_waits_for_a_list_under_a_higher_fence);
 	TEST(open_start_that_the_new_incarnation_lists_is_kept);
 	TEST(late_answer_to_a_start_does_not_make_it_run);
