Ask a worker that lost a hold for a list before its lease is renewed

A lost hold was sent again with a renewal if the worker had answered a later call. A worker that died after that answer so got a whole lease more, up to 320 ms later than before limits were learned, and its tasks waited for that.

--- a/src/drive/hold.c
+++ b/src/drive/hold.c
@@ -484,6 +484,17 @@
 	w->next_hold_at = now + (is_slow ? HOLD_SLOW_RETRY_MS : HOLD_RETRY_MS);
 }
 
+/*
+ * The worker has answered a call since the hold was sent, but may have ended
+ * after that. So a list precedes the next renewal of its lease.
+ */
+static void replace_lost_hold(struct drive *d, struct worker *w, int64_t now)
+{
+	d->counts.holds_replaced++;
+	w->next_hold_at = now + worker_limit_ms(d, w);
+	hold_probe(d, w, now);
+}
+
 /* Handles a hold that was not answered in time. */
 static void handle_miss(struct drive *d, struct worker *w,
 			const struct hold_call *h, int64_t now)
@@ -491,8 +502,9 @@
 	worker_record_miss(d, w, h->sent_at);
 	if (w->answered_at > h->sent_at && !w->unresponsive_since) {
 		w->lists_missed = 0;
-		d->counts.holds_replaced += !h->is_probe;
-		if (has_unconfirmed_run(w))
+		if (!h->is_probe)
+			replace_lost_hold(d, w, now);
+		else if (has_unconfirmed_run(w))
 			hold_probe(d, w, now);
 	} else if (++w->lists_missed >= MISSES_TO_SILENT ||
 		   w->unresponsive_since) {
--- a/test/unit/drive_calls_test.c
+++ b/test/unit/drive_calls_test.c
@@ -54,6 +54,11 @@
 	n = f.n_holds;
 	drive_fake_fail_hold(&f, 0, DRIVE_CALL_UNANSWERED);
 	CU_ASSERT_EQUAL(f.n_holds, n + 1);
+	CU_ASSERT_EQUAL(last_hold(&f)->lease_expires_at, 0);
+	drive_fake_advance(&f, 20, false);
+	CU_ASSERT_EQUAL(f.n_holds, n + 1);
+	drive_fake_end_run(&f, 0, 1, DRIVE_RUN_DONE);
+	CU_ASSERT_EQUAL(f.n_holds, n + 2);
 	CU_ASSERT(last_hold(&f)->lease_expires_at > 0);
 	CU_ASSERT_EQUAL(last_hold(&f)->wait_ms, 200);
 	CU_ASSERT_EQUAL(counts_of(&f).silences, 0);
