--- a/test/bench/fleet_load.c
+++ b/test/bench/fleet_load.c
@@ -42,6 +42,7 @@
 	sum->worst_window += r->worst_window;
 	sum->served += r->served;
 	sum->refused += r->refused;
+	sum->held += r->held;
 	sum->p99_over_objective += r->p99_over_objective;
 }
 
@@ -52,9 +53,9 @@
 	printf("%-10s %5s %6s", "rule", "load", "worth");
 	for (i = 0; i < p->n_kinds; i++)
 		printf(" %11.11s", p->kinds[i].name);
-	printf(" %6s %6s %7s %6s %6s %6s %6s %8s %8s\n", "usual", "below",
-	       "largest", "domain", "window", "served", "refus.", "p99/obj",
-	       "us/start");
+	printf(" %6s %6s %7s %6s %6s %6s %6s %6s %8s %8s\n", "usual", "below",
+	       "largest", "domain", "window", "served", "refus.", "held",
+	       "p99/obj", "us/start");
 }
 
 static void print_row(const struct profile *p, int rule, int load, int seeds,
@@ -67,10 +68,10 @@
 	printf("%-10s %4d%% %6.3f", rule_names[rule], load, sum->worth / n);
 	for (i = 0; i < p->n_kinds; i++)
 		printf(" %11.3f", sum->by_kind[i] / n);
-	printf(" %6.3f %6.3f %7.3f %6.3f %6.3f %6.3f %6.3f %8.2f",
+	printf(" %6.3f %6.3f %7.3f %6.3f %6.3f %6.3f %6.3f %6.3f %8.2f",
 	       sum->by_size[0] / n, sum->by_size[1] / n, sum->by_size[2] / n,
 	       sum->worst_domain / n, sum->worst_window / n, sum->served / n,
-	       sum->refused / n, sum->p99_over_objective / n);
+	       sum->refused / n, sum->held / n, sum->p99_over_objective / n);
 	if (rule)
 		printf("\n");
 	else
--- a/test/bench/fleet_load.h
+++ b/test/bench/fleet_load.h
@@ -197,6 +197,7 @@
 	double worst_domain; /* the smallest share of a domain */
 	double worst_window; /* the smallest share of a window */
 	double served, refused; /* shares of the jobs */
+	double held; /* refused after a wait, share of the jobs */
 	/* p99 of response time over objective, of served jobs of kind 0. */
 	double p99_over_objective;
 };
--- a/test/bench/fleet_report.c
+++ b/test/bench/fleet_report.c
@@ -9,6 +9,8 @@
 
 enum { PLOT_WIDTH = 640, PLOT_HEIGHT = 400, PLOT_MARGIN = 50 };
 
+enum { HELD_MIN_MS = 10 };
+
 struct worth_sum {
 	double offered, earned;
 };
@@ -43,6 +45,18 @@
 	s->earned += earned;
 }
 
+/* Whether the job was refused only after a wait, in which its caller could do
+ * nothing. */
+static bool is_refused_late(const struct fleet_load *l,
+			    const struct fleet_load_job *j,
+			    const struct fleet_load_answer *answer)
+{
+	int64_t at_once_ms = 2 * (int64_t)l->profile->link_ms + HELD_MIN_MS;
+
+	return answer->refused &&
+	       answer->answered_at - j->submitted_at > at_once_ms;
+}
+
 static double min_share(const struct worth_sum *s, size_t n)
 {
 	double min = 1;
@@ -94,7 +108,7 @@
 	struct worth_sum kinds[PROFILE_KINDS_MAX] = {{0, 0}};
 	struct worth_sum sizes[FLEET_LOAD_SIZE_CLASSES] = {{0, 0}},
 			 all = {0, 0};
-	size_t i, served = 0, refused = 0;
+	size_t i, served = 0, refused = 0, held = 0;
 
 	memset(r, 0, sizeof(*r));
 	for (i = 0; i < l->n_jobs; i++) {
@@ -109,6 +123,7 @@
 			  j->worth, earned);
 		served += results->answers[i].served;
 		refused += results->answers[i].refused;
+		held += is_refused_late(l, j, &results->answers[i]);
 	}
 	r->worth = earned_share(&all);
 	for (i = 0; i < l->profile->n_kinds; i++)
@@ -119,6 +134,7 @@
 	r->worst_window = min_share(windows, n_windows);
 	r->served = l->n_jobs ? (double)served / (double)l->n_jobs : 1;
 	r->refused = l->n_jobs ? (double)refused / (double)l->n_jobs : 0;
+	r->held = l->n_jobs ? (double)held / (double)l->n_jobs : 0;
 	r->p99_over_objective = p99_of_first_kind(l, results);
 }
 
