Admit by a plan of the room, and refuse a waiting job when its room is lost

Cause: the start of a waiting job was estimated by counting tasks and ends, whatever their sizes and workers, and a job that could not be in time any more was refused only when its slack was used up.

Change: src/policy/room_plan.c places the queue on the workers, each core in use by one task at a time; src/policy/start_rate.c gives what more urgent jobs will start; src/drive/room.c gathers the inputs. Admission asks the plan; every 20 ms waiting jobs that can't be in time are refused (room_was_lost). Counters and metrics: jobs that waited, refusals for want of room by reason.

--- a/src/cmd/fleet_metrics.c
+++ b/src/cmd/fleet_metrics.c
@@ -52,6 +52,27 @@
 		   NULL, c.capacity);
 }
 
+static void set_refusal_metrics(struct fleet_daemon *d,
+				const struct drive_counts *c)
+{
+	const struct {
+		const char *labels;
+		uint64_t val;
+	} rows[] = {
+		{"reason=\"no_room_in_time\"", c->refused_no_room},
+		{"reason=\"room_was_lost\"", c->refused_room_lost},
+		{"reason=\"objective_missed\"", c->refused_objective_missed},
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(*rows); i++)
+		set_metric(d, METRIC_COUNTER,
+			   "sycamoreshore_jobs_refused_for_room_total",
+			   "Jobs refused for want of capacity: at once, and "
+			   "after a wait.",
+			   rows[i].labels, rows[i].val);
+}
+
 static void set_drive_metrics(struct fleet_daemon *d)
 {
 	struct drive_counts c;
@@ -62,6 +83,7 @@
 	};
 
 	drive_get_counts(fleet_get_drive(cells_own(d->fleet)), &c);
+	set_refusal_metrics(d, &c);
 	{
 		const struct row counters[] = {
 			{"sycamoreshore_jobs_driven_total",
@@ -83,6 +105,9 @@
 			{"sycamoreshore_jobs_refused_late_total",
 			 "Jobs refused as this driver was late.",
 			 c.refused_late},
+			{"sycamoreshore_jobs_waited_total",
+			 "Jobs that were admitted to wait for capacity.",
+			 c.waited},
 			{"sycamoreshore_workers_silent_total",
 			 "Times that a worker stopped answering.", c.silences},
 			{"sycamoreshore_runs_lost_total",
--- a/src/drive/admit.c
+++ b/src/drive/admit.c
@@ -256,11 +256,14 @@
 		return;
 	if (is_awaiting_lists(d))
 		return;
-	start_at = queue_expected_start(d, j, now);
+	start_at = room_expected_start(d, j, now);
 	log_waits(d, j, start_at, now);
-	if (start_at > j->latest_start_at)
-		job_end(d, j, DRIVE_REFUSED, REFUSED_RETRY_MS,
-			"no_room_in_time", now);
+	if (start_at <= j->latest_start_at) {
+		d->counts.waited++;
+		return;
+	}
+	d->counts.refused_no_room++;
+	job_end(d, j, DRIVE_REFUSED, REFUSED_RETRY_MS, "no_room_in_time", now);
 }
 
 /*
--- a/src/drive/drive.c
+++ b/src/drive/drive.c
@@ -151,6 +151,8 @@
 
 void drive_tick(struct drive *d, int64_t now)
 {
+	bool is_check_due;
+
 	if (!d->active)
 		return;
 	tick_workers(d, now);
@@ -158,9 +160,12 @@
 	tick_jobs(d, now);
 	losses_tick(d->losses, now);
 	suspects_review(d, now);
-	if (now / QUEUE_CHECK_MS != (now - TICK_MS) / QUEUE_CHECK_MS)
+	is_check_due = now / QUEUE_CHECK_MS != (now - TICK_MS) / QUEUE_CHECK_MS;
+	if (is_check_due)
 		d->capacity_changed = true;
 	queue_run(d, now);
+	if (is_check_due)
+		room_review(d, now);
 }
 
 size_t drive_open_jobs(const struct drive *d)
--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -220,6 +220,9 @@
 	uint64_t starts_refused, starts_unanswered, stops, stalls, holds;
 	uint64_t ejections, adopted;
 	uint64_t refused_late; /* as this driver was late */
+	uint64_t waited; /* jobs that were admitted to wait for capacity */
+	/* Jobs refused for want of capacity: at once and after a wait. */
+	uint64_t refused_no_room, refused_room_lost, refused_objective_missed;
 	uint64_t silences; /* workers that stopped answering */
 	uint64_t runs_lost; /* with their worker */
 	uint64_t given_up; /* jobs with a task that crashes its workers */
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -5,6 +5,7 @@
 #include "drive/drive.h"
 #include "drive/losses.h"
 #include "policy/run_time.h"
+#include "policy/start_rate.h"
 #include "util/index.h"
 #include "util/list.h"
 #include "util/log.h"
@@ -21,7 +22,8 @@
 	/* A worker that crashed is back after this time, or gone. */
 	LOST_WORKER_COUNTS_MS = 3000,
 	/* A worker's clock may be slow by up to 1 / CLOCK_DRIFT_DIVISOR. */
-	CLOCK_DRIFT_DIVISOR = 20
+	CLOCK_DRIFT_DIVISOR = 20,
+	START_RATES = 4 /* priorities; lower ones count as the last */
 };
 
 enum run_state {
@@ -167,6 +169,7 @@
 	bool has_suspects; /* a worker may be reserved */
 	struct list all_jobs;
 	struct run_times run_times;
+	struct start_rate start_rates[START_RATES]; /* by priority */
 	char domain_limit[SYC_NAME_MAX]; /* failure domain; empty: all */
 	int64_t workers_known_since; /* all workers listed since are known */
 	bool forgot_worker; /* an unlisted worker was removed */
@@ -293,6 +296,8 @@
 		      int64_t now);
 void job_tick(struct drive *d, struct job *j, int64_t now);
 void job_drop(struct drive *d, struct job *j);
+/* The expected run time of its tasks on a worker of usual speed, in ms. */
+double job_expected_ms(const struct job *j);
 
 /* lost_runs.c */
 /* Records the runs of a worker that is lost; `cause` holds if they are there. */
@@ -333,15 +338,26 @@
 void queue_remove(struct job *j);
 /* Begins the jobs that fit; refuses those that must miss their objective. */
 void queue_run(struct drive *d, int64_t now);
-/* Estimates when `j` can begin; INT64_MAX: the known runs free too little. */
-int64_t queue_expected_start(const struct drive *d, const struct job *j,
-			     int64_t now);
+
+/* room.c */
+/*
+ * When `j`, which is queued, is expected to begin; a time after its latest
+ * start is a lower bound. INT64_MAX: the known runs free too little.
+ */
+int64_t room_expected_start(const struct drive *d, const struct job *j,
+			    int64_t now);
+/* Refuses the waiting jobs that can't be in time any more. */
+void room_review(struct drive *d, int64_t now);
+/* A task of `j` was started. */
+void room_count_start(struct drive *d, const struct job *j, int64_t now);
 
 /* place.c */
 /* Starts all waiting tasks of a job, or none; true: all were started. */
 bool place_job(struct drive *d, struct job *j, int64_t now);
 /* Starts as many waiting tasks as fit; false: none was started. */
 bool place_some(struct drive *d, struct job *j, int64_t now);
+/* Whether the worker serves such jobs. */
+bool place_is_eligible(const struct worker *w, const struct job *j);
 /* Whether the worker could run a task of `j` if it were empty. */
 bool place_fits_empty(const struct worker *w, const struct job *j);
 /* Whether a task of `j` fits on an empty listed worker. */
--- a/src/drive/job.c
+++ b/src/drive/job.c
@@ -17,6 +17,11 @@
 	return index_hash_bytes(id, DRIVE_JOB_ID_MAX);
 }
 
+double job_expected_ms(const struct job *j)
+{
+	return run_time_expected_ms(j->run_time, j->estimate_ms);
+}
+
 void job_index(struct drive *d, const struct job *j)
 {
 	index_put(&d->job_ids, id_key(j->id), j->handle);
--- a/src/drive/place.c
+++ b/src/drive/place.c
@@ -226,6 +226,11 @@
 	return start_tasks(d, j, 1, now) > 0;
 }
 
+bool place_is_eligible(const struct worker *w, const struct job *j)
+{
+	return is_eligible(w, j);
+}
+
 bool place_fits_empty(const struct worker *w, const struct job *j)
 {
 	return is_eligible(w, j) && w->info.cpu_milli >= j->cpu_milli &&
--- a/src/drive/queue.c
+++ b/src/drive/queue.c
@@ -2,17 +2,15 @@
  * Decides which waiting jobs begin, and in which order, when the load exceeds
  * the capacity. A job is of use to its caller only when its last task has
  * ended, so it begins when there is capacity for all of its tasks, and a job
- * that can no longer meet its objective is refused at once. Only the first
- * job of the queue may begin partially: jobs of lower priority may not use the
- * free capacity, so it would be idle until there is enough. The order is: jobs
- * that have begun, then priority, then the number of tasks, most first, then
- * the latest start.
+ * that can no longer meet its objective is refused at once (room.c). Only the
+ * first job of the queue may begin partially: jobs of lower priority may not
+ * use the free capacity, so it would be idle until there is enough. The order
+ * is: jobs that have begun, then priority, then the number of tasks, most first,
+ * then the latest start.
  */
 #include <stdlib.h>
 
 #include "drive/drive_state.h"
-#include "util/alloc.h"
-#include "util/cleanup.h"
 
 enum {
 	REFUSED_RETRY_MS = 1000 /* callers get it in whole seconds */
@@ -56,27 +54,6 @@
 	return j->n_tasks - j->n_done - j->n_active - j->n_suspects;
 }
 
-static int compare_times(const void *a, const void *b)
-{
-	int64_t x = *(const int64_t *)a, y = *(const int64_t *)b;
-
-	return x < y ? -1 : x > y;
-}
-
-/* Estimates when a run ends. */
-static int64_t run_expected_end(const struct drive *d, const struct run *r,
-				int64_t now)
-{
-	const struct job *j = job_get(d, r->job);
-	const struct worker *w = worker_get(d, r->worker);
-	int64_t end_at;
-
-	if (!j || !w || r->stopping)
-		return now;
-	end_at = r->sent_at + (int64_t)worker_expected_ms(d, w, j);
-	return end_at > now ? end_at : now;
-}
-
 /* How many further tasks of this job's size fit on all usable workers. */
 static uint32_t count_free_slots(const struct drive *d, const struct job *j,
 				 int64_t now)
@@ -95,49 +72,6 @@
 	return n;
 }
 
-/*
- * Estimates when `j`, which is queued, can begin if `free_slots` tasks of its
- * size fit now.
- */
-static int64_t estimate_start(const struct drive *d, const struct job *j,
-			      uint32_t free_slots, int64_t now)
-{
-	auto_free int64_t *ends = NULL;
-	uint32_t needed = queue_count_waiting(j);
-	const struct run *r;
-	struct list *pos, *after;
-	uint64_t handle;
-	uint32_t run_pos = 0;
-	size_t n = 0;
-
-	LIST_EACH(pos, after, &d->queue)
-	{
-		const struct job *other = LIST_ITEM(pos, struct job,
-						    queue_link);
-
-		if (other == j)
-			break;
-		needed += queue_count_waiting(other);
-	}
-	if (needed <= free_slots)
-		return now;
-	needed -= free_slots;
-	ends = xcalloc(d->runs.used + 1, sizeof(*ends));
-	while ((r = table_next(&d->runs, &run_pos, &handle)))
-		if (r->state != RUN_ENDED)
-			ends[n++] = run_expected_end(d, r, now);
-	if (needed > n)
-		return INT64_MAX;
-	qsort(ends, n, sizeof(*ends), compare_times);
-	return ends[needed - 1];
-}
-
-int64_t queue_expected_start(const struct drive *d, const struct job *j,
-			     int64_t now)
-{
-	return estimate_start(d, j, count_free_slots(d, j, now), now);
-}
-
 static void log_begun(struct drive *d, const struct job *j, int64_t now)
 {
 	histogram_add(&d->counts.begin_delay, now - j->arrived_at);
@@ -188,7 +122,7 @@
 		return true;
 	free_slots = count_free_slots(d, j, now);
 	return free_slots &&
-	       estimate_start(d, j, free_slots, now) < j->latest_start_at;
+	       room_expected_start(d, j, now) < j->latest_start_at;
 }
 
 static void begin_partially(struct drive *d, struct job *j, int64_t now)
@@ -216,6 +150,7 @@
 		return false;
 	}
 	if (!j->has_begun && now > j->latest_start_at) {
+		d->counts.refused_objective_missed++;
 		refuse_job(d, j, "objective_missed", now);
 		return false;
 	}
--- a/src/drive/run.c
+++ b/src/drive/run.c
@@ -175,6 +175,7 @@
 	call.body.p = j->body;
 	call.body.n = j->body_len;
 	d->counts.starts++;
+	room_count_start(d, j, now);
 	d->opt.start(d->opt.ctx, &call);
 	/* An idle worker has no hold that would report the run's end. */
 	handle = call.call;
