--- a/src/drive/drive.c
+++ b/src/drive/drive.c
@@ -155,6 +155,8 @@
 
 void drive_tick(struct drive *d, int64_t now)
 {
+	bool is_check_due;
+
 	if (!d->active)
 		return;
 	d->n_ticks++;
@@ -164,9 +166,12 @@
 	tick_jobs(d, now);
 	losses_tick(d->losses, now);
 	suspects_review(d, now);
-	if (now / QUEUE_CHECK_MS != (now - TICK_MS) / QUEUE_CHECK_MS)
+	is_check_due = now / QUEUE_CHECK_MS != (now - TICK_MS) / QUEUE_CHECK_MS;
+	if (is_check_due)
 		d->capacity_changed = true;
 	queue_run(d, now);
+	if (is_check_due)
+		room_review(d, now);
 }
 
 void drive_set_evacuated(struct drive *d, int64_t now,
