Refuse fewer jobs for the sake of urgent ones that may come

Cause: the plan of the room counted three quarters of the urgent starts that are expected.

Change: two fifths. A job that waits in vain loses its slack at most, one that is refused in vain all of its worth.

--- a/src/drive/room.c
+++ b/src/drive/room.c
@@ -19,8 +19,11 @@
 	REVIEW_MARGIN_MS = 20
 };
 
-/* A part of the urgent tasks takes room that the waiting job can't use. */
-static const double surge_share = 0.75;
+/*
+ * The others take room that the waiting job could not use, or do not come. A job
+ * that waits in vain loses less than one that is refused in vain.
+ */
+static const double surge_share = 0.4;
 
 /* Jobs that the same workers may run. */
 struct pools {
