--- a/test/unit/policy_call_limit_test.c
+++ b/test/unit/policy_call_limit_test.c
@@ -2,77 +2,112 @@
 #include "policy/call_limit.h"
 #include "unit.h"
 
-static struct call_limits all;
-static struct call_limit w, slow;
+static void answer(struct call_limits *all, struct call_limit *w, int n,
+		   int64_t ms)
+{
+	while (n--) {
+		call_limit_answered(all, w);
+		call_limit_sample(all, w, ms);
+	}
+}
 
-static void reset(void)
+static void limit_is_the_usual_one_until_enough_answers(void)
 {
-	all = (struct call_limits){0};
-	w = slow = (struct call_limit){0};
+	struct call_limits all = {0};
+	struct call_limit w = {0}, other = {0};
+
+	answer(&all, &w, 63, 2);
+	CU_ASSERT_EQUAL(call_limit_ms(&all, &w, 0), CALL_LIMIT_MAX_MS);
+	answer(&all, &w, 1, 2);
+	CU_ASSERT_EQUAL(call_limit_ms(&all, &w, 0), CALL_LIMIT_MIN_MS);
+	answer(&all, &other, 7, 2);
+	CU_ASSERT_EQUAL(call_limit_ms(&all, &other, 0), CALL_LIMIT_MAX_MS);
 }
 
-static void answer(struct call_limit *worker, int n, int64_t ms)
+/* One answer in 25 takes long; that is no alarm unless many get lost. */
+static void rare_slow_answers_raise_no_alarm(void)
 {
-	while (n--) {
-		call_limit_answered(&all, worker);
-		call_limit_sample(&all, worker, ms);
+	struct call_limits all = {0};
+	struct call_limit w = {0};
+	int i;
+
+	for (i = 0; i < 40; i++) {
+		answer(&all, &w, 1, 21);
+		answer(&all, &w, 24, 2);
 	}
+	CU_ASSERT(call_limit_ms(&all, &w, 0) > 21);
+	CU_ASSERT(call_limit_start_ms(&all, &w, 0) > 21);
+	for (i = 0; i < 10; i++)
+		call_limits_missed(&all);
+	CU_ASSERT(call_limit_ms(&all, &w, 0) > 21);
+	CU_ASSERT_EQUAL(call_limit_start_ms(&all, &w, 0), CALL_LIMIT_MIN_MS);
 }
 
-static uint32_t limit(void)
+static void slow_worker_has_a_longer_limit_than_the_others(void)
 {
-	return call_limit_ms(&all, &w, 0);
+	struct call_limits all = {0};
+	struct call_limit w = {0}, slow = {0};
+
+	answer(&all, &w, 5000, 2);
+	answer(&all, &slow, 8, 60);
+	CU_ASSERT(call_limit_ms(&all, &slow, 0) >= 60);
+	CU_ASSERT_EQUAL(call_limit_ms(&all, &w, 0), CALL_LIMIT_MIN_MS);
 }
 
-static void limit_follows_the_answers(void)
+/* All workers are far away from now on. */
+static void limit_forgets_earlier_answers(void)
 {
-	reset();
-	answer(&w, 63, 2);
-	CU_ASSERT_EQUAL(limit(), CALL_LIMIT_MAX_MS);
-	answer(&w, 5000, 2);
-	CU_ASSERT_EQUAL(limit(), CALL_LIMIT_MIN_MS);
-	/* A slow worker has a limit of its own. */
-	answer(&slow, 7, 60);
-	CU_ASSERT_EQUAL(call_limit_ms(&all, &slow, 0), CALL_LIMIT_MAX_MS);
-	answer(&slow, 1, 60);
-	CU_ASSERT(call_limit_ms(&all, &slow, 0) >= 60);
-	CU_ASSERT_EQUAL(limit(), CALL_LIMIT_MIN_MS);
-	/* All workers are far away for a while. */
-	answer(&w, 1000, 30);
-	CU_ASSERT(limit() > 30);
-	answer(&w, 40000, 2);
-	CU_ASSERT_EQUAL(limit(), CALL_LIMIT_MIN_MS);
-	/* This process is late, and then the worker. */
-	CU_ASSERT_EQUAL(call_limit_ms(&all, &w, 25), CALL_LIMIT_MIN_MS + 25);
+	struct call_limits all = {0};
+	struct call_limit w = {0};
+
+	answer(&all, &w, 5000, 2);
+	answer(&all, &w, 1000, 30);
+	CU_ASSERT(call_limit_ms(&all, &w, 0) > 30);
+	answer(&all, &w, 40000, 2);
+	CU_ASSERT_EQUAL(call_limit_ms(&all, &w, 0), CALL_LIMIT_MIN_MS);
+}
+
+static void limit_grows_with_lateness_and_with_misses(void)
+{
+	struct call_limits all = {0};
+	struct call_limit w = {0};
+	uint32_t usual_ms, i;
+
+	answer(&all, &w, 500, 2);
+	usual_ms = call_limit_ms(&all, &w, 0);
+	CU_ASSERT_EQUAL(call_limit_ms(&all, &w, 25), usual_ms + 25);
 	call_limit_missed(&w);
-	CU_ASSERT_EQUAL(limit(), 2 * CALL_LIMIT_MIN_MS);
+	CU_ASSERT_EQUAL(call_limit_ms(&all, &w, 0), 2 * usual_ms);
+	for (i = 0; i < 100; i++)
+		call_limit_missed(&w);
+	CU_ASSERT_EQUAL(call_limit_ms(&all, &w, 0), CALL_LIMIT_MAX_MS);
 	call_limit_answered(&all, &w);
-	CU_ASSERT_EQUAL(limit(), CALL_LIMIT_MIN_MS);
+	CU_ASSERT_EQUAL(call_limit_ms(&all, &w, 0), usual_ms);
 }
 
-/* One answer in 25 takes long; that is no alarm unless many are lost. */
-static void rare_slow_answers_raise_no_alarm(void)
+static void answers_are_lossy_while_some_in_a_hundred_are_missed(void)
 {
+	struct call_limits all = {0};
+	struct call_limit w = {0};
 	int i;
 
-	reset();
-	for (i = 0; i < 40; i++) {
-		answer(&w, 1, 21);
-		answer(&w, 24, 2);
-	}
-	CU_ASSERT(call_limit_start_ms(&all, &w, 0) > 21);
 	call_limits_missed(&all);
 	CU_ASSERT_FALSE(call_limits_lossy(&all));
-	call_limits_missed(&all);
+	for (i = 0; i < 10; i++) {
+		answer(&all, &w, 14, 2);
+		call_limits_missed(&all);
+	}
 	CU_ASSERT(call_limits_lossy(&all));
-	CU_ASSERT_EQUAL(call_limit_start_ms(&all, &w, 0), CALL_LIMIT_MIN_MS);
-	CU_ASSERT(limit() > 21);
-	answer(&w, 100, 2);
+	answer(&all, &w, 500, 2);
 	CU_ASSERT_FALSE(call_limits_lossy(&all));
 }
 
 SUITE(policy_call_limit)
 {
-	TEST(limit_follows_the_answers);
+	TEST(limit_is_the_usual_one_until_enough_answers);
 	TEST(rare_slow_answers_raise_no_alarm);
+	TEST(slow_worker_has_a_longer_limit_than_the_others);
+	TEST(limit_forgets_earlier_answers);
+	TEST(limit_grows_with_lateness_and_with_misses);
+	TEST(answers_are_lossy_while_some_in_a_hundred_are_missed);
 }
