Say so when a driver has started nothing in an evacuated domain

The driver at the bound had started nothing in the domain since it began, and logged no line, so an operator could not tell that the domain gets no tasks.

Change: evacuation_no_start from such a driver, if it knows workers there.

--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -267,7 +267,7 @@
 
 /*
  * When this driver last started a task on a worker of the failure domain that it
- * still knows; zero: never.
+ * still knows; zero: never; -1: it knows none.
  */
 int64_t drive_get_last_start(const struct drive *d, const char *domain);
 
--- a/src/drive/worker.c
+++ b/src/drive/worker.c
@@ -298,7 +298,7 @@
 	const struct worker *w;
 	uint64_t handle;
 	uint32_t pos = 0;
-	int64_t last = 0;
+	int64_t last = -1;
 
 	while ((w = table_next(&d->workers, &pos, &handle)))
 		if (!strcmp(w->info.domain, domain) && w->last_start_at > last)
--- a/src/fleet/evacuation.c
+++ b/src/fleet/evacuation.c
@@ -219,7 +219,9 @@
 		return;
 	e->last_start_logged = true;
 	last = drive_get_last_start(f->drive, e->domain);
-	if (last)
+	if (!last)
+		log_info("evacuation_no_start", LOG_S("domain", e->domain));
+	else if (last > 0)
 		log_info("evacuation_last_start", LOG_S("domain", e->domain),
 			 LOG_I("after_ms", last - e->learned_at));
 }
