Share the room of a priority between routes and failure domains

Cause: while room is short the widest job of a priority goes first, whoever sent it, so the burst of one route or domain is paid by all callers of the priority.

Change: src/policy/fair_share.c keeps, for each (priority, route, home domain), the core-ms asked for and got, decaying over 1.5 s.

Ruled out: over 1.25 times the level (15 of 20 jobs of the modest domain served instead of 14); over 1.1 times it, whatever the others get (6 of 80 jobs of two equal routes waited in vain instead of none).

Result: drive_room: the modest domain gets 19 of 20 jobs served, 14 without.

--- a/src/drive/admit.c
+++ b/src/drive/admit.c
@@ -77,6 +77,7 @@
 	j->body = xmemdup(spec->body.p, spec->body.n);
 	j->body_len = spec->body.n;
 	set_job_times(d, j, spec, now);
+	room_count_job(d, j, now);
 	list_add(&d->all_jobs, &j->all_link);
 	job_index(d, j);
 	return j;
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -4,6 +4,7 @@
 
 #include "drive/drive.h"
 #include "drive/losses.h"
+#include "policy/fair_share.h"
 #include "policy/run_time.h"
 #include "policy/start_rate.h"
 #include "util/index.h"
@@ -148,6 +149,8 @@
 	uint32_t n_suspects; /* waiting tasks that need a worker of their own */
 	bool has_begun; /* a task of it was started or adopted */
 	bool is_late; /* when it was queued, its objective was missed */
+	bool is_over_share; /* when it was queued, its account was */
+	size_t account; /* in the drive's `shares` */
 	void *body;
 	size_t body_len;
 	struct list queue_link; /* used while a task of it waits */
@@ -169,6 +172,7 @@
 	bool has_suspects; /* a worker may be reserved */
 	struct list all_jobs;
 	struct run_times run_times;
+	struct fair_shares shares;
 	struct start_rate start_rates[START_RATES]; /* by priority */
 	char domain_limit[SYC_NAME_MAX]; /* failure domain; empty: all */
 	int64_t workers_known_since; /* all workers listed since are known */
@@ -348,6 +352,8 @@
 			    int64_t now);
 /* Refuses the waiting jobs that can't be in time any more. */
 void room_review(struct drive *d, int64_t now);
+/* `j` was submitted. */
+void room_count_job(struct drive *d, struct job *j, int64_t now);
 /* A task of `j` was started. */
 void room_count_start(struct drive *d, const struct job *j, int64_t now);
 
--- a/src/drive/queue.c
+++ b/src/drive/queue.c
@@ -5,8 +5,9 @@
  * that can no longer meet its objective is refused at once (room.c). Only the
  * first job of the queue may begin partially: jobs of lower priority may not
  * use the free capacity, so it would be idle until there is enough. The order
- * is: jobs that have begun, then priority, then the number of tasks, most first,
- * then the latest start.
+ * is: jobs that have begun, then priority, then those whose route and domain
+ * have not had more than their share, then the number of tasks, most first, then
+ * the latest start.
  */
 #include <stdlib.h>
 
@@ -25,6 +26,8 @@
 		return a->has_begun;
 	if (a->priority != b->priority)
 		return a->priority < b->priority;
+	if (a->is_over_share != b->is_over_share)
+		return b->is_over_share;
 	if (a->n_tasks != b->n_tasks)
 		return a->n_tasks > b->n_tasks;
 	return a->latest_start_at < b->latest_start_at;
@@ -36,6 +39,8 @@
 
 	j->is_late = j->has_begun && now > j->latest_start_at;
 	queue_remove(j);
+	j->is_over_share = !list_empty(&d->queue) &&
+			   fair_share_is_over(&d->shares, j->account, now);
 	for (pos = d->queue.prev; pos != &d->queue; pos = pos->prev)
 		if (!precedes(j, LIST_ITEM(pos, struct job, queue_link)))
 			break;
--- a/src/drive/room.c
+++ b/src/drive/room.c
@@ -183,10 +183,24 @@
 	return n;
 }
 
+static double task_core_ms(const struct job *j)
+{
+	return j->cpu_milli * job_expected_ms(j) / 1000;
+}
+
+void room_count_job(struct drive *d, struct job *j, int64_t now)
+{
+	j->account = fair_share_find(&d->shares, j->priority, j->run_time,
+				     j->domain);
+	fair_share_ask(&d->shares, j->account, j->n_tasks * task_core_ms(j),
+		       now);
+}
+
 void room_count_start(struct drive *d, const struct job *j, int64_t now)
 {
 	size_t i = j->priority < START_RATES ? j->priority : START_RATES - 1;
 
+	fair_share_get(&d->shares, j->account, task_core_ms(j), now);
 	start_rate_add(&d->start_rates[i], now, j->cpu_milli,
 		       job_expected_ms(j));
 }
--- a/test/unit/drive_room_test.c
+++ b/test/unit/drive_room_test.c
@@ -104,7 +104,7 @@
 }
 
 /* Submits a job of two tasks of a route; it has 200 ms to begin. */
-static void submit_one(struct play *p, uint32_t priority)
+static void submit_one(struct play *p, uint32_t priority, const char *domain)
 {
 	struct drive_job j;
 	char id[16];
@@ -113,6 +113,7 @@
 	j = drive_fake_job(id, 2);
 	j.route = p->n_jobs % 2 ? "odd" : "even";
 	j.priority = priority;
+	j.domain = domain;
 	j.objective_add_ms = 200;
 	p->submitted_at[p->n_jobs] = p->f.now;
 	drive_fake_submit(&p->f, p->n_jobs, &j);
@@ -136,7 +137,7 @@
 	memset(p, 0, sizeof(*p));
 	drive_fake_init(&p->f, WORKERS);
 	for (i = 0; i < 80; i++) {
-		submit_one(p, (uint32_t)i % n_priorities);
+		submit_one(p, (uint32_t)i % n_priorities, "d0");
 		if (i % 5)
 			advance(p);
 	}
@@ -180,6 +181,35 @@
 	CU_ASSERT(o->n_after_wait * 5 <= o->n_jobs);
 }
 
+/*
+ * Odd jobs come from callers of one domain at half of what fits, even ones from
+ * another that asks for three times as much.
+ */
+static void burst_of_one_domain_is_not_paid_by_the_other(void)
+{
+	struct play p;
+	size_t asked = 0;
+	int i;
+
+	memset(&p, 0, sizeof(p));
+	drive_fake_init(&p.f, WORKERS);
+	for (i = 0; i < 80; i++) {
+		if (i % 4)
+			p.n_jobs += p.n_jobs % 2 == 0;
+		else
+			p.n_jobs += p.n_jobs % 2;
+		asked += !(i % 4);
+		submit_one(&p, 0, i % 4 ? "many" : "few");
+		advance(&p);
+		if (i % 2)
+			advance(&p);
+	}
+	for (i = 0; i < 50; i++)
+		advance(&p);
+	CU_ASSERT(p.out.by_route[1] * 10 >= asked * 9);
+	drive_fake_free(&p.f);
+}
+
 static struct drive_job waiting_job(const char *id)
 {
 	struct drive_job j = drive_fake_job(id, 2);
@@ -253,6 +283,7 @@
 	TEST(overload_is_refused_at_once_and_who_waits_is_served);
 	TEST(no_route_is_starved_within_a_priority);
 	TEST(few_wait_in_vain_beside_urgent_jobs);
+	TEST(burst_of_one_domain_is_not_paid_by_the_other);
 	TEST(waiting_job_is_refused_when_its_worker_is_lost);
 	TEST(waiting_job_is_refused_when_runs_are_slow);
 }
