--- a/test/bench/fleet_report.c
+++ b/test/bench/fleet_report.c
@@ -9,7 +9,7 @@
 
 enum { PLOT_WIDTH = 640, PLOT_HEIGHT = 400, PLOT_MARGIN = 50 };
 
-enum { HELD_MIN_MS = 10 };
+enum { HELD_MIN_MS = 10 /* a refusal in less time came at once */ };
 
 struct worth_sum {
 	double offered, earned;
@@ -45,8 +45,7 @@
 	s->earned += earned;
 }
 
-/* Whether the job was refused only after a wait, in which its caller could do
- * nothing. */
+/* Whether the job was refused only after its caller had waited for a while. */
 static bool is_refused_late(const struct fleet_load *l,
 			    const struct fleet_load_job *j,
 			    const struct fleet_load_answer *answer)
