Take no age of knowledge from an echo of the future

Cause: a heartbeat echoes the time of the last one received from its receiver.

Change: such an echo, and an age below zero, is ignored. The test fails without it.

--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -213,8 +213,12 @@
 void heartbeat_accept_age(const struct fleet *f, struct key_watch *w,
 			  int64_t echo_ms, int64_t age_ms)
 {
-	if (echo_ms && age_ms)
-		key_watch_confirm(w, f->started_at + echo_ms - age_ms);
+	int64_t uptime_ms = syc_now(&f->opt.clock) - f->started_at;
+
+	/* No heartbeat of this instance was sent after now. */
+	if (echo_ms <= 0 || age_ms <= 0 || echo_ms > uptime_ms)
+		return;
+	key_watch_confirm(w, f->started_at + echo_ms - age_ms);
 }
 
 /* The peer's word for the map of `g`, in a heartbeat of the fleet `f`. */
--- a/test/unit/fleet_config_test.c
+++ b/test/unit/fleet_config_test.c
@@ -173,6 +173,17 @@
 	check_and_free(s);
 }
 
+/* An echo of a heartbeat that was never sent, from a damaged message. */
+static void echo_from_the_future_proves_nothing(void)
+{
+	struct fsim *s = start_fleet(false);
+	struct fleet *f = s->instances[0].fleet;
+
+	heartbeat_accept_age(f, &f->config_watch, s->now + 5000, 1);
+	CU_ASSERT(f->config_watch.confirmed_at <= s->now);
+	check_and_free(s);
+}
+
 /* Otherwise each instance has to read it by itself. */
 static void one_instance_reads_for_all(void)
 {
@@ -219,5 +230,6 @@
 	TEST(busy_store_delays_no_change_beyond_its_end);
 	TEST(stale_reads_bring_no_older_configuration_back);
 	TEST(heartbeats_held_back_prove_no_recent_configuration);
+	TEST(echo_from_the_future_proves_nothing);
 	TEST(one_instance_reads_for_all);
 }
