Bound the plans of the room between two ticks of the driver

Cause: each job that does not fit at once took a plan, and the check of waiting jobs one for each that was refused.

Change: 24 plans between two ticks; beyond these a job that needs as much as one that was refused is refused too, and another one waits. The check refuses four jobs at a time.

--- a/src/drive/admit.c
+++ b/src/drive/admit.c
@@ -223,11 +223,30 @@
 		 LOG_I("to_latest_start_ms", j->latest_start_at - now));
 }
 
+/*
+ * Whether a job that does not fit now may begin in time. When too many come at
+ * once for a plan each, those that are like a refused one are refused.
+ */
+static bool may_be_in_time(struct drive *d, const struct job *j, int64_t now)
+{
+	int64_t start_at;
+
+	if (room_was_refused_like(d, j))
+		return false;
+	if (!room_take_plan(d))
+		return true;
+	start_at = room_expected_start(d, j, now);
+	log_waits(d, j, start_at, now);
+	if (start_at <= j->latest_start_at)
+		return true;
+	room_note_refused(d, j);
+	return false;
+}
+
 /* Decides whether a new job begins, waits or is refused. */
 static void admit(struct drive *d, struct job *j, int64_t now)
 {
 	uint64_t handle = j->handle;
-	int64_t start_at;
 	uint32_t i;
 
 	if (j->n_done == j->n_tasks) {
@@ -272,14 +291,13 @@
 			now);
 		return;
 	}
-	start_at = room_expected_start(d, j, now);
-	log_waits(d, j, start_at, now);
-	if (start_at <= j->latest_start_at) {
-		d->counts.waited++;
+	if (!may_be_in_time(d, j, now)) {
+		d->counts.refused_no_room++;
+		job_end(d, j, DRIVE_REFUSED, REFUSED_RETRY_MS,
+			"no_room_in_time", now);
 		return;
 	}
-	d->counts.refused_no_room++;
-	job_end(d, j, DRIVE_REFUSED, REFUSED_RETRY_MS, "no_room_in_time", now);
+	d->counts.waited++;
 }
 
 /*
--- a/src/drive/drive.c
+++ b/src/drive/drive.c
@@ -90,6 +90,7 @@
 	uint32_t pos = 0;
 
 	remove_runs(d);
+	room_renew_plans(d);
 	d->active = true;
 	d->epoch = epoch;
 	d->is_list_fresh = false;
@@ -160,6 +161,7 @@
 	if (!d->active)
 		return;
 	d->n_ticks++;
+	room_renew_plans(d);
 	tick_workers(d, now);
 	tick_runs(d, now);
 	progress_review(d, now);
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -188,6 +188,13 @@
 	struct list all_link;
 };
 
+/* What a job needed that was refused by a plan. */
+struct refused_job {
+	bool is_set;
+	uint32_t priority, n_tasks, cpu_milli;
+	int64_t latest_start_at;
+};
+
 struct drive {
 	struct drive_options opt;
 	struct drive_counts counts;
@@ -206,6 +213,8 @@
 	struct call_limits call_limits;
 	struct fair_shares shares;
 	struct start_rate start_rates[START_RATES]; /* by priority */
+	uint32_t plans_left; /* of the room, before the next tick */
+	struct refused_job refused_like; /* since the last tick */
 	char domain_limit[SYC_NAME_MAX]; /* failure domain; empty: all */
 	int64_t workers_known_since; /* all workers listed since are known */
 	bool forgot_worker; /* an unlisted worker was removed */
@@ -448,7 +457,15 @@
  */
 int64_t room_expected_start(const struct drive *d, const struct job *j,
 			    int64_t now);
-/* Refuses the waiting jobs that can't be in time any more. */
+/* Allows plans again; to be called at each tick. */
+void room_renew_plans(struct drive *d);
+/* Whether another plan may be made before the next tick. */
+bool room_take_plan(struct drive *d);
+/* Notes that `j` was refused by a plan. */
+void room_note_refused(struct drive *d, const struct job *j);
+/* Whether a job that needs no more than `j` was refused since the last tick. */
+bool room_was_refused_like(const struct drive *d, const struct job *j);
+/* Refuses waiting jobs that can't be in time any more, a few at each call. */
 void room_review(struct drive *d, int64_t now);
 /* `j` was submitted. */
 void room_count_job(struct drive *d, struct job *j, int64_t now);
--- a/src/drive/queue.c
+++ b/src/drive/queue.c
@@ -118,7 +118,7 @@
  * or if the other capacity that it needs is expected to be free before its
  * latest start.
  */
-static bool may_begin_partially(const struct drive *d, const struct job *j,
+static bool may_begin_partially(struct drive *d, const struct job *j,
 				int64_t now)
 {
 	uint32_t free_slots;
@@ -126,7 +126,7 @@
 	if (j->has_begun)
 		return true;
 	free_slots = count_free_slots(d, j, now);
-	return free_slots &&
+	return free_slots && room_take_plan(d) &&
 	       room_expected_start(d, j, now) < j->latest_start_at;
 }
 
--- a/src/drive/room.c
+++ b/src/drive/room.c
@@ -16,7 +16,13 @@
 	/* A run that is overdue takes a further part of its expected time. */
 	OVERDUE_DIVISOR = 8,
 	/* By the next check an end that is due may have been reported. */
-	REVIEW_MARGIN_MS = 20
+	REVIEW_MARGIN_MS = 20,
+	/*
+	 * Plans between two ticks. More would delay the answers of workers: a
+	 * plan takes up to half a millisecond while the queue is long.
+	 */
+	PLANS_PER_TICK = 24,
+	REFUSALS_PER_REVIEW = 4 /* each takes a plan */
 };
 
 /*
@@ -270,18 +276,64 @@
 	return NULL;
 }
 
+void room_renew_plans(struct drive *d)
+{
+	d->plans_left = PLANS_PER_TICK;
+	d->refused_like = (struct refused_job){0};
+}
+
+bool room_take_plan(struct drive *d)
+{
+	if (!d->plans_left)
+		return false;
+	d->plans_left--;
+	return true;
+}
+
+void room_note_refused(struct drive *d, const struct job *j)
+{
+	d->refused_like = (struct refused_job){
+		.is_set = true,
+		.priority = j->priority,
+		.n_tasks = j->n_tasks,
+		.cpu_milli = j->cpu_milli,
+		.latest_start_at = j->latest_start_at,
+	};
+}
+
+/* Within a priority wider jobs begin first, so only equally wide ones compare. */
+bool room_was_refused_like(const struct drive *d, const struct job *j)
+{
+	const struct refused_job *r = &d->refused_like;
+
+	if (!r->is_set || j->cpu_milli < r->cpu_milli ||
+	    j->latest_start_at > r->latest_start_at)
+		return false;
+	if (j->priority == r->priority)
+		return j->n_tasks == r->n_tasks;
+	return j->priority > r->priority && j->n_tasks >= r->n_tasks;
+}
+
+static void refuse_hopeless(struct drive *d, struct job *j, int64_t start_at,
+			    int64_t now)
+{
+	d->counts.refused_room_lost++;
+	log_info("job_room_lost", LOG_S("job", j->id),
+		 LOG_I("expected_in_ms", start_at - now),
+		 LOG_I("to_latest_start_ms", j->latest_start_at - now));
+	job_end(d, j, DRIVE_REFUSED, LOST_RETRY_MS, "room_was_lost", now);
+}
+
 void room_review(struct drive *d, int64_t now)
 {
 	struct job *j;
 	int64_t start_at;
+	int i;
 
-	while (!list_empty(&d->queue) &&
-	       (j = find_hopeless(d, &start_at, now))) {
-		d->counts.refused_room_lost++;
-		log_info("job_room_lost", LOG_S("job", j->id),
-			 LOG_I("expected_in_ms", start_at - now),
-			 LOG_I("to_latest_start_ms", j->latest_start_at - now));
-		job_end(d, j, DRIVE_REFUSED, LOST_RETRY_MS, "room_was_lost",
-			now);
+	for (i = 0; i < REFUSALS_PER_REVIEW && !list_empty(&d->queue); i++) {
+		j = find_hopeless(d, &start_at, now);
+		if (!j)
+			return;
+		refuse_hopeless(d, j, start_at, now);
 	}
 }
