--- a/test/bench/fleet_load.h
+++ b/test/bench/fleet_load.h
@@ -45,6 +45,7 @@
 
 struct profile_worker_type {
 	char name[SYC_NAME_MAX];
+	char kind[SYC_NAME_MAX]; /* that workers state; empty: the name */
 	uint32_t weight; /* share of the workers */
 	uint32_t cpu_milli;
 	uint32_t slow_percent; /* run time relative to a usual worker */
--- a/test/bench/fleet_profile.c
+++ b/test/bench/fleet_profile.c
@@ -71,6 +71,8 @@
 static const struct field worker_type_fields[] = {
 	{"weight", FIELD_U32, IN_WORKER_TYPE(weight), 1, 1000, NULL, "1",
 	 "Share of the workers."},
+	{"kind", FIELD_TEXT, IN_WORKER_TYPE(kind), 0, SYC_NAME_MAX, NULL, "",
+	 "Kind that these workers state; empty: the section's name."},
 	{"cpu_milli", FIELD_U32, IN_WORKER_TYPE(cpu_milli), 1, CPU_MAX,
 	 "1/1000 core", "16000", "Processor capacity of a worker."},
 	{"slow_percent", FIELD_U32, IN_WORKER_TYPE(slow_percent), 1,
--- a/test/bench/fleet_simulate.c
+++ b/test/bench/fleet_simulate.c
@@ -469,6 +469,8 @@
 	sim->workers = xcalloc(l->n_workers, sizeof(*sim->workers));
 	for (i = 0; i < l->n_workers; i++) {
 		const struct fleet_load_worker *w = &l->workers[i];
+		const struct profile_worker_type *type =
+			&l->profile->worker_types[w->worker_type];
 		struct drive_worker *d = &sim->listed[i];
 
 		sim->workers[i].spec = w;
@@ -476,7 +478,7 @@
 		snprintf(d->service, sizeof(d->service), "s");
 		snprintf(d->domain, sizeof(d->domain), "d%u", w->domain);
 		copy_text(d->kind, sizeof(d->kind),
-			  l->profile->worker_types[w->worker_type].name);
+			  *type->kind ? type->kind : type->name);
 		copy_text(d->labels[d->n_labels++], SYC_NAME_MAX, d->kind);
 		d->cpu_milli = w->cpu_milli;
 		d->memory_mb = 65536;
