Learn how fast each worker is and place tasks by when they end

Cause: only the kind of a worker had a learned factor, and two of three speeds share a kind. Tasks with little slack ran where they must be late, and workers that turned slow with good health kept getting tasks.

Change: each worker has a factor in one life (src/policy/worker_speed.c), with a usual part and a deviation that two surprising runs set and time fades; cold workers share one factor. A task goes to a worker where it is expected in time, slower ones first where it is safe (src/policy/placement.c). Expected ends and stalls count by worker. The state dump and three metrics show the factors. A worker type of the load model may state a kind.

--- a/Makefile
+++ b/Makefile
@@ -170,6 +170,7 @@
 
 -include $(LIB_OBJ:.o=.d) $(BIN_OBJ:.o=.d) $(TEST_OBJ:.o=.d) \
 	$(STANDIN_OBJ:.o=.d) $(SIM_OBJ:.o=.d) $(SOAK_OBJ:.o=.d) \
-	$(FLEET_LOAD_OBJ:.o=.d) $(FLEET_SOAK_OBJ:.o=.d)
+	$(FLEET_LOAD_OBJ:.o=.d) $(FLEET_SOAK_OBJ:.o=.d) \
+	$(BUILD)/test/bench/fleet_load.d
 
 .PHONY: all check check-asan check-processes bench soak fleet-soak lint format install clean
--- a/src/cmd/fleet_metrics.c
+++ b/src/cmd/fleet_metrics.c
@@ -116,6 +116,18 @@
 			{"sycamoreshore_workers_usable",
 			 "Workers that answer and are not leaving.",
 			 c.workers_usable},
+			{"sycamoreshore_worker_factor_min_percent",
+			 "Run times on the fastest of them, relative to a "
+			 "usual worker; zero: unknown.",
+			 c.factor_min_percent},
+			{"sycamoreshore_worker_factor_max_percent",
+			 "Run times on the slowest of them, relative to a "
+			 "usual worker; zero: unknown.",
+			 c.factor_max_percent},
+			{"sycamoreshore_workers_slowed",
+			 "Workers that are slower than they usually are, or "
+			 "cold.",
+			 c.workers_slowed},
 		};
 		size_t i;
 
--- a/src/drive/drive.c
+++ b/src/drive/drive.c
@@ -126,6 +126,7 @@
 	uint32_t pos = 0;
 
 	while ((w = table_next(&d->workers, &pos, &handle))) {
+		speeds_refresh(d, w, now);
 		hold_tick(d, w, now);
 		worker_remove_unlisted(d, w, now);
 	}
@@ -186,8 +187,11 @@
 		counts->queued += has_waiting_task(j);
 	for (pos = 0; (w = table_next(&d->workers, &pos, &handle));) {
 		counts->workers++;
-		counts->workers_usable += w->listed && !w->unresponsive_since &&
-					  !w->is_replaced && !w->info.leaving;
+		if (!w->listed || w->unresponsive_since || w->is_replaced ||
+		    w->info.leaving)
+			continue;
+		counts->workers_usable++;
+		speeds_count(d, w, counts);
 	}
 }
 
--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -225,6 +225,9 @@
 	uint64_t given_up; /* jobs with a task that crashes its workers */
 	uint64_t exclusive_starts; /* starts apart from other tasks */
 	uint64_t queued, running, workers, workers_usable; /* current */
+	/* Current, of workers in use: run times relative to a usual one. */
+	uint64_t factor_min_percent, factor_max_percent;
+	uint64_t workers_slowed; /* current: slower than they usually are */
 	/* From a job's arrival at its home until it begins, in ms. */
 	struct histogram begin_delay;
 };
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -5,6 +5,7 @@
 #include "drive/drive.h"
 #include "drive/losses.h"
 #include "policy/run_time.h"
+#include "policy/worker_speed.h"
 #include "util/index.h"
 #include "util/list.h"
 #include "util/log.h"
@@ -46,6 +47,8 @@
 	int64_t running_at; /* when its start was answered or it was listed */
 	uint32_t percent; /* of its work that is done */
 	int64_t percent_at; /* when `percent` last changed */
+	bool began_cold;
+	bool was_judged; /* its progress was compared with what was expected */
 	bool is_orphan; /* adopted, and its job is not open here */
 	bool is_exclusive; /* no other run may start beside it */
 	bool stopping;
@@ -86,6 +89,7 @@
 	uint64_t confirmed_fence; /* highest of an answered hold; zero: none */
 	int64_t confirmed_at; /* when the last answered hold was sent */
 	int64_t listed_runs_at; /* when its last lists were read */
+	int64_t previous_lists_at; /* the same of the lists before them */
 	bool hold_in_flight; /* the regular hold, which may await a run's end */
 	bool probe_in_flight;
 	int64_t next_hold_at; /* when the next regular hold may be sent */
@@ -97,6 +101,9 @@
 	int64_t lease_held_until; /* our clock: the earliest end of the lease */
 	int64_t lease_expired_at; /* our clock: the latest end of the lease */
 	uint64_t cursor;
+	struct worker_speed speed; /* of this life */
+	double factor; /* run time relative to a usual worker, now */
+	int64_t cold_until;
 	/* health */
 	uint32_t failures_in_row;
 	uint32_t ejections_in_row;
@@ -144,6 +151,9 @@
 	struct task *tasks;
 	uint32_t n_tasks, n_done, n_active;
 	uint32_t n_suspects; /* waiting tasks that need a worker of their own */
+	/* Logarithms of run times over expected ones, of tasks that have ended. */
+	double excess_sum;
+	uint32_t n_excess;
 	bool has_begun; /* a task of it was started or adopted */
 	bool is_late; /* when it was queued, its objective was missed */
 	void *body;
@@ -167,6 +177,7 @@
 	bool has_suspects; /* a worker may be reserved */
 	struct list all_jobs;
 	struct run_times run_times;
+	struct worker_speeds speeds;
 	char domain_limit[SYC_NAME_MAX]; /* failure domain; empty: all */
 	int64_t workers_known_since; /* all workers listed since are known */
 	bool forgot_worker; /* an unlisted worker was removed */
@@ -294,6 +305,21 @@
 void job_tick(struct drive *d, struct job *j, int64_t now);
 void job_drop(struct drive *d, struct job *j);
 
+/* speeds.c */
+/* A life of the worker begins, with no samples of its speed. */
+void speeds_begin_life(struct drive *d, struct worker *w, int64_t now);
+/* Brings the worker's factor up to date. */
+void speeds_refresh(struct drive *d, struct worker *w, int64_t now);
+/* Adds the worker's factor to the counts. */
+void speeds_count(const struct drive *d, const struct worker *w,
+		  struct drive_counts *counts);
+/* Learns from a run that has ended well. */
+void speeds_learn_end(struct drive *d, struct worker *w, struct run *r,
+		      int64_t now);
+/* Learns from a run that the worker has just listed as active. */
+void speeds_learn_progress(struct drive *d, struct worker *w, struct run *r,
+			   int64_t now);
+
 /* lost_runs.c */
 /* Records the runs of a worker that is lost; `cause` holds if they are there. */
 void lost_runs_record(struct drive *d, struct worker *w, enum loss_cause cause,
@@ -344,6 +370,12 @@
 bool place_some(struct drive *d, struct job *j, int64_t now);
 /* Whether the worker could run a task of `j` if it were empty. */
 bool place_fits_empty(const struct worker *w, const struct job *j);
+/*
+ * Whether a task of `j` that begins now on the worker is expected to be in time,
+ * or `j` is late already.
+ */
+bool place_is_in_time(const struct drive *d, const struct worker *w,
+		      const struct job *j, int64_t now);
 /* Whether a task of `j` fits on an empty listed worker. */
 bool place_is_possible(const struct drive *d, const struct job *j);
 
--- a/src/drive/dump.c
+++ b/src/drive/dump.c
@@ -3,19 +3,23 @@
 
 #include "drive/drive_state.h"
 
-static json_t *dump_worker(const struct worker *w, int64_t now)
+static json_t *dump_worker(const struct drive *d, const struct worker *w,
+			   int64_t now)
 {
 	return json_pack(
-		"{s:s, s:s, s:b, s:b, s:i, s:i, s:I, s:I, s:I}", "name",
-		w->info.name, "domain", w->info.domain, "listed", w->listed,
-		"leaving", w->info.leaving, "runs", (int)w->n_runs, "used_cpu",
-		(int)w->used_cpu_milli, "silent_ms",
+		"{s:s, s:s, s:b, s:b, s:i, s:i, s:I, s:I, s:I, s:f, s:f, s:b}",
+		"name", w->info.name, "domain", w->info.domain, "listed",
+		w->listed, "leaving", w->info.leaving, "runs", (int)w->n_runs,
+		"used_cpu", (int)w->used_cpu_milli, "silent_ms",
 		(json_int_t)(w->unresponsive_since ? now - w->unresponsive_since
 						   : 0),
 		"lease_ms", (json_int_t)(w->lease_held_until - now),
 		"ejected_ms",
 		(json_int_t)(w->ejected_until > now ? w->ejected_until - now
-						    : 0));
+						    : 0),
+		"factor", w->factor, "usual_factor",
+		worker_speed_usual_factor(&d->speeds, &w->speed), "cold",
+		now < w->cold_until);
 }
 
 static json_t *dump_job(const struct job *j, int64_t now)
@@ -38,7 +42,7 @@
 	char *text;
 
 	while ((w = table_next(&d->workers, &pos, &handle)))
-		json_array_append_new(workers, dump_worker(w, now));
+		json_array_append_new(workers, dump_worker(d, w, now));
 	for (pos = 0; (j = table_next(&d->jobs, &pos, &handle));)
 		json_array_append_new(jobs, dump_job(j, now));
 	root = json_pack("{s:b, s:I, s:o, s:o}", "driving", d->active, "epoch",
--- a/src/drive/hold.c
+++ b/src/drive/hold.c
@@ -181,10 +181,12 @@
 		const struct drive_active_run *row = &lists->running[i];
 
 		r = run_find_on_worker(d, w, &row->task, row->run);
-		if (r)
-			update_running(r, row, now);
-		else
+		if (!r) {
 			run_adopt(d, w, row, now);
+			continue;
+		}
+		update_running(r, row, now);
+		speeds_learn_progress(d, w, r, now);
 	}
 }
 
@@ -255,6 +257,7 @@
 		w->confirmed_fence = h->fence;
 	if (h->sent_at > w->confirmed_at)
 		w->confirmed_at = h->sent_at;
+	w->previous_lists_at = w->listed_runs_at;
 	w->listed_runs_at = now;
 	record_ends(d, w, lists, now);
 	record_running(d, w, lists, now);
--- a/src/drive/place.c
+++ b/src/drive/place.c
@@ -1,32 +1,29 @@
 /*
  * Chooses the workers of a job's waiting tasks, for loads where jobs of
- * several tasks compete for workers that a single task nearly fills. Workers
- * of a fast kind come first, then those in the failure domain of the job's
- * home, so that the loss of a domain hits few jobs of other domains, then the
- * tightest fit, which leaves whole workers free for large tasks.
+ * several tasks compete for workers that a single task nearly fills.
  */
 #include <stdlib.h>
 #include <string.h>
 
 #include "drive/drive_state.h"
+#include "policy/placement.h"
 #include "util/alloc.h"
 #include "util/cleanup.h"
 
-/* A kind of worker is slow above this multiple of the usual run time. */
-static const double slow_factor = 1.4;
+enum {
+	/*
+	 * While much is free, one pick of so many is for any speed: if a route
+	 * only ran on slow workers, its run times could not be told from theirs.
+	 */
+	ANY_SPEED_PICKS = 8
+};
 
 /* The free capacity of a worker while a job is being placed. */
 struct free_worker {
 	struct worker *worker;
-	uint32_t free_cpu_milli, free_memory_mb, free_accelerators;
+	uint32_t free_memory_mb, free_accelerators;
 	uint32_t n_tasks_placed; /* of this job */
-	bool is_slow;
-	bool in_home_domain; /* in the failure domain of the job's home */
-	/*
-	 * The job's route is risky and another task's on the worker is not, or
-	 * the reverse.
-	 */
-	bool is_mixed;
+	struct placement_worker placement;
 };
 
 static bool has_label(const struct drive_worker *info, const char *label)
@@ -52,7 +49,7 @@
 		return false;
 	if (fw->worker->on_probation && fw->n_tasks_placed)
 		return false;
-	return fw->free_cpu_milli >= j->cpu_milli &&
+	return fw->placement.free_cpu_milli >= j->cpu_milli &&
 	       fw->free_memory_mb >= j->memory_mb &&
 	       fw->free_accelerators >= j->accelerators;
 }
@@ -112,36 +109,29 @@
 		if (!worker_is_usable(d, w, now) || !is_eligible(w, j))
 			continue;
 		fw->worker = w;
-		fw->free_cpu_milli = remaining(w->info.cpu_milli,
-					       w->used_cpu_milli);
+		fw->placement.free_cpu_milli = remaining(w->info.cpu_milli,
+							 w->used_cpu_milli);
 		fw->free_memory_mb = remaining(w->info.memory_mb,
 					       w->used_memory_mb);
 		fw->free_accelerators = remaining(w->info.accelerators,
 						  w->used_accelerators);
 		fw->n_tasks_placed = count_runs_of_job(d, w, j);
-		fw->is_slow = run_time_kind_factor(&d->run_times,
-						   w->info.kind) > slow_factor;
-		fw->in_home_domain = !strcmp(w->info.domain, j->domain);
-		fw->is_mixed = has_risky && has_other_risk(d, w, is_risky, now);
+		fw->placement.expected_ms = worker_expected_ms(d, w, j);
+		fw->placement.factor = w->factor;
+		if (!place_is_in_time(d, w, j, now))
+			continue;
+		fw->placement.in_home_domain = !strcmp(w->info.domain,
+						       j->domain);
+		fw->placement.is_mixed = has_risky &&
+					 has_other_risk(d, w, is_risky, now);
 		if (fits_task(fw, j))
 			n++;
 	}
 	return n;
 }
 
-/* Whether `a` is the better worker for one more task. */
-static bool is_better(const struct free_worker *a, const struct free_worker *b)
-{
-	if (a->is_mixed != b->is_mixed)
-		return b->is_mixed;
-	if (a->is_slow != b->is_slow)
-		return b->is_slow;
-	if (a->in_home_domain != b->in_home_domain)
-		return a->in_home_domain;
-	return a->free_cpu_milli < b->free_cpu_milli;
-}
-
 static struct free_worker *choose_worker(struct drive *d, const struct job *j,
+					 const struct placement_task *task,
 					 struct free_worker *free_workers,
 					 size_t n)
 {
@@ -151,7 +141,9 @@
 	for (i = 0; i < n; i++) {
 		at = (i + d->next_pick) % n;
 		if (fits_task(&free_workers[at], j) &&
-		    (!best || is_better(&free_workers[at], best)))
+		    (!best ||
+		     placement_is_better(task, &free_workers[at].placement,
+					 &best->placement)))
 			best = &free_workers[at];
 	}
 	return best;
@@ -159,12 +151,29 @@
 
 static void reserve(struct free_worker *fw, const struct job *j)
 {
-	fw->free_cpu_milli -= j->cpu_milli;
+	fw->placement.free_cpu_milli -= j->cpu_milli;
 	fw->free_memory_mb -= j->memory_mb;
 	fw->free_accelerators -= j->accelerators;
 	fw->n_tasks_placed++;
 }
 
+static struct placement_task task_of(const struct job *j, int64_t now)
+{
+	return (struct placement_task){
+		.left_ms = (double)(j->objective_at - now),
+	};
+}
+
+bool place_is_in_time(const struct drive *d, const struct worker *w,
+		      const struct job *j, int64_t now)
+{
+	struct placement_task task = task_of(j, now);
+	struct placement_worker pw = {
+		.expected_ms = worker_expected_ms(d, w, j)};
+
+	return now > j->latest_start_at || placement_is_in_time(&task, &pw);
+}
+
 static bool is_startable(const struct task *t)
 {
 	return t->state == TASK_WAITING && !t->is_suspect;
@@ -175,6 +184,7 @@
 			       struct worker **picks, int64_t now)
 {
 	auto_free struct free_worker *free_workers = NULL;
+	struct placement_task task = task_of(j, now);
 	uint32_t i, n_picks = 0;
 	size_t n;
 
@@ -183,12 +193,14 @@
 	if (!n)
 		return 0;
 	d->next_pick++;
+	task.is_any_speed = n > d->workers.used / 2 &&
+			    d->next_pick % ANY_SPEED_PICKS == 0;
 	for (i = 0; i < j->n_tasks; i++) {
 		struct free_worker *fw;
 
 		if (!is_startable(&j->tasks[i]))
 			continue;
-		fw = choose_worker(d, j, free_workers, n);
+		fw = choose_worker(d, j, &task, free_workers, n);
 		if (!fw)
 			break;
 		reserve(fw, j);
--- a/src/drive/queue.c
+++ b/src/drive/queue.c
@@ -89,6 +89,7 @@
 		return UINT32_MAX;
 	while ((w = table_next(&d->workers, &pos, &handle)))
 		if (worker_is_usable(d, w, now) &&
+		    place_is_in_time(d, w, j, now) &&
 		    w->info.cpu_milli > w->used_cpu_milli)
 			n += (w->info.cpu_milli - w->used_cpu_milli) /
 			     j->cpu_milli;
--- a/src/drive/run.c
+++ b/src/drive/run.c
@@ -162,6 +162,7 @@
 	r->state = RUN_STARTING;
 	r->sent_at = now;
 	r->fence = worker_fence(d, w);
+	r->began_cold = now < w->cold_until;
 	reserve_resources(w, r, j->cpu_milli, j->memory_mb, j->accelerators);
 	t->state = TASK_ACTIVE;
 	t->run_handle = r->handle;
@@ -282,11 +283,9 @@
 	d->opt.stop(d->opt.ctx, &call);
 }
 
-static void rate_worker(struct drive *d, struct worker *w, const struct run *r,
+static void rate_worker(struct drive *d, struct worker *w, struct run *r,
 			enum drive_run_result result, int64_t now)
 {
-	struct job *j = job_get(d, r->job);
-
 	if (result == DRIVE_RUN_FAILED) {
 		worker_record_failure(d, w, now, "task_failed");
 		return;
@@ -294,10 +293,7 @@
 	if (result != DRIVE_RUN_DONE)
 		return;
 	worker_record_success(d, w);
-	if (!j || r->state != RUN_RUNNING || !r->fence)
-		return;
-	run_time_learn(&d->run_times, j->run_time, w->info.kind, j->estimate_ms,
-		       (double)(now - r->sent_at));
+	speeds_learn_end(d, w, r, now);
 }
 
 void run_finish(struct drive *d, struct run *r, enum drive_run_result result,
@@ -333,8 +329,7 @@
 
 	if (!j || r->state != RUN_RUNNING || r->stopping)
 		return false;
-	limit_ms = run_time_expected_ms(j->run_time, j->estimate_ms) /
-		   STALL_DIVISOR;
+	limit_ms = worker_expected_ms(d, w, j) / STALL_DIVISOR;
 	if (limit_ms < STALL_MIN_MS)
 		limit_ms = STALL_MIN_MS;
 	/* A hold may wait before it lists progress, so add that time. */
--- a/src/drive/worker.c
+++ b/src/drive/worker.c
@@ -68,8 +68,7 @@
 			  const struct job *j)
 {
 	(void)d;
-	(void)w;
-	return run_time_expected_ms(j->run_time, j->estimate_ms);
+	return run_time_expected_ms(j->run_time, j->estimate_ms) * w->factor;
 }
 
 bool worker_is_available(const struct drive *d, const struct worker *w,
@@ -200,6 +199,13 @@
 	return worker_get(d, handle);
 }
 
+/* The list repeats what a worker said once, so only a change counts. */
+static void note_cold(struct worker *w, uint32_t old_cold_ms, int64_t now)
+{
+	if (w->info.cold_ms != old_cold_ms)
+		w->cold_until = now + w->info.cold_ms;
+}
+
 static struct worker *add_worker(struct drive *d, int64_t now,
 				 const struct drive_worker *info)
 {
@@ -213,6 +219,8 @@
 	w->listed = true;
 	w->next_hold_at = now;
 	list_init(&w->runs);
+	note_cold(w, 0, now);
+	speeds_begin_life(d, w, now);
 	index_put(&d->worker_names, name_key(info->name), handle);
 	if (d->active)
 		log_info("worker_listed", LOG_S("worker", info->name),
@@ -221,13 +229,21 @@
 	return w;
 }
 
-static void update_worker(struct worker *w, const struct drive_worker *info)
+static void update_worker(struct drive *d, struct worker *w, int64_t now,
+			  const struct drive_worker *info)
 {
+	bool is_new_life = info->born_ms != w->info.born_ms ||
+			   strcmp(info->kind, w->info.kind) != 0;
+	uint32_t old_cold_ms = is_new_life ? 0 : w->info.cold_ms;
+
 	if (info->leaving && !w->info.leaving)
 		log_info("worker_leaving", LOG_S("worker", info->name),
 			 LOG_U("runs", w->n_runs));
 	w->info = *info;
 	w->listed = true;
+	note_cold(w, old_cold_ms, now);
+	if (is_new_life)
+		speeds_begin_life(d, w, now);
 }
 
 void drive_set_workers(struct drive *d, int64_t now,
@@ -246,7 +262,7 @@
 	for (i = 0; i < n; i++) {
 		w = find_worker(d, list[i].name);
 		if (w)
-			update_worker(w, &list[i]);
+			update_worker(d, w, now, &list[i]);
 		else
 			add_worker(d, now, &list[i]);
 	}
@@ -264,6 +280,7 @@
 	if (w->listed || w->n_runs || now - w->unlisted_at < UNLISTED_KEPT_MS)
 		return;
 	d->forgot_worker = true;
+	worker_speed_end(&d->speeds, &w->speed);
 	index_del(&d->worker_names, name_key(w->info.name));
 	table_del(&d->workers, w->handle);
 }
--- a/src/policy/run_time.c
+++ b/src/policy/run_time.c
@@ -34,24 +34,6 @@
 	return rt;
 }
 
-static struct run_time_kind *find_kind(const struct run_times *t,
-				       const char *kind_name)
-{
-	size_t i;
-
-	for (i = 0; i < t->n_kinds; i++)
-		if (!strcmp(t->kinds[i].name, kind_name))
-			return (struct run_time_kind *)&t->kinds[i];
-	return NULL;
-}
-
-double run_time_kind_factor(const struct run_times *t, const char *kind_name)
-{
-	const struct run_time_kind *k = find_kind(t, kind_name);
-
-	return k && k->n_samples >= SAMPLES_MIN ? k->factor : 1;
-}
-
 static void add_sample(double *mean, uint32_t *n, double sample)
 {
 	double weight;
@@ -66,38 +48,23 @@
 	*mean += (sample - *mean) * weight;
 }
 
-static struct run_time_kind *add_kind(struct run_times *t,
-				      const char *kind_name)
+bool run_time_is_known(const struct run_time *rt)
 {
-	struct run_time_kind *k = find_kind(t, kind_name);
-
-	if (k || t->n_kinds == RUN_TIME_KINDS_MAX)
-		return k;
-	k = &t->kinds[t->n_kinds++];
-	copy_text(k->name, sizeof(k->name), kind_name);
-	k->factor = 1;
-	return k;
+	return rt->n_samples >= SAMPLES_MIN;
 }
 
-void run_time_learn(struct run_times *t, struct run_time *rt,
-		    const char *kind_name, uint32_t declared_ms,
-		    double actual_ms)
+void run_time_learn(struct run_time *rt, uint32_t declared_ms, double actual_ms,
+		    double factor)
 {
-	struct run_time_kind *k = add_kind(t, kind_name);
-	double expected_ms;
-
 	if (!declared_ms)
 		return;
-	expected_ms = run_time_expected_ms(rt, declared_ms);
-	if (k && rt->n_samples >= SAMPLES_MIN)
-		add_sample(&k->factor, &k->n_samples, actual_ms / expected_ms);
-	actual_ms /= run_time_kind_factor(t, kind_name);
-	add_sample(&rt->ratio, &rt->n_samples, actual_ms / declared_ms);
+	add_sample(&rt->ratio, &rt->n_samples,
+		   actual_ms / factor / declared_ms);
 }
 
 double run_time_expected_ms(const struct run_time *rt, uint32_t declared_ms)
 {
-	double ratio = rt->n_samples >= SAMPLES_MIN ? rt->ratio : 1;
+	double ratio = run_time_is_known(rt) ? rt->ratio : 1;
 
 	return declared_ms * ratio;
 }
--- a/test/unit/drive_test.c
+++ b/test/unit/drive_test.c
@@ -765,6 +765,28 @@
 	drive_fake_free(&f);
 }
 
+/* Worker 0 is cold and in the home's domain; the tasks have little slack. */
+static void task_with_little_slack_avoids_a_cold_worker(void)
+{
+	struct drive_job j = drive_fake_job("a", 1);
+	struct drive_fake f;
+
+	drive_fake_init(&f, 2);
+	f.workers[0].cold_ms = 10000;
+	drive_set_workers(f.drive, f.now, f.workers, f.n_workers);
+	drive_fake_advance(&f, 20, true);
+	j.objective_add_ms = 50;
+	drive_fake_submit(&f, 1, &j);
+	CU_ASSERT_EQUAL(f.n_starts, 1);
+	CU_ASSERT_EQUAL(f.starts[0].worker, 1);
+	j.id = "b";
+	j.objective_add_ms = 900;
+	drive_fake_submit(&f, 2, &j);
+	CU_ASSERT_EQUAL(f.n_starts, 2);
+	CU_ASSERT_EQUAL(f.starts[1].worker, 0);
+	drive_fake_free(&f);
+}
+
 SUITE(drive)
 {
 	TEST(first_queued_job_begins_partially);
@@ -807,4 +829,5 @@
 	TEST(worker_with_adopted_runs_that_grows_again_gets_no_start);
 	TEST(worker_without_room_is_not_asked_all_the_time);
 	TEST(deadline_ends_a_job);
+	TEST(task_with_little_slack_avoids_a_cold_worker);
 }
