--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -9,6 +9,7 @@
 #include "policy/fair_share.h"
 #include "policy/run_time.h"
 #include "policy/start_rate.h"
+#include "policy/worker_speed.h"
 #include "util/index.h"
 #include "util/list.h"
 #include "util/log.h"
@@ -56,6 +57,8 @@
 	int64_t due_at; /* when its end should have been reported */
 	uint32_t percent; /* of its work that is done */
 	int64_t percent_at; /* when `percent` last changed */
+	bool began_cold;
+	bool was_judged; /* its progress was compared with what was expected */
 	bool is_orphan; /* adopted, and its job is not open here */
 	bool is_exclusive; /* no other run may start beside it */
 	bool is_located; /* `born_ms` has answered that it has the run */
@@ -107,6 +110,7 @@
 	int64_t confirmed_at; /* when the last answered hold was sent */
 	int64_t last_start_at; /* when it was last sent a task */
 	int64_t listed_runs_at; /* when its last lists were read */
+	int64_t previous_lists_at; /* the same of the lists before them */
 	bool hold_in_flight; /* the regular hold, which may await a run's end */
 	bool probe_in_flight;
 	uint64_t
@@ -126,6 +130,9 @@
 	int64_t lease_expired_at; /* our clock: the latest end of the lease */
 	uint64_t cursor; /* sequence of the last end that was received */
 	uint64_t acknowledged; /* the highest cursor of an answered hold */
+	struct worker_speed speed; /* of this life */
+	double factor; /* run time relative to a usual worker, now */
+	int64_t cold_until;
 	/* health */
 	uint32_t failures_in_row;
 	uint32_t ejections_in_row;
@@ -177,6 +184,9 @@
 	struct task *tasks;
 	uint32_t n_tasks, n_done, n_active;
 	uint32_t n_suspects; /* waiting tasks that need a worker of their own */
+	/* Logarithms of run times over expected ones, of tasks that have ended. */
+	double excess_sum;
+	uint32_t n_excess;
 	bool has_begun; /* a task of it was started or adopted */
 	bool is_late; /* when it was queued, its objective was missed */
 	bool is_over_share; /* when it was queued, its account was */
@@ -215,6 +225,7 @@
 	struct start_rate start_rates[START_RATES]; /* by priority */
 	uint32_t plans_left; /* of the room, before the next tick */
 	struct refused_job refused_like; /* since the last tick */
+	struct worker_speeds speeds;
 	char domain_limit[SYC_NAME_MAX]; /* failure domain; empty: all */
 	int64_t workers_known_since; /* all workers listed since are known */
 	bool forgot_worker; /* an unlisted worker was removed */
@@ -393,6 +404,21 @@
 /* Whether the run was last known at an earlier incarnation of the worker. */
 bool incarnation_is_earlier(const struct worker *w, const struct run *r);
 
+/* speeds.c */
+/* A life of the worker begins, with no samples of its speed. */
+void speeds_begin_life(struct drive *d, struct worker *w, int64_t now);
+/* Brings the worker's factor up to date. */
+void speeds_refresh(struct drive *d, struct worker *w, int64_t now);
+/* Adds the worker's factor to the counts. */
+void speeds_count(const struct drive *d, const struct worker *w,
+		  struct drive_counts *counts);
+/* Learns from a run that has ended well. */
+void speeds_learn_end(struct drive *d, struct worker *w, struct run *r,
+		      int64_t now);
+/* Learns from a run that the worker has just listed as active. */
+void speeds_learn_progress(struct drive *d, struct worker *w, struct run *r,
+			   int64_t now);
+
 /* lost_runs.c */
 /* Records the runs marked as lost with an earlier incarnation of the worker. */
 void lost_runs_record_marked(struct drive *d, struct worker *w, int64_t now);
@@ -486,6 +512,12 @@
  * not evacuated.
  */
 bool place_has_open_worker(const struct drive *d, const struct job *j);
+/*
+ * Whether a task of `j` that begins now on the worker is expected to be in time,
+ * or `j` is late already.
+ */
+bool place_is_in_time(const struct drive *d, const struct worker *w,
+		      const struct job *j, int64_t now);
 /* Whether a task of `j` fits on an empty listed worker. */
 bool place_is_possible(const struct drive *d, const struct job *j);
 
--- a/src/drive/hold.c
+++ b/src/drive/hold.c
@@ -251,10 +251,14 @@
 		const struct drive_active_run *row = &lists->running[i];
 
 		r = run_find_on_worker(d, w, &row->task, row->run);
-		if (r)
-			update_running(w, r, row, now);
-		else if (!is_outdated)
+		if (!r && is_outdated)
+			continue;
+		if (!r) {
 			run_adopt(d, w, row, now);
+			continue;
+		}
+		update_running(w, r, row, now);
+		speeds_learn_progress(d, w, r, now);
 	}
 }
 
@@ -426,6 +430,7 @@
 		w->confirmed_at = h->sent_at;
 	if (h->cursor > w->acknowledged)
 		w->acknowledged = h->cursor;
+	w->previous_lists_at = w->listed_runs_at;
 	w->listed_runs_at = now;
 	record_ends(d, w, lists, now);
 	if (h->is_probe && w->cursor > cursor)
--- a/src/drive/incarnation.c
+++ b/src/drive/incarnation.c
@@ -56,6 +56,7 @@
 	w->earlier_born_ms = w->info.born_ms;
 	w->info.born_ms = born_ms;
 	forget_earlier(w, now);
+	speeds_begin_life(d, w, now);
 	/* The new one may have carried out a start a moment ago. */
 	if (w->n_runs)
 		worker_assume_renewed(d, w, now);
--- a/src/drive/worker.c
+++ b/src/drive/worker.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "drive/drive_state.h"
+#include "util/alloc.h"
 
 enum {
 	FAILURES_TO_EJECT = 2, /* in a row */
@@ -109,8 +110,7 @@
 			  const struct job *j)
 {
 	(void)d;
-	(void)w;
-	return run_time_expected_ms(j->run_time, j->estimate_ms);
+	return run_time_expected_ms(j->run_time, j->estimate_ms) * w->factor;
 }
 
 bool worker_is_available(const struct drive *d, const struct worker *w,
@@ -255,6 +255,13 @@
 	return worker_get(d, handle);
 }
 
+/* The list repeats what a worker said once, so only a change counts. */
+static void note_cold(struct worker *w, uint32_t old_cold_ms, int64_t now)
+{
+	if (w->info.cold_ms != old_cold_ms)
+		w->cold_until = now + w->info.cold_ms;
+}
+
 static struct worker *add_worker(struct drive *d, int64_t now,
 				 const struct drive_worker *info)
 {
@@ -268,6 +275,8 @@
 	w->listed = true;
 	w->next_hold_at = now;
 	list_init(&w->runs);
+	note_cold(w, 0, now);
+	speeds_begin_life(d, w, now);
 	index_put(&d->worker_names, name_key(info->name), handle);
 	if (d->active)
 		log_info("worker_listed", LOG_S("worker", info->name),
@@ -280,11 +289,22 @@
 static void update_worker(struct drive *d, struct worker *w,
 			  const struct drive_worker *info, int64_t now)
 {
+	int64_t old_born_ms = w->info.born_ms;
+	uint32_t old_cold_ms = w->info.cold_ms;
+	char old_kind[SYC_NAME_MAX];
+	bool is_new_life;
+
+	copy_text(old_kind, sizeof(old_kind), w->info.kind);
 	if (info->leaving && !w->info.leaving)
 		log_info("worker_leaving", LOG_S("worker", info->name),
 			 LOG_U("runs", w->n_runs));
 	w->listed = true;
 	incarnation_note_listed(d, w, info, now);
+	is_new_life = w->info.born_ms != old_born_ms ||
+		      strcmp(w->info.kind, old_kind) != 0;
+	note_cold(w, is_new_life ? 0 : old_cold_ms, now);
+	if (is_new_life)
+		speeds_begin_life(d, w, now);
 }
 
 void drive_set_workers(struct drive *d, int64_t now,
@@ -321,6 +341,7 @@
 	if (w->listed || w->n_runs || now - w->unlisted_at < UNLISTED_KEPT_MS)
 		return;
 	d->forgot_worker = true;
+	worker_speed_end(&d->speeds, &w->speed);
 	index_del(&d->worker_names, name_key(w->info.name));
 	table_del(&d->workers, w->handle);
 }
