Look for places only for jobs that fit on some worker

Change: the largest free capacity of a worker is found once, and again after each placement; jobs above it are not tried.

--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -231,6 +231,7 @@
 	bool forgot_worker; /* an unlisted worker was removed */
 	bool is_list_fresh; /* the list was read since this driver began */
 	bool capacity_changed; /* the queue has to be checked again */
+	uint32_t largest_free_milli; /* of a worker; see queue.c */
 	uint32_t next_pick; /* rotates the choice among equal workers */
 	struct stop_budget stop_budget; /* of runs that fall behind */
 	bool awaits_evacuated; /* which domains are evacuated is not known */
--- a/src/drive/queue.c
+++ b/src/drive/queue.c
@@ -78,6 +78,32 @@
 	return n;
 }
 
+/*
+ * Notes the largest free capacity of a worker, as most of a long queue does not
+ * fit anywhere, and that need not be found out for each job and worker.
+ */
+static void note_largest_free(struct drive *d, int64_t now)
+{
+	const struct worker *w;
+	uint64_t handle;
+	uint32_t pos = 0, free_milli;
+
+	d->largest_free_milli = 0;
+	while ((w = table_next(&d->workers, &pos, &handle))) {
+		if (!worker_is_usable(d, w, now) ||
+		    w->info.cpu_milli <= w->used_cpu_milli)
+			continue;
+		free_milli = w->info.cpu_milli - w->used_cpu_milli;
+		if (free_milli > d->largest_free_milli)
+			d->largest_free_milli = free_milli;
+	}
+}
+
+static bool may_fit(const struct drive *d, const struct job *j)
+{
+	return j->cpu_milli <= d->largest_free_milli;
+}
+
 static void log_begun(struct drive *d, const struct job *j, int64_t now)
 {
 	histogram_add(&d->counts.begin_delay, now - j->arrived_at);
@@ -150,7 +176,8 @@
 {
 	if (!queue_may_start(d, j, now))
 		return false;
-	if (place_job(d, j, now)) {
+	if (may_fit(d, j) && place_job(d, j, now)) {
+		note_largest_free(d, now);
 		queue_remove(j);
 		log_begun(d, j, now);
 		return false;
@@ -160,8 +187,10 @@
 		refuse_job(d, j, "objective_missed", now);
 		return false;
 	}
-	if (is_first && may_begin_partially(d, j, now))
+	if (is_first && may_fit(d, j) && may_begin_partially(d, j, now)) {
 		begin_partially(d, j, now);
+		note_largest_free(d, now);
+	}
 	return !j->is_late && place_has_open_worker(d, j);
 }
 
@@ -175,6 +204,7 @@
 		return;
 	d->capacity_changed = false;
 	suspects_run(d, now);
+	note_largest_free(d, now);
 	LIST_EACH(pos, after, &d->queue)
 	{
 		struct job *j = LIST_ITEM(pos, struct job, queue_link);
