--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -113,8 +113,8 @@
 	int64_t previous_lists_at; /* the same of the lists before them */
 	bool hold_in_flight; /* the regular hold, which may await a run's end */
 	bool probe_in_flight;
-	uint64_t
-		hold_call; /* the regular hold in flight; others are outdated */
+	/* The regular hold in flight; answers to others are outdated. */
+	uint64_t hold_call;
 	/* When that hold is replaced, as it has not reported a known end. */
 	int64_t hold_overdue_at; /* zero: it is not overdue */
 	int64_t next_hold_at; /* when the next regular hold may be sent */
