Bound the work of plans by workers and jobs, not by their number

A plan looks at each worker for each job of the queue; 24 plans between two ticks are little at 116 workers and too much at 1,000.

Change: 60,000 looks between two ticks. A dial that waits for its backoff keeps it when the peer dials, so that two that cannot connect do not loop.

--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -223,7 +223,7 @@
 	struct call_limits call_limits;
 	struct fair_shares shares;
 	struct start_rate start_rates[START_RATES]; /* by priority */
-	uint32_t plans_left; /* of the room, before the next tick */
+	int64_t looks_left; /* at workers, by plans before the next tick */
 	struct refused_job refused_like; /* since the last tick */
 	struct worker_speeds speeds;
 	char domain_limit[SYC_NAME_MAX]; /* failure domain; empty: all */
--- a/src/drive/room.c
+++ b/src/drive/room.c
@@ -18,10 +18,10 @@
 	/* By the next check an end that is due may have been reported. */
 	REVIEW_MARGIN_MS = 20,
 	/*
-	 * Plans between two ticks. More would delay the answers of workers: a
-	 * plan takes up to half a millisecond while the queue is long.
+	 * Looks at a worker that plans take between two ticks. More would delay
+	 * the answers of workers. A plan looks at each for each job of the queue.
 	 */
-	PLANS_PER_TICK = 24,
+	LOOKS_PER_TICK = 60000,
 	REFUSALS_PER_REVIEW = 4 /* each takes a plan */
 };
 
@@ -278,15 +278,20 @@
 
 void room_renew_plans(struct drive *d)
 {
-	d->plans_left = PLANS_PER_TICK;
+	d->looks_left = LOOKS_PER_TICK;
 	d->refused_like = (struct refused_job){0};
 }
 
+static int64_t plan_looks(const struct drive *d)
+{
+	return (int64_t)d->workers.used * (int64_t)(d->jobs.used + 1);
+}
+
 bool room_take_plan(struct drive *d)
 {
-	if (!d->plans_left)
+	if (d->looks_left <= 0)
 		return false;
-	d->plans_left--;
+	d->looks_left -= plan_looks(d);
 	return true;
 }
 
@@ -331,6 +336,8 @@
 	int i;
 
 	for (i = 0; i < REFUSALS_PER_REVIEW && !list_empty(&d->queue); i++) {
+		if (!room_take_plan(d))
+			return;
 		j = find_hopeless(d, &start_at, now);
 		if (!j)
 			return;
--- a/src/transport/peer_dial.c
+++ b/src/transport/peer_dial.c
@@ -123,20 +123,13 @@
  */
 static void dial_anew(struct peer_dial *d)
 {
-	struct peer_dials *ds = d->dials;
-	double age_s = ev_now(ds->conns->loop) - d->dialled_at_s;
+	double age_s = ev_now(d->dials->conns->loop) - d->dialled_at_s;
 
-	if (d->is_self || d->alias_of)
-		return;
-	if (is_connecting(d) && age_s > STUCK_MS / ms_per_s) {
-		d->dials_at_once = true;
-		peer_conn_close(d->conn, NULL);
+	if (d->is_self || d->alias_of || !is_connecting(d) ||
+	    age_s <= STUCK_MS / ms_per_s)
 		return;
-	}
-	if (d->conn || !ev_is_active(&d->retry_timer))
-		return;
-	ev_timer_stop(ds->conns->loop, &d->retry_timer);
-	dial(d);
+	d->dials_at_once = true;
+	peer_conn_close(d->conn, NULL);
 }
 
 void peer_dials_add(struct peer_dials *ds, const struct syc_addr *addr,
