Look for free capacity only while jobs wait

Cause: the largest free capacity was found at each answer, also with an empty queue: a pass over all workers, 117 us a start with 1,000 workers.

--- a/src/drive/queue.c
+++ b/src/drive/queue.c
@@ -204,6 +204,8 @@
 		return;
 	d->capacity_changed = false;
 	suspects_run(d, now);
+	if (list_empty(&d->queue))
+		return;
 	note_largest_free(d, now);
 	LIST_EACH(pos, after, &d->queue)
 	{
