Keep the driver's test fixture within its table of workers

Cause: a test adds a worker by another name, whose number lies outside; the sanitizers found it.

Result: the suites of drive, fleet, cells, platform and policy pass under the address and undefined-behaviour sanitizers.

--- a/test/unit/drive_fake.c
+++ b/test/unit/drive_fake.c
@@ -143,6 +143,12 @@
 	drive_free(f->drive);
 }
 
+/* Workers that a test adds by another name do not say it. */
+static int64_t born_of(const struct drive_fake *f, int worker)
+{
+	return worker < FAKE_WORKERS_MAX ? f->born_ms[worker] : 0;
+}
+
 static void pass_hold_answer(struct drive_fake *f, struct fake_call *c,
 			     struct drive_hold_answer *lists)
 {
@@ -150,7 +156,7 @@
 	if (lists->answer.result == DRIVE_CALL_DONE) {
 		lists->answer.has_clock = true;
 		lists->answer.clock_ms = f->now - f->clock_behind_ms;
-		lists->answer.born_ms = f->born_ms[c->worker];
+		lists->answer.born_ms = born_of(f, c->worker);
 	}
 	drive_hold_answered(f->drive, f->now, c->call, lists);
 }
@@ -234,7 +240,7 @@
 	struct drive_call_answer a = {.result = result};
 
 	if (result == DRIVE_CALL_DONE)
-		a.born_ms = f->born_ms[f->starts[start].worker];
+		a.born_ms = born_of(f, f->starts[start].worker);
 	f->starts[start].answered = true;
 	drive_start_answered(f->drive, f->now, f->starts[start].call, &a);
 }
