--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -91,7 +91,7 @@
 	int64_t asked_born_ms; /* listed, and the worker was asked about it */
 	int64_t unlisted_at;
 	bool listed;
-	bool has_left; /* the earlier incarnation had told that it leaves */
+	bool has_left; /* the earlier incarnation was leaving */
 	bool is_replaced; /* another incarnation answered at its address */
 	bool is_slow; /* it has turned slow, see progress.c */
 	bool is_reserved; /* for a run that must be alone, once it is empty */
--- a/src/policy/start_rate.h
+++ b/src/policy/start_rate.h
@@ -1,4 +1,4 @@
-/* How much of the capacity the tasks take that start, over the last second. */
+/* The rate at which lately started tasks take processor capacity. */
 #ifndef POLICY_START_RATE_H
 #define POLICY_START_RATE_H
 
