--- a/review/3/case.c
+++ b/review/3/case.c
@@ -1,7 +1,6 @@
 /*
- * The instance that took a job stands still. The client cancels the job at
- * another one, which acknowledges it. The first one wakes and hands the job
- * in again.
+ * A planned restart: the instance that took a request gets SIGTERM while the
+ * job still waits for room. The channel ends without an answer.
  */
 #include <signal.h>
 #include <stdio.h>
@@ -9,27 +8,19 @@
 #include "../stage.h"
 
 enum {
-	WORK_MS = 25000,
-	FREEZE_MS = 3500,
-	CANCEL_MS = 3000,
-	STOP_TIMEOUT_MS = 50,
-	CONTACT_TIMEOUT_MS = 3000,
-	N_JOBS = 6
+	N_WORKERS = 4,
+	FIRST_MS = 12000, /* the job that fills all workers */
+	SECOND_MS = 14000,
+	GRACE_MS = 6000 /* gracePeriodS */
 };
 
-static const char routes[] =
-	"[{\"name\":\"jobs\",\"host\":\"shop.example\",\"prefix\":\"/jobs/\","
-	"\"kind\":\"unsafe\",\"timeoutMs\":60000,\"targetLatencyMs\":60,"
-	"\"priority\":1,\"service\":\"svc\",\"maxAttempts\":4,"
-	"\"slackFactor\":1.6}]";
-
 int main(void)
 {
-	struct stage_options opt = {
-		.n_instances = 4, .n_workers = 12, .routes = routes};
-	char id[N_JOBS][20], why[160], path[64];
-	int64_t acked[N_JOBS], frozen_at;
-	int driver, home, other, i, n, n_left = 0;
+	struct stage_options opt = {.n_instances = 8, .n_workers = N_WORKERS};
+	struct request *first, *second;
+	int driver, home, other;
+	char why[160];
+	int64_t term_at, begun_before;
 
 	stage_begin(&opt);
 	driver = stage_driver();
@@ -37,36 +28,32 @@
 		stage_end(STAGE_NOT_RUN, "no driver");
 	home = (driver + 1) % opt.n_instances;
 	other = (driver + 2) % opt.n_instances;
-	for (i = 0; i < N_JOBS; i++) {
-		snprintf(id[i], sizeof(id[i]), "%016x", 0xabc000 + i);
-		stage_submit(home, id[i], 2, 1000, WORK_MS, 60000);
-	}
-	stage_wait(3500);
-	frozen_at = stage_now();
+	first = stage_submit(other, "00000000000000f1", 2 * N_WORKERS, 8000,
+			     FIRST_MS, 60000);
+	stage_wait(4500);
+	second = stage_submit(home, "00000000000000f2", 2 * N_WORKERS, 8000,
+			      SECOND_MS, 60000);
+	stage_wait(500);
+	if (second->status)
+		stage_end(STAGE_NOT_RUN, "the second job does not wait");
+	term_at = stage_now();
 	if (stage_has_trouble())
-		stage_signal(home, SIGSTOP);
-	for (i = 0; i < N_JOBS; i++) {
-		struct request *r;
-
-		stage_wait(500);
-		snprintf(path, sizeof(path), "/jobs/%s", id[i]);
-		r = stage_send(other, "DELETE", path, "", "");
-		if (stage_await(r, 2000) != 200 && r->status != 410)
-			stage_end(STAGE_NOT_RUN, "not acknowledged");
-		acked[i] = r->done_at;
-	}
-	stage_wait(frozen_at + FREEZE_MS - stage_now());
+		stage_signal(home, SIGTERM);
+	stage_wait(GRACE_MS);
 	if (stage_has_trouble())
-		stage_signal(home, SIGCONT);
-	stage_wait(CONTACT_TIMEOUT_MS + CANCEL_MS + STOP_TIMEOUT_MS + 500);
-	for (i = 0; i < N_JOBS; i++) {
-		n = stage_count_running(id[i]);
-		n_left += n > 0;
-		stage_record("check: job %s, cancelling acknowledged %.3f s "
-			     "ago, %d tasks at work",
-			     id[i], (double)(stage_now() - acked[i]) / 1000, n);
+		stage_signal(home, SIGKILL);
+	begun_before = stage_count_started("00000000000000f2", 0, stage_now());
+	if (second->status < 0) {
+		snprintf(why, sizeof(why),
+			 "the channel ended %.1f s after SIGTERM without an "
+			 "answer; no task of the job had begun (%d)",
+			 (double)(second->done_at - term_at) / 1000,
+			 (int)begun_before);
+		stage_end(STAGE_BROKEN, why);
 	}
-	snprintf(why, sizeof(why), "%d of %d cancelled jobs run", n_left,
-		 N_JOBS);
-	stage_end(n_left ? STAGE_BROKEN : STAGE_HELD, why);
+	stage_await(first, 30000);
+	stage_await(second, 30000);
+	if (second->status <= 0)
+		stage_end(STAGE_BROKEN, "no answer");
+	stage_end(STAGE_HELD, "answered");
 }
--- a/review/stage.c
+++ b/review/stage.c
@@ -20,16 +20,21 @@
 
 enum {
 	CONNS_MAX = 2048,
-	WORKERS_MAX = 32,
+	WORKERS_MAX = 128,
 	RUNS_MAX = 20000,
-	KEYS_MAX = 128,
+	KEYS_MAX = 256,
 	HEARTBEAT_MS = 1500,
 	LEASE_MAX_MS = 1000, /* holdMaxMs */
 	STOP_MS = 20, /* a stop takes at most stopTimeoutMs, 50 */
+	STOPPED_MAX = 256,
+	PAGE_ITEMS = 500,
+	PAGE_BYTES = 1000000,
 	ENDS_LISTED_MAX = 500,
 	WORKER_CPU = 16000,
 	WORKER_MEM = 65536,
 	START_S = 20,
+	CANCEL_RETRY_MS = 200,
+	CANCELS_END_MS = 80000,
 	LIMIT_S = 115
 };
 
@@ -39,13 +44,15 @@
 };
 
 struct worker {
-	char id[32], zone[8], kind[96];
+	char id[32], zone[16], kind[96];
 	int port, listener;
+	bool draining;
 	int64_t born, fence, lease_until, last_end, cursor;
 	int64_t beat_at, sequence;
 	struct end *ends;
 	int n_ends;
-	char stopped[4096][72]; /* "task run" stopped before they began */
+	char stopped[STOPPED_MAX]
+		    [72]; /* "task run" stopped before they began */
 	int n_stopped;
 };
 
@@ -70,6 +77,12 @@
 	struct request *request;
 };
 
+const char stage_route[] =
+	"{\"name\":\"jobs\",\"host\":\"shop.example\",\"prefix\":\"/jobs/\","
+	"\"kind\":\"unsafe\",\"timeoutMs\":60000,\"targetLatencyMs\":60,"
+	"\"priority\":1,\"service\":\"svc\",\"maxAttempts\":4,"
+	"\"slackFactor\":1.6}";
+
 struct instance instances[STAGE_INSTANCES_MAX];
 struct run *runs;
 int n_runs;
@@ -131,8 +144,11 @@
 {
 	kill_all();
 	stage_record("result %d: %s", code, why);
-	printf("%s: %s\n", code == STAGE_HELD ? "held"
-			   : code == STAGE_BROKEN ? "BROKEN" : "not run", why);
+	printf("%s: %s\n",
+	       code == STAGE_HELD     ? "held"
+	       : code == STAGE_BROKEN ? "BROKEN"
+				      : "not run",
+	       why);
 	fclose(record);
 	if (*dir && !getenv("KEEP")) {
 		char command[128];
@@ -223,10 +239,11 @@
 	char *text = NULL;
 
 	config_version += 3;
-	if (asprintf(&text,
-		     "{\"version\":%lld,\"routes\":%s,\"services\":[{\"name\":"
-		     "\"svc\",\"rejectsOverload\":true}],\"limits\":{}}",
-		     (long long)config_version, routes) < 0)
+	if (asprintf(
+		    &text,
+		    "{\"version\":%lld,\"routes\":[%s],\"services\":[{\"name\":"
+		    "\"svc\",\"rejectsOverload\":true}],\"limits\":{}}",
+		    (long long)config_version, routes) < 0)
 		abort();
 	put_item("op/config", encode(text));
 	stage_record("operator: version %lld is confirmed",
@@ -319,17 +336,31 @@
 	return true;
 }
 
-static json_t *list_items(const char *prefix, const char *after)
+static int compare_keys(const void *a, const void *b)
 {
-	json_t *list = json_array();
-	int i;
+	const struct item *const *x = a, *const *y = b;
+
+	return strcmp((*x)->key, (*y)->key);
+}
+
+/* One page, in the order of the keys; returns whether there is more. */
+static bool list_items(const char *prefix, const char *after, json_t *list)
+{
+	struct item *found[KEYS_MAX];
+	size_t bytes = 0;
+	int i, n = 0;
 
 	for (i = 0; i < n_items; i++)
 		if (items[i].value &&
 		    !strncmp(items[i].key, prefix, strlen(prefix)) &&
 		    strcmp(items[i].key, after) > 0)
-			json_array_append_new(list, item_json(&items[i]));
-	return list;
+			found[n++] = &items[i];
+	qsort(found, (size_t)n, sizeof(*found), compare_keys);
+	for (i = 0; i < n && i < PAGE_ITEMS && bytes < PAGE_BYTES; i++) {
+		bytes += strlen(found[i]->value) / 4 * 3;
+		json_array_append_new(list, item_json(found[i]));
+	}
+	return i < n;
 }
 
 static json_t *list_events(const struct conn *c)
@@ -367,11 +398,13 @@
 
 	json_array_foreach(list, i, row)
 	{
-		const char *key = json_string_value(json_object_get(row, "key"));
+		const char *key = json_string_value(
+			json_object_get(row, "key"));
 		const struct item *it = key ? find_item(key) : NULL;
 		int64_t at = it && it->value ? it->revision : 0;
 
-		ok &= at == json_integer_value(json_object_get(row, "revision"));
+		ok &= at ==
+		      json_integer_value(json_object_get(row, "revision"));
 		if (it && it->value)
 			json_array_append_new(now, item_json(it));
 	}
@@ -381,10 +414,9 @@
 	}
 	json_decref(now);
 	list = json_object_get(body, "puts");
-	json_array_foreach(list, i, row)
-		put_item(json_string_value(json_object_get(row, "key")),
-			 strdup(json_string_value(
-				 json_object_get(row, "value"))));
+	json_array_foreach(list, i, row) put_item(
+		json_string_value(json_object_get(row, "key")),
+		strdup(json_string_value(json_object_get(row, "value"))));
 	reply(c, 200, json_pack("{s:I}", "revision", (json_int_t)revision));
 }
 
@@ -394,6 +426,7 @@
 	char key[208] = "", after[208] = "", wait[32] = "0";
 	const struct item *it;
 	json_t *obj;
+	bool more;
 
 	query(path, "after", after, sizeof(after));
 	if (!strncmp(path, "/kv-key?", 8) && query(path, "key", key, 208)) {
@@ -410,10 +443,11 @@
 		reply(c, 200, obj);
 	} else if (!strncmp(path, "/kv-range", 9)) {
 		query(path, "prefix", key, sizeof(key));
+		obj = json_array();
+		more = list_items(key, after, obj);
 		reply(c, 200,
-		      json_pack("{s:o, s:b, s:I}", "items",
-				list_items(key, after), "hasMore", 0,
-				"storeRevision", (json_int_t)revision));
+		      json_pack("{s:o, s:b, s:I}", "items", obj, "hasMore",
+				more, "storeRevision", (json_int_t)revision));
 	} else if (!strncmp(path, "/kv-watch", 9)) {
 		query(path, "prefix", c->watch_prefix, 208);
 		query(path, "waitMs", wait, sizeof(wait));
@@ -432,20 +466,23 @@
 	return mono_ms() - w->born;
 }
 
-static void register_worker(int i, const char *state)
+static void register_worker(int i)
 {
 	struct worker *w = &workers[i];
 	char key[64], text[640];
 
 	snprintf(key, sizeof(key), "servers/%s", w->id);
-	snprintf(text, sizeof(text),
-		 "{\"service\":\"svc\",\"address\":\"127.0.0.1:%d\",\"zone\":"
-		 "\"%s\",\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
-		 "\"coldRemainingMs\":0,\"capacity\":{\"cpu\":%d,\"memMb\":%d,"
-		 "\"gpu\":0},\"labels\":[\"%s\",\"r%d\"],\"clockMs\":%lld,"
-		 "\"sequence\":%lld}",
-		 w->port, w->zone, state, WORKER_CPU, WORKER_MEM, w->kind, i / 6,
-		 (long long)worker_clock(w), (long long)++w->sequence);
+	snprintf(
+		text, sizeof(text),
+		"{\"service\":\"svc\",\"address\":\"127.0.0.1:%d\",\"zone\":"
+		"\"%s\",\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
+		"\"coldRemainingMs\":0,%s\"capacity\":{\"cpu\":%d,\"memMb\":%d,"
+		"\"gpu\":0},\"labels\":[\"%s\",\"r%d\"],\"clockMs\":%lld,"
+		"\"sequence\":%lld}",
+		w->port, w->zone, w->draining ? "draining" : "ready",
+		w->draining ? "\"remainingMs\":2000," : "", WORKER_CPU,
+		WORKER_MEM, w->kind, i / 6, (long long)worker_clock(w),
+		(long long)++w->sequence);
 	put_item(key, encode(text));
 	w->beat_at = stage_now() + HEARTBEAT_MS;
 }
@@ -456,8 +493,7 @@
 
 	runs[r].ended_at = stage_now();
 	runs[r].how = how;
-	w->ends = realloc(w->ends,
-			  (size_t)(w->n_ends + 1) * sizeof(*w->ends));
+	w->ends = realloc(w->ends, (size_t)(w->n_ends + 1) * sizeof(*w->ends));
 	w->ends[w->n_ends++] = (struct end){++w->last_end, r};
 	stage_record("worker %s: %s run %lld ends %s", w->id, runs[r].task,
 		     (long long)runs[r].number, how);
@@ -524,7 +560,7 @@
 	int i, used = 0;
 
 	snprintf(name, sizeof(name), "%s %lld", task, (long long)run);
-	for (i = 0; i < w->n_stopped && i < 4096; i++)
+	for (i = 0; i < w->n_stopped && i < STOPPED_MAX; i++)
 		if (!strcmp(w->stopped[i], name))
 			return "old";
 	for (i = 0; i < n_runs; i++) {
@@ -599,8 +635,8 @@
 		runs[i].how = "stopped";
 	}
 	if (!found)
-		snprintf(w->stopped[w->n_stopped++ % 4096], 72, "%s %lld", task,
-			 (long long)number);
+		snprintf(w->stopped[w->n_stopped++ % STOPPED_MAX], 72,
+			 "%s %lld", task, (long long)number);
 	answer_call(c, 200, NULL);
 }
 
@@ -782,7 +818,7 @@
 	int r;
 
 	if (stage_now() >= w->beat_at)
-		register_worker(i, "ready");
+		register_worker(i);
 	for (r = 0; r < n_runs; r++) {
 		if (runs[r].worker != i || runs[r].ended_at)
 			continue;
@@ -920,6 +956,24 @@
 		}
 }
 
+int64_t stage_cancel(int i, const char *id)
+{
+	struct request *r;
+	char path[160];
+	int status;
+
+	snprintf(path, sizeof(path), "/jobs/%s", id);
+	for (;;) {
+		r = stage_send(i, "DELETE", path, "", "");
+		status = stage_await(r, 2000);
+		if (status == 410 || (status >= 200 && status < 300))
+			return r->done_at;
+		if (stage_now() > CANCELS_END_MS)
+			stage_end(STAGE_NOT_RUN, "a cancel is never answered");
+		stage_wait(CANCEL_RETRY_MS);
+	}
+}
+
 struct request *stage_submit(int i, const char *id, int count, int cpu,
 			     int work_ms, int deadline_ms)
 {
@@ -987,7 +1041,7 @@
 /* The instance whose log tells last that it began to drive. */
 int stage_driver(void)
 {
-	char path[640], line[4096], *p;
+	char path[1024], line[4096], *p;
 	int i, found = -1;
 	unsigned long long epoch, best = 0;
 	FILE *f;
@@ -1012,6 +1066,36 @@
 	return found;
 }
 
+static bool has_event(int i, const char *event)
+{
+	char path[1024], line[4096];
+	bool found = false;
+	FILE *f;
+
+	snprintf(path, sizeof(path), "%s/%s.out", dir, instances[i].name);
+	f = fopen(path, "r");
+	while (f && !found && fgets(line, sizeof(line), f))
+		found = strstr(line, event) != NULL;
+	if (f)
+		fclose(f);
+	return found;
+}
+
+void stage_await_event(const char *event, int64_t ms)
+{
+	int64_t until = stage_now() + ms;
+	int i = 0;
+
+	while (i < options.n_instances) {
+		if (has_event(i, event))
+			i++;
+		else
+			stage_wait(50);
+		if (stage_now() > until)
+			stage_end(STAGE_NOT_RUN, event);
+	}
+}
+
 void stage_signal(int i, int signum)
 {
 	stage_record("operator: %s gets signal %d (%s)", instances[i].name,
@@ -1039,22 +1123,23 @@
 static void start_instance(int i)
 {
 	struct instance *in = &instances[i];
-	char conf[640], out[640];
+	char conf[1024], out[1024];
 	FILE *f;
 
 	snprintf(in->name, sizeof(in->name), "frontend-%d", i);
-	snprintf(in->zone, sizeof(in->zone), "z%d", i % 4);
+	snprintf(in->zone, sizeof(in->zone), "z%d", i % options.n_zones);
 	snprintf(conf, sizeof(conf), "%s/%s.conf", dir, in->name);
 	snprintf(out, sizeof(out), "%s/%s.out", dir, in->name);
 	f = fopen(conf, "w");
 	fprintf(f,
 		"[instance]\nname = %s\ndomain = %s\n[machine]\n"
-		"cpu_share = 0.25\ncpu_speed = 1\nlink_mbps = 1000\n[listen]\n"
+		"cpu_share = %s\ncpu_speed = 1\nlink_mbps = 1000\n[listen]\n"
 		"callers = 127.0.0.1:0\npeers = 127.0.0.1:0\n"
 		"admin = 127.0.0.1:0\n[cluster]\nname = review %d\n[platform]\n"
 		"store = 127.0.0.1:%d\nconfig_apply_ms = 2000\n[workers]\n"
 		"lease_ms = 1000\n",
-		in->name, in->zone, (int)getpid(), store_port);
+		in->name, in->zone, options.cpu_share, (int)getpid(),
+		store_port);
 	fclose(f);
 	in->pid = fork();
 	if (!in->pid) {
@@ -1072,7 +1157,7 @@
 static void await_instance(int i)
 {
 	struct instance *in = &instances[i];
-	char out[640];
+	char out[1024];
 	struct request *r;
 	char id[32];
 
@@ -1108,20 +1193,44 @@
 	if (n_workers > WORKERS_MAX)
 		stage_end(STAGE_NOT_RUN, "too many workers");
 	snprintf(w->id, sizeof(w->id), "i-%08x", 0x7f3a9100 + i);
-	snprintf(w->zone, sizeof(w->zone), "z%d", i % 4);
+	snprintf(w->zone, sizeof(w->zone), "z%d", i % options.n_zones);
 	snprintf(w->kind, sizeof(w->kind), "%s", kind);
 	w->listener = listen_on_loopback(&w->port);
 	w->born = mono_ms() - 1000;
 	add_conn(w->listener, LISTEN_WORKER, i);
-	register_worker(i, "ready");
+	register_worker(i);
 	stage_record("worker %s joins, of kind %s", w->id, kind);
 }
 
+void stage_drain_worker(int i)
+{
+	workers[i].draining = true;
+	register_worker(i);
+	stage_record("worker %s: draining, acknowledged by the store",
+		     workers[i].id);
+}
+
+void stage_put_entry(const char *key, size_t bytes)
+{
+	char *value = calloc(1, bytes + 1);
+
+	memset(value, 'x', bytes);
+	put_item(key, encode(value));
+	free(value);
+	stage_record("another writer: an entry %s of %zu bytes that can't be "
+		     "read",
+		     key, bytes);
+}
+
 void stage_begin(const struct stage_options *opt)
 {
 	int i, fd;
 
 	options = *opt;
+	if (!options.n_zones)
+		options.n_zones = 4;
+	if (!options.cpu_share)
+		options.cpu_share = "0.25";
 	began_ms = mono_ms();
 	record = fopen(getenv("RECORD") ? getenv("RECORD") : "record.txt", "w");
 	if (!record || access("target/sycamoreshore", X_OK)) {
@@ -1144,7 +1253,7 @@
 	add_conn(fd, LISTEN_STORE, -1);
 	while (n_workers < options.n_workers)
 		stage_add_worker(options.kind ? options.kind : "a");
-	stage_put_config(options.routes);
+	stage_put_config(stage_route);
 	for (i = 0; i < options.n_instances; i++)
 		start_instance(i);
 	for (i = 0; i < options.n_instances; i++)
--- a/review/stage.h
+++ b/review/stage.h
@@ -12,21 +12,25 @@
 #include <sys/types.h>
 
 enum {
-	STAGE_INSTANCES_MAX = 8,
+	STAGE_INSTANCES_MAX = 12,
 	STAGE_HELD = 0, /* exit codes */
 	STAGE_BROKEN = 1,
 	STAGE_NOT_RUN = 2
 };
 
+/* A route of the queue /jobs/, with the figures of the small sites. */
+extern const char stage_route[];
+
 struct stage_options {
-	int n_instances; /* they alternate between the zones z0 to z3 */
+	int n_instances; /* they alternate between the zones */
 	int n_workers;
-	const char *routes; /* the text of the config's list `routes` */
+	int n_zones; /* 0: 4 */
+	const char *cpu_share; /* of an instance; NULL: 0.25 */
 	const char *kind; /* label of the workers; NULL: a */
 };
 
 struct instance {
-	char name[32], zone[8];
+	char name[32], zone[16];
 	pid_t pid;
 	int callers, admin; /* ports */
 	bool stopped; /* by SIGSTOP */
@@ -65,8 +69,13 @@
 void stage_record(const char *format, ...)
 	__attribute__((format(printf, 1, 2)));
 void stage_add_worker(const char *kind); /* an empty one */
+void stage_drain_worker(int i); /* it goes on serving */
+/* An entry of another writer, with `bytes` that are no JSON. */
+void stage_put_entry(const char *key, size_t bytes);
 void stage_put_config(const char *routes); /* a new version */
 int stage_driver(void); /* number of the instance that drives; -1: none */
+/* Waits until the log of each instance has this event. */
+void stage_await_event(const char *event, int64_t ms);
 void stage_signal(int i, int signum);
 bool stage_is_ready(int i);
 
@@ -74,6 +83,8 @@
 			   const char *headers, const char *body);
 /* Waits for the answer; returns its status. */
 int stage_await(struct request *r, int64_t ms);
+/* Cancels a job until that is acknowledged; returns when it was. */
+int64_t stage_cancel(int i, const char *id);
 /* Closes the client's end of a request that has no answer. */
 void stage_hang_up(struct request *r);
 
