Draw random numbers of the simulations in a fixed order

Two draws stood as arguments of one call.

Ruled out: the signedness of char and the sizes of types, as the first draw that differs is in submit_random_keys.

--- a/test/fleet_soak/faults.c
+++ b/test/fleet_soak/faults.c
@@ -74,12 +74,14 @@
 	static const enum proxy_mode modes[] = {PROXY_SILENT, PROXY_NO_ANSWERS,
 						PROXY_DELAY, PROXY_DELAY};
 	uint64_t k = rng_below(&s->rng, sizeof(modes) / sizeof(*modes) + 1);
+	int64_t ms;
 
-	if (k == sizeof(modes) / sizeof(*modes))
+	if (k == sizeof(modes) / sizeof(*modes)) {
 		proxy_reset(p);
-	else
-		proxy_disturb(p, modes[k], random_ms(s, DELAY_MAX_MS),
-			      random_ms(s, DISTURB_MAX_MS));
+		return;
+	}
+	ms = random_ms(s, DISTURB_MAX_MS);
+	proxy_disturb(p, modes[k], random_ms(s, DELAY_MAX_MS), ms);
 }
 
 static void set_store_down(struct soak *s, bool down)
--- a/test/sim/coord_sim_random.c
+++ b/test/sim/coord_sim_random.c
@@ -146,12 +146,14 @@
 	unsigned n_due_keys = (unsigned)((sim->now - begun_at) * sim->n_keys /
 					 ms) +
 			      1;
+	unsigned key;
 	int i;
 
 	n_due_keys = n_due_keys < sim->n_keys ? n_due_keys : sim->n_keys;
-	for (i = 0; i < 4; i++)
-		coord_sim_submit(sim, pick_node(sim),
-				 (unsigned)rng_below(&sim->rng, n_due_keys));
+	for (i = 0; i < 4; i++) {
+		key = (unsigned)rng_below(&sim->rng, n_due_keys);
+		coord_sim_submit(sim, pick_node(sim), key);
+	}
 	coord_sim_submit(sim, pick_node(sim), n_due_keys - 1);
 }
 
--- a/test/sim/fleet_random.c
+++ b/test/sim/fleet_random.c
@@ -200,6 +200,7 @@
 static void inject_faults(struct fsim *s, const struct fault_rates *rates)
 {
 	int64_t ms;
+	bool listed;
 	int k;
 
 	if (happens(s, rates->kill))
@@ -222,9 +223,11 @@
 		s->late_percent = s->late_percent ? 0 : rates->late_percent;
 	if (happens(s, rates->restart_worker))
 		fsim_restart_worker(s, (int)rng_below(&s->rng, FSIM_WORKERS));
-	if (happens(s, rates->list_worker))
+	if (happens(s, rates->list_worker)) {
+		listed = happens(s, 600);
 		fsim_set_listed(s, (int)rng_below(&s->rng, FSIM_WORKERS),
-				happens(s, 600));
+				listed);
+	}
 	for (k = 0; k < s->n_instances; k++)
 		if (happens(s, rates->start_instance))
 			fsim_start(s, k);
@@ -272,14 +275,19 @@
 static void maybe_submit_job(struct fsim *s, const struct fault_rates *rates)
 {
 	uint32_t run_ms = happens(s, rates->long_runs) ? 900 : 80;
+	uint32_t n_tasks;
 
 	if (rates->crashing && happens(s, rates->crashing) &&
-	    s->n_jobs + PROBE_JOBS < FSIM_JOBS)
+	    s->n_jobs + PROBE_JOBS < FSIM_JOBS) {
+		n_tasks = 1 + (uint32_t)rng_below(&s->rng, 4);
 		fsim_submit_crashing(s, (int)rng_below(&s->rng, FSIM_DOMAINS),
-				     1 + (uint32_t)rng_below(&s->rng, 4));
-	if (s->n_jobs + PROBE_JOBS < FSIM_JOBS && happens(s, 350))
-		fsim_submit(s, (int)rng_below(&s->rng, FSIM_DOMAINS),
-			    1 + (uint32_t)rng_below(&s->rng, 4), run_ms);
+				     n_tasks);
+	}
+	if (s->n_jobs + PROBE_JOBS < FSIM_JOBS && happens(s, 350)) {
+		n_tasks = 1 + (uint32_t)rng_below(&s->rng, 4);
+		fsim_submit(s, (int)rng_below(&s->rng, FSIM_DOMAINS), n_tasks,
+			    run_ms);
+	}
 }
 
 static bool check_jobs_are_served(struct fsim *s, char *message, size_t size)
--- a/test/unit/bundle_sync_test.c
+++ b/test/unit/bundle_sync_test.c
@@ -447,12 +447,13 @@
 		auto_buf struct buf a = {0}, b = {0}, out = {0};
 		auto_wire_out struct wire_out w;
 		struct wire_in in;
+		const char *end;
 		size_t n;
 
 		for (k = 0; k < 12; k++) {
 			buf_printf(&a, "line %d\n", (int)rng_below(&r, 9));
-			buf_printf(&b, "line %d%s", (int)rng_below(&r, 9),
-				   rng_below(&r, 12) ? "\n" : "");
+			end = rng_below(&r, 12) ? "\n" : "";
+			buf_printf(&b, "line %d%s", (int)rng_below(&r, 9), end);
 		}
 		n = bundle_delta_compute((struct syc_bytes){a.data, a.len},
 					 (struct syc_bytes){b.data, b.len},
--- a/test/unit/core_sim_test.c
+++ b/test/unit/core_sim_test.c
@@ -288,15 +288,17 @@
 {
 	int node = (int)rng_below(&sim->rng, CORE_SIM_NODES);
 	char key[16];
+	uint32_t n_tasks;
 	size_t job;
 
 	if (!sim->nodes[node].core || sim->nodes[node].paused)
 		return;
 	if (sim->n_jobs < CORE_SIM_JOBS && rng_below(&sim->rng, 2)) {
 		snprintf(key, sizeof(key), "key-%zu", sim->n_jobs);
+		n_tasks = 1 +
+			  (uint32_t)rng_below(&sim->rng, CORE_SIM_JOB_TASKS);
 		job = core_sim_add_job(
-			sim, rng_below(&sim->rng, 4) ? key : NULL,
-			1 + (uint32_t)rng_below(&sim->rng, CORE_SIM_JOB_TASKS));
+			sim, rng_below(&sim->rng, 4) ? key : NULL, n_tasks);
 	} else if (sim->n_jobs) {
 		job = rng_below(&sim->rng, sim->n_jobs);
 		if (!*sim->jobs[job].key)
--- a/test/unit/dispatch_random_test.c
+++ b/test/unit/dispatch_random_test.c
@@ -29,6 +29,7 @@
 	uint32_t k, n = 1 + (uint32_t)rng_below(&c->rng, TASKS_MAX);
 	int kind = (int)rng_below(&c->rng, 3);
 	int i = (int)rng_below(&c->rng, (uint64_t)c->n_instances);
+	uint32_t limit_ms;
 
 	if (!c->instances[i].is_alive || c->instances[i].paused_until > c->now)
 		return;
@@ -43,8 +44,9 @@
 		if (!rng_below(&c->rng, 40))
 			tasks[k].end = 1 + (uint32_t)rng_below(&c->rng, 5);
 	}
+	limit_ms = rng_below(&c->rng, 4) ? 0 : 300;
 	cluster_submit(c, i, (int)rng_below(&c->rng, 4), kinds[kind], n, tasks,
-		       rng_below(&c->rng, 4) ? 0 : 300);
+		       limit_ms);
 }
 
 static int count_living(const struct cluster *c)
