--- a/src/cmd/fleet_metrics.c
+++ b/src/cmd/fleet_metrics.c
@@ -182,6 +182,9 @@
 			 c.restarts},
 			{"sycamoreshore_runs_lost_total",
 			 "Runs that were lost with their worker.", c.runs_lost},
+			{"sycamoreshore_runs_outlived_total",
+			 "Runs that outlived their job, as no stop ended them.",
+			 c.runs_outlived},
 			{"sycamoreshore_jobs_given_up_total",
 			 "Jobs with a task that crashed workers, or was lost "
 			 "too often.",
--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -191,6 +191,7 @@
 	void *ctx;
 	/* Outlives the drive and may be shared by several; see losses.h. */
 	struct losses *losses;
+	const char *cell; /* whose workers it drives, for the log */
 	uint32_t lease_ms;
 	uint32_t hold_wait_ms; /* longest wait of a hold for a run to end */
 	void (*start)(void *ctx, const struct drive_start *call);
@@ -231,6 +232,7 @@
 	/* Holds sent again while their worker answered other calls. */
 	uint64_t holds_replaced;
 	uint64_t runs_lost; /* with their worker */
+	uint64_t runs_outlived; /* their job for long, as no stop ended them */
 	uint64_t given_up; /* jobs with a task that crashes its workers */
 	uint64_t exclusive_starts; /* starts apart from other tasks */
 	uint64_t queued, running, workers, workers_usable; /* current */
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -64,6 +64,8 @@
 	bool is_located; /* `born_ms` has answered that it has the run */
 	bool is_lost; /* with an earlier incarnation of its worker */
 	bool stopping;
+	int64_t stopping_since;
+	bool outlives_job; /* logged */
 	bool stop_in_flight;
 	int64_t next_stop_at; /* when the next stop may be sent */
 	enum drive_run_result result; /* of RUN_ENDED */
--- a/src/drive/queue.c
+++ b/src/drive/queue.c
@@ -107,8 +107,11 @@
 static void log_begun(struct drive *d, const struct job *j, int64_t now)
 {
 	histogram_add(&d->counts.begin_delay, now - j->arrived_at);
-	log_info("job_begun", LOG_S("job", j->id), LOG_U("tasks", j->n_active),
-		 LOG_U("done", j->n_done), LOG_U("priority", j->priority),
+	log_info("job_begun", LOG_S("job", j->id), LOG_S("cell", d->opt.cell),
+		 LOG_U("epoch", d->epoch), LOG_U("home", j->waiters[0].home),
+		 LOG_U("generation", j->waiters[0].generation),
+		 LOG_U("tasks", j->n_active), LOG_U("done", j->n_done),
+		 LOG_U("priority", j->priority),
 		 LOG_I("waited_ms", now - j->arrived_at),
 		 LOG_I("to_latest_start_ms", j->latest_start_at - now));
 }
--- a/src/drive/run.c
+++ b/src/drive/run.c
@@ -7,6 +7,8 @@
 	STOP_RETRY_MS = 100, /* between two stop calls for one run */
 	/* An adopted run is stopped if its job is not submitted by then. */
 	ORPHAN_STOP_AFTER_MS = 150,
+	/* A stop that is carried out has ended the run long before. */
+	STOP_OVERDUE_MS = 250,
 	/* A result is kept for this time, as its job may be submitted again. */
 	ENDED_KEEP_MS = 1500,
 	/*
@@ -271,6 +273,13 @@
 	r->drop_at = now + ENDED_KEEP_MS;
 }
 
+static void begin_stopping(struct run *r, int64_t now)
+{
+	if (!r->stopping)
+		r->stopping_since = now;
+	r->stopping = true;
+}
+
 void run_stop(struct drive *d, struct run *r, int64_t now)
 {
 	struct worker *w = worker_get(d, r->worker);
@@ -278,7 +287,7 @@
 
 	if (r->state == RUN_ENDED || !w)
 		return;
-	r->stopping = true;
+	begin_stopping(r, now);
 	if (r->stop_in_flight || now < r->next_stop_at)
 		return;
 	r->stop_in_flight = true;
@@ -362,6 +371,23 @@
 	worker_eject(d, w, now, "task_stalled");
 }
 
+/* Notes a run that may last although its job has ended, and why. */
+static void note_outlived_job(struct drive *d, struct run *r,
+			      const struct worker *w, int64_t now)
+{
+	if (r->job || !r->stopping || r->outlives_job ||
+	    now - r->stopping_since < STOP_OVERDUE_MS)
+		return;
+	r->outlives_job = true;
+	d->counts.runs_outlived++;
+	log_info("run_outlives_job", LOG_S("job", r->task.job),
+		 LOG_U("task", r->task.index), LOG_U("run", r->number),
+		 LOG_S("worker", w->info.name), LOG_S("cell", d->opt.cell),
+		 LOG_U("state", r->state),
+		 LOG_I("stopping_ms", now - r->stopping_since),
+		 LOG_I("lease_left_ms", w->lease_expired_at - now));
+}
+
 void run_tick(struct drive *d, struct run *r, int64_t now)
 {
 	struct worker *w = worker_get(d, r->worker);
@@ -378,7 +404,8 @@
 	if (r->state == RUN_UNCONFIRMED)
 		hold_probe(d, w, now);
 	if (!r->job && now - r->sent_at > ORPHAN_STOP_AFTER_MS)
-		r->stopping = true;
+		begin_stopping(r, now);
+	note_outlived_job(d, r, w, now);
 	if (r->stopping)
 		run_stop(d, r, now);
 	else if (!w->unresponsive_since && is_run_stalled(d, r, w, now))
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -180,6 +180,7 @@
 	struct drive_options drive = {
 		.ctx = f,
 		.losses = opt->losses,
+		.cell = f->opt.cell,
 		.lease_ms = opt->lease_ms,
 		.hold_wait_ms = opt->hold_wait_ms,
 		.start = on_start,
