Take no epoch whose fences exceed the numbers that workers read

A damaged message can name an epoch of 5.6e16. It spread through the cell, and as a fence is 4,096 times the epoch, the fences of all later drivers overflowed: the cell had no driver 5 s after the damage had ended.

Such an epoch is now refused and logged (epoch_out_of_range).

--- a/src/fleet/election.c
+++ b/src/fleet/election.c
@@ -37,6 +37,9 @@
 	FENCED_TIMEOUT_MS = 2000
 };
 
+/* Fences of a later epoch exceed the numbers that workers read. */
+static const uint64_t epoch_max = INT64_MAX / DRIVE_FENCES_PER_EPOCH;
+
 /* What decides which instance is the best driver. */
 struct candidate {
 	uint64_t id;
@@ -412,6 +415,11 @@
 
 	if (!driver || !newer)
 		return;
+	if (epoch > epoch_max) {
+		log_warn("epoch_out_of_range", LOG_U("epoch", epoch),
+			 LOG_U("driver", driver));
+		return;
+	}
 	if (driver == f->opt.self.id) {
 		/* The map in the store names this instance as the driver. */
 		f->takeover_in_flight = false;
