Test jobs that a caller submits again to another domain

Callers of the simulated fleet had one request open for a job, and submitted it again to their own domain, so that no test let a job come to two cells.

A job may now have several requests, each with its home, tag, deadline and outcome. fsim_submit_again submits a job at a chosen instance while an earlier request is open, fsim_disconnect lets a caller leave, and a worker may lose stops while it answers other calls.

--- a/test/sim/fleet_sim.c
+++ b/test/sim/fleet_sim.c
@@ -560,6 +560,17 @@
 	return -1;
 }
 
+int fsim_find_driver_of(const struct fsim *s, int domain)
+{
+	int k;
+
+	for (k = 0; k < s->n_instances; k++)
+		if (s->instances[k].domain == domain && s->instances[k].cells &&
+		    fleet_is_driver(cells_own(s->instances[k].cells)))
+			return k;
+	return -1;
+}
+
 size_t fsim_count_outcomes(const struct fsim *s, enum fleet_outcome outcome)
 {
 	size_t i, n = 0;
@@ -584,6 +595,7 @@
 	s->first_is_old = opt->first_is_old;
 	s->evacuates = opt->evacuates;
 	s->objective_add_ms = 1000;
+	s->deadline_ms = DEADLINE_MS;
 	s->n_instances = opt->n_instances;
 
 	s->rng.state = seed;
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -71,6 +71,7 @@
 	int64_t last_start_at; /* when a task began */
 	int64_t over_capacity_at; /* when a start last exceeded its capacity */
 	bool loses_answers; /* carries out calls, but its answers are lost */
+	bool loses_stops; /* but carries out and answers other calls */
 	int64_t began_at; /* its present life */
 	int64_t call_sent_at; /* the call that it carries out */
 	/* The entry of its earlier life, which the list has until then. */
@@ -87,16 +88,22 @@
 	uint64_t last_end; /* sequence number */
 };
 
-/* A job of a caller and its state. */
+/*
+ * A caller's request for a job, sent again after an unknown outcome. Several
+ * may be open for one job; what concerns the job is kept in the first.
+ */
 struct fsim_job {
 	char id[DRIVE_JOB_ID_MAX];
+	size_t first; /* number of the job's first request */
 	int domain; /* domain of the caller */
 	uint32_t n_tasks;
 	uint32_t run_ms;
 	int home; /* the instance that took it; -1: none */
 	uint64_t home_incarnation;
+	uint32_t deadline_ms; /* after it was sent */
 	int64_t sent_at, deadline_at, retry_at; /* zero: not set */
 	bool answered;
+	bool left; /* its caller waits for no answer */
 	enum fleet_outcome outcome;
 	bool is_crashing; /* its first task crashes each worker */
 	unsigned crashes[FSIM_TASKS]; /* under each task */
@@ -105,6 +112,8 @@
 	bool may_have_run; /* an earlier attempt was not refused */
 	int64_t began_at; /* when it was first submitted */
 	int64_t ended_at;
+	int64_t last_sent_at; /* any of the job's requests */
+	unsigned n_again; /* further requests */
 };
 
 struct fsim_event;
@@ -132,6 +141,8 @@
 	unsigned long n_lists; /* lists of workers among them */
 	bool domain_cut[FSIM_DOMAINS]; /* cut off from the others */
 	bool callers_leave_early; /* if their home is not reachable */
+	bool callers_move; /* submit again to an instance of any domain */
+	uint32_t deadline_ms; /* of the jobs submitted from now on */
 	/* Processor time of an instance; zero: it is always in time. */
 	uint32_t event_us, start_us;
 	uint32_t
@@ -182,6 +193,15 @@
 void fsim_submit(struct fsim *s, int domain, uint32_t n_tasks, uint32_t run_ms);
 /* The same, but its first task crashes each worker that starts it. */
 void fsim_submit_crashing(struct fsim *s, int domain, uint32_t n_tasks);
+/* Submits a job at the instance; returns the number of the request. */
+size_t fsim_submit_at(struct fsim *s, int instance, uint32_t n_tasks,
+		      uint32_t run_ms);
+/* Submits the same job in one more request; returns the number of that. */
+size_t fsim_submit_again(struct fsim *s, size_t job, int instance);
+/* The request's caller disconnects, and does not submit it again. */
+void fsim_disconnect(struct fsim *s, size_t job);
+/* Returns an instance that runs and does not stand still, or -1. */
+int fsim_pick_live(struct fsim *s);
 
 void fsim_kill(struct fsim *s, int instance);
 void fsim_start(struct fsim *s, int instance);
@@ -205,6 +225,8 @@
 
 /* Returns the index of the instance that drives, or -1. */
 int fsim_find_driver(const struct fsim *s);
+/* The same for the cell of `domain`. */
+int fsim_find_driver_of(const struct fsim *s, int domain);
 size_t fsim_count_outcomes(const struct fsim *s, enum fleet_outcome outcome);
 
 enum fsim_mode {
@@ -218,7 +240,9 @@
 	FSIM_DIVIDED_EVACUATING,
 	/* The same two, with workers that start again under their names. */
 	FSIM_REBORN,
-	FSIM_DIVIDED_REBORN
+	FSIM_DIVIDED_REBORN,
+	/* The last one, with callers that stay in their domains. */
+	FSIM_DIVIDED_REBORN_STAYING
 };
 
 /*
--- a/test/sim/fleet_sim_callers.c
+++ b/test/sim/fleet_sim_callers.c
@@ -2,19 +2,26 @@
 #include <stdio.h>
 
 #include "fleet_sim_internal.h"
+#include "util/alloc.h"
 #include "util/invariant.h"
 #include "util/log.h"
 
+static struct fsim_job *first_of(struct fsim *s, const struct fsim_job *j)
+{
+	return &s->jobs[j->first];
+}
+
 /* A job fails only if two workers have crashed under one of its tasks. */
 static void check_failure(struct fsim *s, const struct fsim_job *j,
 			  const struct fleet_answer *answer)
 {
+	const struct fsim_job *first = first_of(s, j);
 	size_t i;
 
 	if (answer->outcome != FLEET_FAILED)
 		return;
 	for (i = 0; i < FSIM_TASKS; i++)
-		if (j->crashes[i] >= 2)
+		if (first->crashes[i] >= 2)
 			return;
 	if (!s->n_false_failures++ && !*s->message)
 		snprintf(s->message, sizeof(s->message),
@@ -32,7 +39,7 @@
 	    j->home_incarnation != i->instance.id)
 		return;
 	j->home = -1;
-	if (answer->outcome == FLEET_NOT_RUN && j->started &&
+	if (answer->outcome == FLEET_NOT_RUN && first_of(s, j)->started &&
 	    !j->may_have_run) {
 		if (!s->n_false_refusals++ && !s->n_double_runs)
 			snprintf(s->message, sizeof(s->message),
@@ -72,9 +79,19 @@
 	return -1;
 }
 
-static void submit_job(struct fsim *s, struct fsim_job *j)
+int fsim_pick_live(struct fsim *s)
+{
+	int k, at = (int)rng_below(&s->rng, s->n_instances);
+
+	for (k = 0; k < s->n_instances; k++, at = (at + 1) % s->n_instances)
+		if (s->instances[at].fleet &&
+		    s->now >= s->instances[at].paused_until)
+			return at;
+	return -1;
+}
+
+static void submit_job(struct fsim *s, struct fsim_job *j, int home)
 {
-	int home = pick_home(s, j->domain);
 	struct drive_job spec = {
 		.id = j->id,
 		.service = "s",
@@ -87,7 +104,7 @@
 		.estimate_ms = j->run_ms,
 		.objective_percent = 160,
 		.objective_add_ms = s->objective_add_ms,
-		.deadline_ms = DEADLINE_MS,
+		.deadline_ms = j->deadline_ms,
 		.body = {"x", 1},
 	};
 
@@ -97,8 +114,8 @@
 	}
 	j->home = home;
 	j->home_incarnation = s->instances[home].instance.id;
-	j->sent_at = s->now;
-	j->deadline_at = s->now + DEADLINE_MS;
+	j->sent_at = first_of(s, j)->last_sent_at = s->now;
+	j->deadline_at = s->now + j->deadline_ms;
 	j->retry_at = 0;
 	log_context_set(s->instances[home].instance.name);
 	cells_submit(s->instances[home].cells, s->now,
@@ -138,14 +155,26 @@
 	fsim_event_push(s, e);
 }
 
+/* No two requests for a job are sent in a shorter time than RETRY_MS. */
+static void submit_later(struct fsim *s, struct fsim_job *j)
+{
+	const struct fsim_job *first = first_of(s, j);
+
+	if (first->n_again && s->now < first->last_sent_at + RETRY_MS)
+		return;
+	submit_job(s, j,
+		   s->callers_move ? fsim_pick_live(s)
+				   : pick_home(s, j->domain));
+}
+
 void fsim_tick_caller(struct fsim *s, struct fsim_job *j)
 {
 	struct fsim_instance *i;
 
-	if (j->answered)
+	if (j->answered || j->left)
 		return;
 	if (j->retry_at && s->now >= j->retry_at) {
-		submit_job(s, j);
+		submit_later(s, j);
 		return;
 	}
 	if (j->home < 0)
@@ -167,19 +196,23 @@
 	struct fsim_job *j;
 
 	invariant(s->n_jobs < FSIM_JOBS);
-	j = &s->jobs[s->n_jobs++];
+	j = &s->jobs[s->n_jobs];
+	j->first = s->n_jobs++;
 	snprintf(j->id, sizeof(j->id), "%016llx",
 		 (unsigned long long)rng_next(&s->rng));
 	j->domain = domain;
 	j->n_tasks = n_tasks;
 	j->run_ms = run_ms;
+	j->deadline_ms = s->deadline_ms;
 	j->began_at = s->now;
 	return j;
 }
 
 void fsim_submit(struct fsim *s, int domain, uint32_t n_tasks, uint32_t run_ms)
 {
-	submit_job(s, add_job(s, domain, n_tasks, run_ms));
+	struct fsim_job *j = add_job(s, domain, n_tasks, run_ms);
+
+	submit_job(s, j, pick_home(s, domain));
 }
 
 void fsim_submit_crashing(struct fsim *s, int domain, uint32_t n_tasks)
@@ -187,5 +220,51 @@
 	struct fsim_job *j = add_job(s, domain, n_tasks, CRASHING_RUN_MS);
 
 	j->is_crashing = true;
-	submit_job(s, j);
+	submit_job(s, j, pick_home(s, domain));
+}
+
+size_t fsim_submit_at(struct fsim *s, int instance, uint32_t n_tasks,
+		      uint32_t run_ms)
+{
+	struct fsim_job *j = add_job(s, s->instances[instance].domain, n_tasks,
+				     run_ms);
+
+	submit_job(s, j, instance);
+	return j->first;
+}
+
+size_t fsim_submit_again(struct fsim *s, size_t job, int instance)
+{
+	struct fsim_job *first = first_of(s, &s->jobs[job]);
+	struct fsim_job *j;
+
+	invariant(s->n_jobs < FSIM_JOBS);
+	j = &s->jobs[s->n_jobs++];
+	copy_text(j->id, sizeof(j->id), first->id);
+	j->first = first->first;
+	j->domain = s->instances[instance].domain;
+	j->n_tasks = first->n_tasks;
+	j->run_ms = first->run_ms;
+	j->deadline_ms = first->deadline_ms;
+	j->began_at = s->now;
+	j->may_have_run = true;
+	/* If it is refused now, the task may have been started for `j`. */
+	first->may_have_run |= !first->started;
+	first->n_again++;
+	submit_job(s, j, instance);
+	return (size_t)(j - s->jobs);
+}
+
+void fsim_disconnect(struct fsim *s, size_t job)
+{
+	struct fsim_job *j = &s->jobs[job];
+	struct fsim_instance *i;
+
+	j->left = true;
+	if (j->home < 0)
+		return;
+	i = &s->instances[j->home];
+	if (i->fleet && i->instance.id == j->home_incarnation)
+		cancel_at_home(s, i, j);
+	j->home = -1;
 }
--- a/test/sim/fleet_sim_calls.c
+++ b/test/sim/fleet_sim_calls.c
@@ -205,6 +205,10 @@
 		return;
 	}
 	w = &s->workers[e->worker];
+	if (e->call_kind == CALL_STOP && w->loses_stops) {
+		fsim_event_free(e);
+		return;
+	}
 	if (strcmp(w->info.name, e->worker_name)) {
 		answer_call(s, e, DRIVE_CALL_OTHER_INCARNATION);
 		return;
--- a/test/unit/cells_test.c
+++ b/test/unit/cells_test.c
@@ -37,17 +37,6 @@
 	return i->cells && fleet_is_driver(cells_own(i->cells));
 }
 
-/* The instance that drives the cell of `domain`, or -1. */
-static int find_driver_of(const struct fsim *s, int domain)
-{
-	int k;
-
-	for (k = 0; k < s->n_instances; k++)
-		if (s->instances[k].domain == domain && drives(s, k))
-			return k;
-	return -1;
-}
-
 static size_t count_drivers(const struct fsim *s)
 {
 	size_t n = 0;
@@ -79,7 +68,7 @@
 		CU_ASSERT_EQUAL(cells_count(s->instances[k].cells), DOMAINS);
 	CU_ASSERT_EQUAL(count_drivers(s), DOMAINS);
 	for (k = 0; k < DOMAINS; k++) {
-		CU_ASSERT(find_driver_of(s, k) >= 0);
+		CU_ASSERT(fsim_find_driver_of(s, k) >= 0);
 		CU_ASSERT_EQUAL(complete_jobs(s, k, 1, 120), 1);
 	}
 	check_and_free(s);
@@ -127,13 +116,13 @@
 static void lost_driver_of_a_cell_stops_no_other_cell(void)
 {
 	struct fsim *s = start_fleet();
-	int lost = find_driver_of(s, 1);
+	int lost = fsim_find_driver_of(s, 1);
 
 	fsim_kill(s, lost);
 	CU_ASSERT_EQUAL(complete_jobs(s, 0, 1, 120), 1);
 	CU_ASSERT_EQUAL(complete_jobs(s, 2, 1, 120), 1);
 	fsim_run(s, 500);
-	CU_ASSERT(find_driver_of(s, 1) >= 0);
+	CU_ASSERT(fsim_find_driver_of(s, 1) >= 0);
 	CU_ASSERT_EQUAL(complete_jobs(s, 1, 1, 120), 1);
 	check_and_free(s);
 }
@@ -143,7 +132,7 @@
 {
 	struct fsim *s = start_fleet();
 
-	fsim_kill(s, find_driver_of(s, 1));
+	fsim_kill(s, fsim_find_driver_of(s, 1));
 	fsim_run(s, 380);
 	CU_ASSERT_EQUAL(complete_jobs(s, 1, 2, 150), 2);
 	check_and_free(s);
@@ -156,7 +145,7 @@
 static void callers_of_a_cell_that_cannot_elect_are_served(void)
 {
 	struct fsim *s = start_fleet();
-	int driver = find_driver_of(s, 0);
+	int driver = fsim_find_driver_of(s, 0);
 	size_t i, completed = 0;
 
 	fsim_kill(s, driver);
@@ -171,18 +160,18 @@
 static void cut_off_domain_keeps_its_driver(void)
 {
 	struct fsim *s = start_fleet();
-	int driver = find_driver_of(s, 2);
+	int driver = fsim_find_driver_of(s, 2);
 
 	fsim_cut_domain(s, 2, true);
 	fsim_run(s, 400);
 	CU_ASSERT_EQUAL(complete_jobs(s, 2, 2, 120), 2);
 	fsim_run(s, 5000);
-	CU_ASSERT_EQUAL(find_driver_of(s, 2), driver);
+	CU_ASSERT_EQUAL(fsim_find_driver_of(s, 2), driver);
 	CU_ASSERT_EQUAL(complete_jobs(s, 0, 2, 120), 2);
 	CU_ASSERT_EQUAL(complete_jobs(s, 2, 2, 120), 2);
 	fsim_cut_domain(s, 2, false);
 	fsim_run(s, 1000);
-	CU_ASSERT_EQUAL(find_driver_of(s, 2), driver);
+	CU_ASSERT_EQUAL(fsim_find_driver_of(s, 2), driver);
 	CU_ASSERT_EQUAL(count_drivers(s), DOMAINS);
 	check_and_free(s);
 }
@@ -190,7 +179,7 @@
 static void leaving_driver_of_a_cell_hands_over_its_runs(void)
 {
 	struct fsim *s = start_fleet();
-	int old = find_driver_of(s, 0);
+	int old = fsim_find_driver_of(s, 0);
 	int k;
 
 	for (k = 0; k < DOMAINS; k++)
@@ -198,8 +187,8 @@
 	fsim_run(s, 40);
 	fsim_leave(s, old);
 	fsim_run(s, 300);
-	CU_ASSERT(find_driver_of(s, 0) >= 0);
-	CU_ASSERT_NOT_EQUAL(find_driver_of(s, 0), old);
+	CU_ASSERT(fsim_find_driver_of(s, 0) >= 0);
+	CU_ASSERT_NOT_EQUAL(fsim_find_driver_of(s, 0), old);
 	fsim_run(s, 300);
 	CU_ASSERT_EQUAL(fsim_count_outcomes(s, FLEET_COMPLETED), DOMAINS);
 	check_and_free(s);
