Let random callers submit jobs again to any domain

In a divided fleet they now go to any live instance. A further request comes for a job whose last one was sent 1.3 s ago or more, while it is open or up to 6 s after its completion. Some jobs run for 2 to 4 s. Two requests for one job are never sent in a shorter time than 1.3 s.

A cut between domains may make two runs of one job unavoidable. The model counts these too; how many remain is not known before the fault is fixed.

--- a/test/sim/fleet_random.c
+++ b/test/sim/fleet_random.c
@@ -8,7 +8,12 @@
 	STEP_MS = 50,
 	QUIET_MS = 8000, /* time without faults before the last check */
 	PROBE_JOBS = 6,
-	LATE_REPLY_PERCENT = 50
+	LATE_REPLY_PERCENT = 50,
+	LONG_RUN_MS = 2000, /* and up to twice that */
+	LONG_DEADLINE_MS = 10000,
+	AGAIN_MS = 1300, /* from a request to the next one for its job */
+	AGAIN_AFTER_MS = 6000, /* from the answer, at most */
+	AGAIN_MAX = 3 /* further requests for one job */
 };
 
 /*
@@ -32,6 +37,9 @@
 	unsigned crashing; /* jobs with a task that crashes workers */
 	unsigned crash_worker;
 	bool callers_leave_early; /* if their home is not reachable */
+	/* only with callers that move */
+	unsigned again; /* further requests for earlier jobs */
+	unsigned overlapping_runs; /* jobs that last longer than AGAIN_MS */
 };
 
 static const struct fault_rates plain_rates = {
@@ -290,6 +298,57 @@
 	}
 }
 
+/* The job's first request is open for some time, or was answered lately. */
+static bool may_come_again(const struct fsim *s, const struct fsim_job *j)
+{
+	if (j != &s->jobs[j->first] || j->is_crashing ||
+	    j->n_again == AGAIN_MAX || s->now < j->last_sent_at + AGAIN_MS)
+		return false;
+	if (!j->answered)
+		return j->home >= 0;
+	return j->outcome == FLEET_COMPLETED &&
+	       s->now < j->ended_at + AGAIN_AFTER_MS;
+}
+
+static void submit_again(struct fsim *s)
+{
+	size_t k, at = (size_t)rng_below(&s->rng, s->n_jobs);
+	int instance = fsim_pick_live(s);
+
+	if (instance < 0 || s->n_jobs + PROBE_JOBS >= FSIM_JOBS)
+		return;
+	for (k = 0; k < s->n_jobs; k++, at = (at + 1) % s->n_jobs) {
+		if (!may_come_again(s, &s->jobs[at]))
+			continue;
+		fsim_submit_again(s, at, instance);
+		return;
+	}
+}
+
+static void submit_overlapping(struct fsim *s)
+{
+	uint32_t n_tasks = 1 + (uint32_t)rng_below(&s->rng, 2);
+	uint32_t run_ms = LONG_RUN_MS +
+			  (uint32_t)rng_below(&s->rng, LONG_RUN_MS);
+	int domain = (int)rng_below(&s->rng, FSIM_DOMAINS);
+	uint32_t usual_ms = s->deadline_ms;
+
+	if (s->n_jobs + PROBE_JOBS >= FSIM_JOBS)
+		return;
+	s->deadline_ms = LONG_DEADLINE_MS;
+	fsim_submit(s, domain, n_tasks, run_ms);
+	s->deadline_ms = usual_ms;
+}
+
+/* Runs without these callers keep their old seeds. */
+static void move_callers(struct fsim *s, const struct fault_rates *rates)
+{
+	if (happens(s, rates->overlapping_runs))
+		submit_overlapping(s);
+	if (s->n_jobs && happens(s, rates->again))
+		submit_again(s);
+}
+
 static bool check_jobs_are_served(struct fsim *s, char *message, size_t size)
 {
 	size_t i, first = s->n_jobs;
@@ -314,7 +373,7 @@
 		return fsim_new_evacuating(seed,
 					   mode == FSIM_DIVIDED_EVACUATING);
 	if (mode == FSIM_DIVIDED || mode == FSIM_DIVIDED_CRASHING ||
-	    mode == FSIM_DIVIDED_REBORN)
+	    mode >= FSIM_DIVIDED_REBORN)
 		return fsim_new_divided(seed);
 	return fsim_new(seed);
 }
@@ -347,9 +406,14 @@
 		rates.restart_worker = 4 * plain_rates.restart_worker;
 	}
 	s->callers_leave_early = rates.callers_leave_early;
+	s->callers_move = s->divided && mode != FSIM_DIVIDED_REBORN_STAYING;
+	rates.again = 200;
+	rates.overlapping_runs = 40;
 	while (s->now < until) {
 		inject_faults(s, &rates);
 		maybe_submit_job(s, &rates);
+		if (s->callers_move)
+			move_callers(s, &rates);
 		fsim_run(s, STEP_MS);
 	}
 	repair_all(s);
--- a/test/unit/fleet_random_test.c
+++ b/test/unit/fleet_random_test.c
@@ -40,6 +40,7 @@
 	{FSIM_DIVIDED_EVACUATING, " divided evacuating", "FLEET_REBORN"},
 	{FSIM_REBORN, " reborn", NULL},
 	{FSIM_DIVIDED_REBORN, " divided reborn", NULL},
+	{FSIM_DIVIDED_REBORN_STAYING, " divided reborn staying", NULL},
 };
 
 static void run_seed(unsigned long seed, enum fsim_mode mode)
@@ -67,10 +68,16 @@
 	for (i = 0; i < sizeof(mixed) / sizeof(*mixed); i++)
 		run_seed(mixed[i], FSIM_MIXED);
 	for (i = 0; i < sizeof(reborn) / sizeof(*reborn); i++)
-		run_seed(reborn[i], FSIM_DIVIDED_REBORN);
+		run_seed(reborn[i], FSIM_DIVIDED_REBORN_STAYING);
 }
 
-static void random_faults(void)
+static bool is_divided(enum fsim_mode mode)
+{
+	return mode == FSIM_DIVIDED || mode == FSIM_DIVIDED_CRASHING ||
+	       mode == FSIM_DIVIDED_EVACUATING || mode == FSIM_DIVIDED_REBORN;
+}
+
+static void run_seeds(bool divided)
 {
 	unsigned long first = SEED_FIRST, last = SEED_LAST, seed;
 	const char *env = getenv("FLEET_SEEDS");
@@ -79,16 +86,28 @@
 	init_log();
 	if (env)
 		sscanf(env, "%lu %lu", &first, &last);
-	for (i = 0; i < sizeof(modes) / sizeof(*modes); i++) {
-		if (modes[i].left_out_by && getenv(modes[i].left_out_by))
+	for (i = 0; i <= FSIM_DIVIDED_REBORN; i++) {
+		if (is_divided(modes[i].mode) != divided ||
+		    (modes[i].left_out_by && getenv(modes[i].left_out_by)))
 			continue;
 		for (seed = first; seed <= last; seed++)
 			run_seed(seed, modes[i].mode);
 	}
 }
 
+static void random_faults(void)
+{
+	run_seeds(false);
+}
+
+static void random_faults_in_cells(void)
+{
+	run_seeds(true);
+}
+
 SUITE(fleet_random)
 {
 	TEST(seeds_of_past_failures);
 	TEST(random_faults);
+	TEST(random_faults_in_cells);
 }
