Dial the next driver of a cell that has jobs of this instance

A home whose job was in another cell opened a link to that cell's driver only when it submitted a job there. When that driver was lost, the job did not reach the next one: its runs were stopped as orphans, and its caller got 502 at its deadline.

--- a/src/fleet/cell_reports.c
+++ b/src/fleet/cell_reports.c
@@ -106,13 +106,20 @@
 	}
 }
 
-static void close_idle_links(struct cells *c, int64_t now)
+/*
+ * Keeps links to the drivers of cells that have jobs of this instance, and of
+ * those that were used lately. There may be another driver meanwhile.
+ */
+static void tend_links(struct cells *c, int64_t now)
 {
 	struct cell *cell;
 	size_t i;
 
 	for (i = 0; i < c->n; i++) {
 		cell = &c->cells[i];
+		if (fleet_open_jobs(cell->fleet) &&
+		    !fleet_is_eligible(cell->fleet))
+			election_dial_driver(cell->fleet, now);
 		if (!cell->used_at || now - cell->used_at < LINK_IDLE_MS ||
 		    fleet_open_jobs(cell->fleet))
 			continue;
@@ -144,7 +151,7 @@
 		dial_drivers(c, now);
 		send_reports(c, own, now);
 	} else {
-		close_idle_links(c, now);
+		tend_links(c, now);
 	}
 }
 
