Keep a job that its caller submits twice to one driver

What callers saw: a job that was submitted again 1.3 s later, to an instance of another failure domain, ran in both cells at the same time (TWICE), with nothing disturbed; the same when the first instance stood still, or was cut off, and submitted its job again when it was back; when a run outlived its caller as its stop was not carried out; and, within one cell, when its driver was replaced shortly before the second request.

Cause: what a driver knows by a job's id, it alone knew. A driver of another cell, or the next driver before it had read its workers' lists, took a second request for a first one.

Now a driver tells the other cells' drivers and the members of its own fleet, every 100 ms, which jobs it has had for 80 ms, and which runs outlast their jobs; this holds for 300 ms longer than a lease. A driver that is told redirects the home to the cell that has the job, where it joins. A job that may be old, as its home submits it again, held it for long, or was paused or silent just before, waits until the other cells have said that they lack it; so do all jobs of a driver that has just begun, or was paused, until it is told again. A job that an earlier driver of the cell had waits for the lists of all workers.

It allows one kind of double run now, in two domains between which a cut lasts or has just ended: neither side can know of the other, and each goes on serving.

--- a/include/sycamoreshore/peer_type.h
+++ b/include/sycamoreshore/peer_type.h
@@ -42,6 +42,9 @@
 	SYC_PEER_WORKERS_REQUEST, /* asks a peer to read the workers' list */
 	SYC_PEER_WORKERS_READ, /* the list that it has read */
 	SYC_PEER_LOSSES, /* runs that were lost with their workers */
+	SYC_PEER_OPEN_JOBS, /* the jobs that a cell has */
+	SYC_PEER_JOB_QUERY, /* asks whether another cell has a job */
+	SYC_PEER_JOB_LOCATED, /* whether it has */
 	/* a value in the store; it is never sent to a peer */
 	SYC_STORED_FLEET_MAP = 96,
 	SYC_STORED_LOSSES /* the same */
--- a/src/drive/admit.c
+++ b/src/drive/admit.c
@@ -113,9 +113,9 @@
 	}
 }
 
-static void refuse_submission(struct drive *d, uint64_t home, uint64_t tag,
-			      const struct drive_job *spec, uint32_t retry_ms,
-			      const char *reason)
+void admit_refuse(struct drive *d, uint64_t home, uint64_t tag,
+		  const struct drive_job *spec, uint32_t retry_ms,
+		  const char *reason)
 {
 	struct drive_job_done done = {
 		.home = home,
@@ -138,8 +138,8 @@
 	int64_t deadline_at = now + spec->deadline_ms;
 
 	if (!add_waiter(j, home, tag, spec->generation)) {
-		refuse_submission(d, home, tag, spec, REFUSED_RETRY_MS,
-				  "handed_in_too_often");
+		admit_refuse(d, home, tag, spec, REFUSED_RETRY_MS,
+			     "handed_in_too_often");
 		return;
 	}
 	if (deadline_at > j->deadline_at)
@@ -155,13 +155,14 @@
  * job up when it receives no heartbeats from the job's home or sees this
  * driver's fence; its leases end after that.
  */
-bool job_is_settled(const struct drive *d, const struct job *j, int64_t now)
+static bool are_runs_settled(const struct drive *d, const struct job *j,
+			     int64_t now)
 {
 	const struct worker *w;
 	uint64_t handle;
 	uint32_t pos = 0;
 
-	if (!j->generation || now >= j->settled_at)
+	if (!j->may_have_runs || now >= j->settled_at)
 		return true;
 	if (*d->domain_limit || !d->is_list_fresh ||
 	    now - d->workers_known_since < UNLISTED_MAY_RUN_MS)
@@ -172,6 +173,11 @@
 	return true;
 }
 
+bool job_is_settled(const struct drive *d, const struct job *j, int64_t now)
+{
+	return !j->awaits_cells && are_runs_settled(d, j, now);
+}
+
 /*
  * Requests the lists of all responsive workers whose last list was requested
  * before `j` was submitted.
@@ -188,11 +194,7 @@
 			hold_probe(d, w, now);
 }
 
-/*
- * Whether the free capacity is not known yet, as a responsive worker has not
- * answered a hold of this driver.
- */
-static bool is_awaiting_lists(const struct drive *d)
+bool admit_awaits_lists(const struct drive *d)
 {
 	const struct worker *w;
 	uint64_t handle;
@@ -205,8 +207,7 @@
 	return false;
 }
 
-/* Whether this driver has just begun and knows of no worker yet. */
-static bool awaits_first_list(const struct drive *d)
+bool admit_awaits_first_list(const struct drive *d)
 {
 	return !d->is_list_fresh && !d->workers.used;
 }
@@ -259,7 +260,7 @@
 		if (j->tasks[i].state == TASK_WAITING &&
 		    !suspects_admit(d, j, i, now))
 			return;
-	if (awaits_first_list(d)) {
+	if (admit_awaits_first_list(d)) {
 		queue_add(d, j, now);
 		return;
 	}
@@ -273,7 +274,7 @@
 			"fits_no_worker", now);
 		return;
 	}
-	if (!job_is_settled(d, j, now))
+	if (!are_runs_settled(d, j, now))
 		probe_all_workers(d, j, now);
 	if (!queue_count_waiting(j))
 		return;
@@ -284,7 +285,7 @@
 		return;
 	if (!job_is_settled(d, j, now))
 		return;
-	if (d->awaits_evacuated || is_awaiting_lists(d))
+	if (d->awaits_evacuated || admit_awaits_lists(d))
 		return;
 	if (!place_has_open_worker(d, j)) {
 		job_end(d, j, DRIVE_REFUSED, REFUSED_RETRY_MS, "evacuated",
@@ -340,8 +341,8 @@
 	copy_text(id, sizeof(id), spec->id);
 	d->counts.jobs++;
 	if (!d->active) {
-		refuse_submission(d, home, tag, spec, REFUSED_RETRY_MS,
-				  "not_driving");
+		admit_refuse(d, home, tag, spec, REFUSED_RETRY_MS,
+			     "not_driving");
 		return;
 	}
 	j = job_find(d, id);
@@ -349,19 +350,22 @@
 		join_job(d, j, home, tag, spec, now);
 		return;
 	}
+	if (elsewhere_redirect(d, home, tag, spec))
+		return;
 	if (is_driver_too_late(d, spec)) {
 		d->counts.refused_late++;
-		refuse_submission(d, home, tag, spec, REFUSED_RETRY_MS,
-				  "driver_late");
+		admit_refuse(d, home, tag, spec, REFUSED_RETRY_MS,
+			     "driver_late");
 		return;
 	}
 	if (is_route_closed(d, spec, now)) {
-		refuse_submission(d, home, tag, spec, REFUSED_RETRY_MS,
-				  "route_crashes_workers");
+		admit_refuse(d, home, tag, spec, REFUSED_RETRY_MS,
+			     "route_crashes_workers");
 		return;
 	}
 	j = job_new(d, spec, now);
 	add_waiter(j, home, tag, spec->generation);
 	adopt_runs(d, j);
+	elsewhere_check(d, j, spec);
 	admit(d, j, now);
 }
--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -69,6 +69,8 @@
 	uint32_t objective_add_ms;
 	uint32_t age_ms; /* since its caller submitted it */
 	uint32_t deadline_ms; /* from now; its caller waits until then */
+	/* It waited where its age cannot be known, so it may be old. */
+	bool may_be_old;
 	struct syc_bytes body;
 };
 
@@ -78,7 +80,8 @@
 	DRIVE_CANCELLED,
 	DRIVE_REFUSED, /* this driver started no task of it */
 	DRIVE_ABORTED, /* given up after a task was started */
-	DRIVE_NOT_TAKEN /* dropped unread; the home submits it again */
+	DRIVE_NOT_TAKEN, /* dropped unread; the home submits it again */
+	DRIVE_ELSEWHERE /* another cell has it; the home submits it there */
 };
 
 /* The final answer to a submitted job. */
@@ -88,6 +91,7 @@
 	uint32_t generation;
 	enum drive_outcome outcome;
 	uint32_t retry_after_ms; /* zero: a retry is useless */
+	uint32_t cell; /* number of the cell of DRIVE_ELSEWHERE */
 	const char *reason; /* one word for the log */
 };
 
@@ -212,8 +216,22 @@
 					const struct drive_worker *worker);
 	/* How long events waited lately before this process read them. */
 	uint32_t (*get_late_ms)(void *ctx);
+	/*
+	 * Whether another driver has told lately that it has the job; stores
+	 * the number of its cell, or DRIVE_OWN_CELL. NULL: none tells.
+	 */
+	bool (*find_told)(void *ctx, const char *id, uint32_t *cell);
+	/*
+	 * Asks the other cells for a job that may be old, or for a fresh one if
+	 * their drivers have not told yet what they have. Then either
+	 * drive_job_elsewhere or drive_job_not_elsewhere is called. False: no
+	 * cell is asked. NULL: there are no others.
+	 */
+	bool (*ask_cells)(void *ctx, const char *id, bool is_fresh);
 };
 
+#define DRIVE_OWN_CELL UINT32_MAX /* that of this drive's workers */
+
 /* Totals since the start, for the metrics. */
 struct drive_counts {
 	uint64_t jobs, completed, failed, refused, aborted, cancelled;
@@ -232,6 +250,8 @@
 	/* Holds sent again while their worker answered other calls. */
 	uint64_t holds_replaced;
 	uint64_t runs_lost; /* with their worker */
+	uint64_t redirected; /* submissions of jobs that another cell has */
+	uint64_t asked; /* jobs that the other cells were asked for */
 	uint64_t runs_outlived; /* their job for long, as no stop ended them */
 	uint64_t given_up; /* jobs with a task that crashes its workers */
 	uint64_t exclusive_starts; /* starts apart from other tasks */
@@ -313,6 +333,43 @@
 void drive_submit(struct drive *d, int64_t now, uint64_t home, uint64_t tag,
 		  const struct drive_job *spec);
 
+/* What a driver has of a job. */
+enum drive_presence {
+	DRIVE_ABSENT, /* nothing, and no run of it lasts */
+	DRIVE_AWAITS_CELLS, /* it is open, and starts if no other cell has it */
+	DRIVE_PRESENT /* it is open, or a run of it may last */
+};
+
+enum drive_presence drive_find_job(const struct drive *d, const char *id);
+
+/*
+ * Whether this driver has read the lists of its workers, and so knows which jobs
+ * have runs there.
+ */
+bool drive_knows_runs(const struct drive *d);
+
+/*
+ * Calls `each` for the jobs that are open and at least `min_age_ms` old, and for
+ * those that have ended and have a run that may last, perhaps more than once.
+ */
+void drive_list_jobs(const struct drive *d, int64_t now, int64_t min_age_ms,
+		     void (*each)(void *ctx, const char *id), void *ctx);
+
+/*
+ * Asks the other cells again for all open jobs, which start no further task until
+ * then: this driver was silent for so long that others may have begun them.
+ */
+void drive_ask_again(struct drive *d);
+
+/* All cells that were asked for the job have answered that they lack it. */
+void drive_job_not_elsewhere(struct drive *d, int64_t now, const char *id);
+/*
+ * Another cell has answered that it has the job. If it has runs in both, as the
+ * cells were cut off from each other, `yields` tells whether this one gives way.
+ */
+void drive_job_elsewhere(struct drive *d, int64_t now, const char *id,
+			 uint32_t cell, bool yields);
+
 /* Stops and drops a job whose caller has disconnected, without `job_done`. */
 void drive_cancel(struct drive *d, int64_t now, uint64_t home, uint64_t tag);
 
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -192,6 +192,9 @@
 	bool has_begun; /* a task of it was started or adopted */
 	bool is_late; /* when it was queued, its objective was missed */
 	bool is_over_share; /* when it was queued, its account was */
+	bool awaits_cells; /* it does not start before the others answer */
+	bool may_have_runs; /* here, by an earlier driver */
+	uint32_t cell; /* the one that has it, once DRIVE_ELSEWHERE is said */
 	size_t account; /* in the drive's `shares` */
 	void *body;
 	size_t body_len;
@@ -365,8 +368,29 @@
 		     const struct drive_ended_run *end, int64_t now);
 
 /* admit.c */
-/* Whether all runs of `j` by earlier drivers are known or have ended. */
+/*
+ * Whether no other cell has `j`, and all runs of it by earlier drivers are known
+ * or have ended.
+ */
 bool job_is_settled(const struct drive *d, const struct job *j, int64_t now);
+/* Whether this driver has just begun and knows of no worker yet. */
+bool admit_awaits_first_list(const struct drive *d);
+/*
+ * Whether the free capacity is not known yet, as a responsive worker has not
+ * answered a hold of this driver.
+ */
+bool admit_awaits_lists(const struct drive *d);
+void admit_refuse(struct drive *d, uint64_t home, uint64_t tag,
+		  const struct drive_job *spec, uint32_t retry_ms,
+		  const char *reason);
+
+/* elsewhere.c */
+/* Whether the job is open in another cell and not here; its home is told. */
+bool elsewhere_redirect(struct drive *d, uint64_t home, uint64_t tag,
+			const struct drive_job *spec);
+/* Finds out whether a new job has runs, here or in another cell. */
+void elsewhere_check(struct drive *d, struct job *j,
+		     const struct drive_job *spec);
 
 /* job.c */
 struct job *job_get(const struct drive *d, uint64_t handle);
--- a/src/drive/job.c
+++ b/src/drive/job.c
@@ -79,6 +79,7 @@
 	struct drive_job_done done = {
 		.outcome = outcome,
 		.retry_after_ms = retry_after_ms,
+		.cell = j->cell,
 		.reason = reason,
 	};
 	struct waiter waiters[WAITERS_MAX];
--- a/src/fleet/cell_fleet.c
+++ b/src/fleet/cell_fleet.c
@@ -118,6 +118,31 @@
 	return opt->get_late_ms(opt->ctx);
 }
 
+static bool on_find_told(void *ctx, const char *id, uint32_t *number)
+{
+	const struct cell *cell = ctx;
+	const struct cells *c = cell->cells;
+	uint64_t hash = open_jobs_hash(id);
+	int64_t now = syc_now(&c->opt.clock);
+	uint32_t i;
+
+	for (i = 0; i < c->n; i++) {
+		*number = i;
+		if (i != cell->number &&
+		    open_jobs_find(&c->open_jobs, hash, i, now))
+			return true;
+	}
+	*number = DRIVE_OWN_CELL;
+	return open_jobs_find(&c->open_jobs, hash, (uint32_t)cell->number, now);
+}
+
+static bool on_ask_cells(void *ctx, const char *id, bool is_fresh)
+{
+	struct cell *cell = ctx;
+
+	return !is_whole(cell) && job_query_ask(cell, id, is_fresh);
+}
+
 void cell_create_fleet(struct cell *cell, const char *domain,
 		       uint64_t epoch_floor, int64_t now)
 {
@@ -136,6 +161,8 @@
 	opt.stop = on_stop;
 	opt.hold = on_hold;
 	opt.get_late_ms = on_get_late_ms;
+	opt.find_told = on_find_told;
+	opt.ask_cells = on_ask_cells;
 	cell->fleet = fleet_new(&opt, now);
 }
 
--- a/src/fleet/cell_jobs.c
+++ b/src/fleet/cell_jobs.c
@@ -6,6 +6,8 @@
 
 enum {
 	TRIES_MAX = 2, /* cells that are asked for capacity for one job */
+	/* Times that a job follows what its drivers say of the others. */
+	MOVES_MAX = 4,
 	/* A job that a cell held for longer is of no use to its caller. */
 	RETRY_AGE_MAX_MS = 60
 };
@@ -129,12 +131,48 @@
 static bool may_try_again(const struct cell_job *j,
 			  const struct fleet_answer *answer)
 {
-	if (answer->outcome != FLEET_NOT_RUN || !answer->job ||
+	if (answer->outcome != FLEET_NOT_RUN || !answer->job || j->n_moves ||
 	    answer->took_ms > RETRY_AGE_MAX_MS)
 		return false;
 	return !answer->retry_after_ms || j->n_tries < TRIES_MAX;
 }
 
+/* Submits the job to the cell that has it; false: it has moved too often. */
+static bool move_job(struct cells *c, struct cell_job *j,
+		     const struct fleet_answer *answer, int64_t now)
+{
+	struct drive_job job = *answer->job;
+
+	if (answer->cell >= c->n || j->n_moves == MOVES_MAX)
+		return false;
+	log_info("job_moved", LOG_S("job", job.id),
+		 LOG_S("cell", c->cells[answer->cell].fleet->opt.cell),
+		 LOG_U("moves", j->n_moves));
+	j->n_moves++;
+	c->n_moved++;
+	/* That cell may have started tasks of it. */
+	job.generation++;
+	submit_to_cell(c, j, answer->cell, &job, now);
+	return true;
+}
+
+/* The answer to the caller of a job that no further cell is tried for. */
+static void answer_caller(struct cells *c, struct cell_job *j,
+			  const struct fleet_answer *answer)
+{
+	struct fleet_answer a = *answer;
+	uint64_t tag = j->tag;
+
+	/* Another cell has it, or had it, whatever this one says. */
+	if (a.outcome == FLEET_ELSEWHERE ||
+	    (j->n_moves && a.outcome == FLEET_NOT_RUN)) {
+		a.outcome = FLEET_UNKNOWN;
+		a.retry_after_ms = 0;
+	}
+	drop_job(c, j);
+	c->opt.answer(c->opt.ctx, tag, &a);
+}
+
 void cell_jobs_answered(struct cell *cell, uint64_t tag,
 			const struct fleet_answer *answer)
 {
@@ -145,6 +183,8 @@
 
 	if (!j || j->cell != cell->number)
 		return;
+	if (answer->outcome == FLEET_ELSEWHERE && move_job(c, j, answer, now))
+		return;
 	if (may_try_again(j, answer))
 		number = choose_cell(c, j, answer->job, now);
 	if (number < c->n) {
@@ -154,8 +194,7 @@
 		submit_to_cell(c, j, number, answer->job, now);
 		return;
 	}
-	drop_job(c, j);
-	c->opt.answer(c->opt.ctx, tag, answer);
+	answer_caller(c, j, answer);
 }
 
 void cells_cancel(struct cells *c, int64_t now, uint64_t tag)
--- a/src/fleet/cells.c
+++ b/src/fleet/cells.c
@@ -16,7 +16,10 @@
 	c->opt.losses = losses_new();
 	c->rng.state = opt->self.id;
 	table_init(&c->jobs, sizeof(struct cell_job));
+	open_jobs_init(&c->open_jobs, open_jobs_hold_ms(c));
+	job_queries_init(c);
 	c->whole.cells = c;
+	c->whole.number = FLEET_CELLS_MAX;
 	cell_create_fleet(&c->whole, "", 0, now);
 	return c;
 }
@@ -31,6 +34,8 @@
 		fleet_free(c->cells[i].fleet);
 	fleet_free(c->whole.fleet);
 	cell_jobs_free(c);
+	open_jobs_free(&c->open_jobs);
+	job_queries_free(c);
 	losses_free(c->opt.losses);
 	free(c);
 }
@@ -110,6 +115,16 @@
 	heartbeat_send_all(cells_own(c), now);
 }
 
+static void tick_open_jobs(struct cells *c, int64_t now)
+{
+	const struct cell *driven = cells_driven(c);
+
+	open_jobs_check_pause(c, driven, now);
+	job_queries_tick(c, driven, now);
+	if (driven)
+		open_jobs_tell(c, driven, now);
+}
+
 void cells_tick(struct cells *c, int64_t now)
 {
 	size_t i;
@@ -120,6 +135,7 @@
 	cell_reports_tick(c, now);
 	for (i = 0; i < c->n; i++)
 		fleet_tick(c->cells[i].fleet, now);
+	tick_open_jobs(c, now);
 	/* Heartbeats carry the room too, which these changes may have changed. */
 	announce_changes(c, now);
 }
@@ -161,14 +177,38 @@
 	return wire_close(&w) && ok;
 }
 
+/* Messages for the driver of any cell. */
+static bool receive_about_jobs(struct cells *c, int64_t now, uint64_t from,
+			       struct syc_bytes msg)
+{
+	struct wire_in w;
+	bool ok;
+
+	wire_open(&w, msg);
+	if (wire_type(msg) == SYC_PEER_OPEN_JOBS)
+		ok = open_jobs_receive(c, now, &w);
+	else if (wire_type(msg) == SYC_PEER_JOB_QUERY)
+		ok = job_query_receive(c, now, from, &w);
+	else
+		ok = job_located_receive(c, now, &w);
+	return wire_close(&w) && ok;
+}
+
 bool cells_receive(struct cells *c, int64_t now, uint64_t from,
 		   struct syc_bytes msg)
 {
-	if (wire_type(msg) == SYC_PEER_CELL)
+	switch (wire_type(msg)) {
+	case SYC_PEER_CELL:
 		return receive_for_cell(c, now, from, msg);
-	if (wire_type(msg) == SYC_PEER_CELL_REPORTS)
+	case SYC_PEER_CELL_REPORTS:
 		return cell_reports_receive(c, now, msg);
-	return fleet_receive(c->whole.fleet, now, from, msg);
+	case SYC_PEER_OPEN_JOBS:
+	case SYC_PEER_JOB_QUERY:
+	case SYC_PEER_JOB_LOCATED:
+		return receive_about_jobs(c, now, from, msg);
+	default:
+		return fleet_receive(c->whole.fleet, now, from, msg);
+	}
 }
 
 void cells_set_workers(struct cells *c, int64_t now,
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -19,13 +19,17 @@
 void fleet_send_job_done(struct fleet *f, const struct drive_job_done *done)
 {
 	auto_wire_out struct wire_out w = {0};
+	bool elsewhere = done->outcome == DRIVE_ELSEWHERE;
 
-	wire_begin(&w, SYC_PEER_JOB_DONE, 5);
+	wire_begin(&w, SYC_PEER_JOB_DONE, elsewhere ? 6 : 5);
 	wire_put_u64(&w, done->tag);
 	wire_put_u64(&w, done->generation);
-	wire_put_u64(&w, done->outcome);
+	/* An earlier version ends the job as one of unknown outcome. */
+	wire_put_u64(&w, elsewhere ? DRIVE_ABORTED : done->outcome);
 	wire_put_u64(&w, done->retry_after_ms);
 	wire_put_str(&w, done->reason);
+	if (elsewhere)
+		wire_put_u64(&w, done->cell);
 	if (!f->opt.send(f->opt.ctx, done->home, wire_bytes(&w)))
 		log_warn("done_not_sent", LOG_U("home", done->home),
 			 LOG_U("tag", done->tag));
@@ -38,9 +42,7 @@
 	if (done->home != f->opt.self.id)
 		fleet_send_job_done(f, done);
 	else
-		home_job_done(f, syc_now(&f->opt.clock), done->tag,
-			      done->generation, done->outcome,
-			      done->retry_after_ms, done->reason);
+		home_job_done(f, syc_now(&f->opt.clock), done);
 }
 
 static uint64_t on_fenced(void *ctx, const struct drive_worker *worker)
@@ -146,6 +148,20 @@
 	heartbeat_check_timeouts(f, now);
 }
 
+static bool on_find_told(void *ctx, const char *id, uint32_t *cell)
+{
+	struct fleet *f = ctx;
+
+	return f->opt.find_told && f->opt.find_told(f->opt.ctx, id, cell);
+}
+
+static bool on_ask_cells(void *ctx, const char *id, bool is_fresh)
+{
+	struct fleet *f = ctx;
+
+	return f->opt.ask_cells && f->opt.ask_cells(f->opt.ctx, id, is_fresh);
+}
+
 static void on_start(void *ctx, const struct drive_start *call)
 {
 	struct fleet *f = ctx;
@@ -190,6 +206,8 @@
 		.is_home_reachable = on_is_home_reachable,
 		.choose_higher_epoch = on_fenced,
 		.get_late_ms = on_get_late_ms,
+		.find_told = on_find_told,
+		.ask_cells = on_ask_cells,
 	};
 
 	f->opt = *opt;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -25,7 +25,8 @@
 	FLEET_FAILED,
 	FLEET_CANCELLED,
 	FLEET_NOT_RUN, /* it is certain that no task was started */
-	FLEET_UNKNOWN /* tasks may have run; the job may be submitted again */
+	FLEET_UNKNOWN, /* tasks may have run; the job may be submitted again */
+	FLEET_ELSEWHERE /* another cell has it; only cells.c gets this */
 };
 
 struct fleet_answer {
@@ -33,6 +34,7 @@
 	uint32_t retry_after_ms; /* zero: a retry is useless */
 	const char *reason; /* for the log */
 	int64_t took_ms; /* since the caller submitted the job */
+	uint32_t cell; /* number of the cell of FLEET_ELSEWHERE */
 	/* The job, with its present age; valid during the callback. */
 	const struct drive_job *job;
 };
@@ -94,6 +96,9 @@
 	void (*hold)(void *ctx, const struct drive_hold *call);
 	/* How long events waited lately before this process read them. */
 	uint32_t (*get_late_ms)(void *ctx);
+	/* About jobs that other drivers have; see drive.h. Set by cells.h. */
+	bool (*find_told)(void *ctx, const char *id, uint32_t *cell);
+	bool (*ask_cells)(void *ctx, const char *id, bool is_fresh);
 };
 
 struct fleet;
--- a/src/fleet/fleet_msgs.c
+++ b/src/fleet/fleet_msgs.c
@@ -1,7 +1,7 @@
 /* Packs and unpacks the message that submits a job to the driver. */
 #include "fleet/fleet_state.h"
 
-enum { JOB_FIELDS = 20 };
+enum { JOB_FIELDS = 21 };
 
 void msg_job_pack(struct wire_out *w, uint64_t tag, const struct drive_job *job)
 {
@@ -26,6 +26,7 @@
 	wire_put_u64(w, job->age_ms);
 	wire_put_u64(w, job->deadline_ms);
 	wire_put_bytes(w, job->body.p, job->body.n);
+	wire_put_bool(w, job->may_be_old);
 }
 
 bool msg_job_unpack(struct wire_in *w, struct syc_bytes msg, struct msg_job *m)
@@ -58,5 +59,7 @@
 	job->age_ms = (uint32_t)wire_u64(w);
 	job->deadline_ms = (uint32_t)wire_u64(w);
 	job->body = wire_view(w);
+	/* Earlier versions do not send it. */
+	job->may_be_old = wire_has_more(w) && wire_bool(w);
 	return !w->failed && job->n_tasks && job->n_tasks <= SYC_TASKS_MAX;
 }
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -21,6 +21,8 @@
 	bool link_up;
 	bool has_timed_out; /* no heartbeat for long: its jobs are given up */
 	int64_t heartbeat_at; /* of the last heartbeat; zero: none yet */
+	/* When one came after a silence; what came with it may be old. */
+	int64_t heard_again_at;
 	int64_t paused_ms; /* pauses of this process since then */
 	/* from its last heartbeat */
 	uint32_t uptime_ms;
@@ -55,6 +57,7 @@
 	 */
 	bool is_cancelled;
 	uint32_t generation;
+	uint32_t cell; /* the one that has it, if the driver said so */
 	int64_t arrived_at;
 	int64_t taken_at; /* by this fleet */
 	int64_t deadline_at;
@@ -336,9 +339,8 @@
 void home_submit_all(struct fleet *f, int64_t now);
 /* Submits the jobs that were not sent to any driver yet. */
 void home_submit_waiting(struct fleet *f, int64_t now);
-void home_job_done(struct fleet *f, int64_t now, uint64_t handle,
-		   uint32_t generation, enum drive_outcome outcome,
-		   uint32_t retry_after_ms, const char *reason);
+void home_job_done(struct fleet *f, int64_t now,
+		   const struct drive_job_done *done);
 /*
  * Answers all jobs, as unknown if they were submitted to a driver. Runs of
  * these end with their leases before a caller submits its job again.
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -302,6 +302,8 @@
 	if (p->instance.id == election_get_driver(f) &&
 	    !heartbeat_is_reachable(p, now))
 		driver_returned = true;
+	if (!is_first && !heartbeat_is_reachable(p, now))
+		p->heard_again_at = now;
 	p->heartbeat_at = now;
 	p->paused_ms = 0;
 	p->has_timed_out = false;
--- a/src/fleet/home.c
+++ b/src/fleet/home.c
@@ -18,6 +18,8 @@
 	NO_DRIVER_RETRY_MS = 1000,
 	/* A driver that was paused takes jobs again after this time. */
 	NOT_TAKEN_RETRY_MS = 50,
+	/* What callers sent during a pause of this process is read by then. */
+	BACKLOG_READ_MS = 200,
 	DEADLINE_SLACK_MS = 50 /* for the driver's answer at the deadline */
 };
 
@@ -45,8 +47,14 @@
 				       uint32_t retry_after_ms,
 				       const char *reason, int64_t now)
 {
-	struct fleet_answer answer = {outcome, retry_after_ms, reason,
-				      now - j->arrived_at, &j->spec};
+	struct fleet_answer answer = {
+		.outcome = outcome,
+		.retry_after_ms = retry_after_ms,
+		.reason = reason,
+		.took_ms = now - j->arrived_at,
+		.cell = j->cell,
+		.job = &j->spec,
+	};
 
 	set_spec_times(j, now);
 
@@ -137,7 +145,11 @@
 	j->arrived_at = now - job->age_ms;
 	j->taken_at = now;
 	j->deadline_at = now + job->deadline_ms;
+	j->generation = job->generation;
 	copy_spec(f, j, job);
+	/* It may have waited to be read during a pause of this process. */
+	if (now - f->resumed_at < BACKLOG_READ_MS)
+		j->spec.may_be_old = true;
 	index_put(&f->tags, index_hash_number(tag), handle);
 	log_info("job_taken", LOG_S("job", j->spec.id),
 		 LOG_S("route", j->spec.route), LOG_U("tasks", job->n_tasks),
@@ -240,22 +252,23 @@
 		return FLEET_FAILED;
 	if (outcome == DRIVE_CANCELLED)
 		return FLEET_CANCELLED;
+	if (outcome == DRIVE_ELSEWHERE)
+		return FLEET_ELSEWHERE;
 	/* An earlier driver may have started some of the tasks. */
 	if (outcome == DRIVE_REFUSED && !j->generation)
 		return FLEET_NOT_RUN;
 	return FLEET_UNKNOWN;
 }
 
-void home_job_done(struct fleet *f, int64_t now, uint64_t handle,
-		   uint32_t generation, enum drive_outcome outcome,
-		   uint32_t retry_after_ms, const char *reason)
+void home_job_done(struct fleet *f, int64_t now,
+		   const struct drive_job_done *done)
 {
-	struct home_job *j = table_get(&f->jobs, handle);
+	struct home_job *j = table_get(&f->jobs, done->tag);
 
 	if (!j)
 		return;
-	if (outcome == DRIVE_NOT_TAKEN) {
-		if (generation == j->generation)
+	if (done->outcome == DRIVE_NOT_TAKEN) {
+		if (done->generation == j->generation)
 			j->resubmit_at = now + NOT_TAKEN_RETRY_MS;
 		return;
 	}
@@ -264,10 +277,13 @@
 		return;
 	}
 	/* A completion is final in any generation, other outcomes are not. */
-	if (outcome != DRIVE_COMPLETED && generation != j->generation)
+	if (done->outcome != DRIVE_COMPLETED &&
+	    done->generation != j->generation)
 		return;
-	answer_job(f, j, fleet_outcome_of(j, outcome), retry_after_ms, reason,
-		   now);
+	if (done->outcome == DRIVE_ELSEWHERE)
+		j->cell = done->cell;
+	answer_job(f, j, fleet_outcome_of(j, done->outcome),
+		   done->retry_after_ms, done->reason, now);
 }
 
 /* Answers the caller; the driver gets the cancellation if it returns. */
--- /dev/null
+++ b/src/fleet/job_query.c
@@ -0,0 +1,217 @@
+/*
+ * Asks the drivers of the other cells for a job, as it may be old, or as this
+ * driver has just begun and has not been told yet what they have. A driver that
+ * does not know the runs of its workers yet does not answer, and is asked again.
+ */
+#include <string.h>
+
+#include "fleet/cells_state.h"
+#include "util/alloc.h"
+
+enum {
+	ASK_INTERVAL_MS = 50, /* an answer takes a round trip */
+	NO_CELL = FLEET_CELLS_MAX
+};
+
+/* A job that the other cells were asked for. */
+struct job_query {
+	char id[DRIVE_JOB_ID_MAX];
+	uint32_t awaited; /* a bit for each cell that has not answered */
+	int64_t next_at; /* when they are asked again */
+};
+
+void job_queries_init(struct cells *c)
+{
+	table_init(&c->queries, sizeof(struct job_query));
+}
+
+void job_queries_free(struct cells *c)
+{
+	table_free(&c->queries);
+}
+
+/* Whether the cell's driver has told this one lately which jobs it has. */
+static bool has_told(const struct cell *cell, int64_t now)
+{
+	const struct cells *c = cell->cells;
+
+	return cell->told_at >= c->uncertain_since &&
+	       now - cell->told_at < open_jobs_hold_ms(c);
+}
+
+/*
+ * Whether the cell may have runs that this driver has not been told of. When a
+ * cell is silent for long, they have ended with their leases, or this instance
+ * is cut off from them.
+ */
+static bool may_hide_runs(const struct cell *cell, int64_t now)
+{
+	const struct cells *c = cell->cells;
+
+	return !has_told(cell, now) &&
+	       now - c->uncertain_since < open_jobs_hold_ms(c);
+}
+
+/* The cells that are to answer for a job that may be old, or for any job. */
+static uint32_t cells_to_ask(const struct cells *c, const struct cell *own,
+			     int64_t now, bool only_hidden)
+{
+	const struct cell *cell;
+	uint32_t mask = 0;
+	size_t i;
+
+	for (i = 0; i < c->n; i++) {
+		cell = &c->cells[i];
+		if (cell == own)
+			continue;
+		if (may_hide_runs(cell, now) ||
+		    (!only_hidden && has_told(cell, now)))
+			mask |= 1U << i;
+	}
+	return mask;
+}
+
+static void send_query(struct cells *c, const struct cell *own,
+		       struct job_query *q, int64_t now)
+{
+	auto_wire_out struct wire_out w = {0};
+	size_t i;
+
+	q->next_at = now + ASK_INTERVAL_MS;
+	wire_begin(&w, SYC_PEER_JOB_QUERY, 2);
+	wire_put_u64(&w, own->number);
+	wire_put_str(&w, q->id);
+	for (i = 0; i < c->n; i++)
+		if (q->awaited >> i & 1)
+			cells_send_to_driver(&c->cells[i], &w);
+}
+
+static struct job_query *find_query(const struct cells *c, const char *id,
+				    uint64_t *handle)
+{
+	struct job_query *q;
+	uint32_t pos = 0;
+
+	while ((q = table_next(&c->queries, &pos, handle)))
+		if (!strcmp(q->id, id))
+			return q;
+	return NULL;
+}
+
+bool job_query_ask(struct cell *own, const char *id, bool is_fresh)
+{
+	struct cells *c = own->cells;
+	int64_t now = syc_now(&c->opt.clock);
+	uint32_t asked = cells_to_ask(c, own, now, is_fresh);
+	struct job_query *q;
+	uint64_t handle;
+	void *item;
+
+	if (!asked)
+		return false;
+	q = find_query(c, id, &handle);
+	if (!q) {
+		table_add(&c->queries, &item);
+		q = item;
+		copy_text(q->id, sizeof(q->id), id);
+	}
+	q->awaited = asked;
+	send_query(c, own, q, now);
+	return true;
+}
+
+/* `cell`: the number of the one that has the job, or NO_CELL. */
+static void end_query(struct cells *c, const struct cell *own, uint64_t handle,
+		      size_t cell, int64_t now)
+{
+	const struct job_query *q = table_get(&c->queries, handle);
+	struct drive *d = fleet_get_drive(own->fleet);
+	char id[DRIVE_JOB_ID_MAX];
+
+	copy_text(id, sizeof(id), q->id);
+	table_del(&c->queries, handle);
+	if (cell == NO_CELL)
+		drive_job_not_elsewhere(d, now, id);
+	else
+		drive_job_elsewhere(d, now, id, (uint32_t)cell,
+				    cell < own->number);
+}
+
+void job_queries_tick(struct cells *c, const struct cell *own, int64_t now)
+{
+	uint32_t asked = own ? cells_to_ask(c, own, now, false) : 0;
+	struct job_query *q;
+	uint64_t handle;
+	uint32_t pos = 0;
+
+	while ((q = table_next(&c->queries, &pos, &handle))) {
+		q->awaited &= asked;
+		if (!own)
+			table_del(&c->queries, handle);
+		else if (!q->awaited)
+			end_query(c, own, handle, NO_CELL, now);
+		else if (now >= q->next_at)
+			send_query(c, own, q, now);
+	}
+}
+
+static void answer_query(struct cells *c, const struct cell *own, uint64_t to,
+			 const char *id, bool is_here)
+{
+	auto_wire_out struct wire_out w = {0};
+
+	wire_begin(&w, SYC_PEER_JOB_LOCATED, 3);
+	wire_put_u64(&w, own->number);
+	wire_put_str(&w, id);
+	wire_put_bool(&w, is_here);
+	c->opt.send(c->opt.ctx, to, wire_bytes(&w));
+}
+
+/* If two drivers ask each other, the job goes to the cell of lower number. */
+bool job_query_receive(struct cells *c, int64_t now, uint64_t from,
+		       struct wire_in *w)
+{
+	const struct cell *own = cells_driven(c);
+	uint64_t number = wire_u64(w);
+	enum drive_presence p;
+	char id[DRIVE_JOB_ID_MAX];
+	bool is_here;
+
+	wire_str(w, id, sizeof(id));
+	if (w->failed || number >= c->n)
+		return !w->failed;
+	if (!own || own == &c->whole || own->number == number ||
+	    !drive_knows_runs(fleet_get_drive(own->fleet)))
+		return true;
+	p = drive_find_job(fleet_get_drive(own->fleet), id);
+	is_here = p == DRIVE_PRESENT ||
+		  (p == DRIVE_AWAITS_CELLS && own->number < number);
+	if (!is_here)
+		open_jobs_note(&c->open_jobs, open_jobs_hash(id),
+			       (uint32_t)number, now);
+	answer_query(c, own, from, id, is_here);
+	return true;
+}
+
+bool job_located_receive(struct cells *c, int64_t now, struct wire_in *w)
+{
+	const struct cell *own = cells_driven(c);
+	uint64_t handle, number = wire_u64(w);
+	struct job_query *q;
+	char id[DRIVE_JOB_ID_MAX];
+	bool is_there;
+
+	wire_str(w, id, sizeof(id));
+	is_there = wire_bool(w);
+	if (w->failed || number >= c->n)
+		return !w->failed;
+	q = own ? find_query(c, id, &handle) : NULL;
+	if (!q)
+		return true;
+	q->awaited &= ~(1U << number);
+	if (is_there)
+		end_query(c, own, handle, number, now);
+	else if (!q->awaited)
+		end_query(c, own, handle, NO_CELL, now);
+	return true;
+}
--- /dev/null
+++ b/src/fleet/open_jobs_tell.c
@@ -0,0 +1,192 @@
+/*
+ * Tells other instances which jobs a driver has. The drivers of the other cells
+ * are told, so that a job that its caller submits again, to an instance of another
+ * failure domain, is not run in two cells; and the members of the driver's own
+ * fleet, as one of them may be the next driver, before it has seen all runs.
+ *
+ * What is told holds for longer than the leases of the runs, so it covers the
+ * runs of a driver that is lost.
+ */
+#include "fleet/cells_state.h"
+
+enum {
+	TELL_INTERVAL_MS = 100,
+	/*
+	 * A job that a lost driver had not told of has no run any more when its
+	 * caller submits it again: with the interval, this is less than the
+	 * caller's wait of 1300 ms exceeds a lease by.
+	 */
+	TELL_AGE_MS = 80,
+	HASHES_MAX = 2048, /* in one message */
+	/* Added to the lease: two intervals and the way of a list. */
+	HOLD_SLACK_MS = 300,
+	/*
+	 * After a silence what was told may hold no more: the longest time that
+	 * a list may be late is taken off.
+	 */
+	LATE_MAX_MS = 400
+};
+
+int64_t open_jobs_hold_ms(const struct cells *c)
+{
+	return (int64_t)c->opt.lease_ms + HOLD_SLACK_MS;
+}
+
+struct cell *cells_driven(struct cells *c)
+{
+	size_t i;
+
+	for (i = 0; i < c->n; i++)
+		if (fleet_is_driver(c->cells[i].fleet))
+			return &c->cells[i];
+	return fleet_is_driver(c->whole.fleet) ? &c->whole : NULL;
+}
+
+void cells_send_to_driver(const struct cell *cell, const struct wire_out *w)
+{
+	const struct fleet_options *opt = &cell->cells->opt;
+	uint64_t driver = election_get_driver(cell->fleet);
+
+	if (driver && driver != opt->self.id)
+		opt->send(opt->ctx, driver, wire_bytes(w));
+}
+
+/* The jobs that are told of in the next message. */
+struct told_jobs {
+	struct cells *cells;
+	const struct cell *own;
+	bool is_complete; /* the driver knows the runs of its workers */
+	size_t n;
+	uint64_t hashes[HASHES_MAX];
+};
+
+static void send_to_members(const struct fleet *f, const struct wire_out *w)
+{
+	const struct fleet_peer *p;
+	size_t i;
+
+	for (i = 0; i < f->n_peers; i++) {
+		p = &f->peers[i];
+		if (p->link_up && fleet_is_member(f, p->instance.id) &&
+		    fleet_is_eligible_domain(f, p->instance.domain))
+			f->whole->opt.send(f->whole->opt.ctx, p->instance.id,
+					   wire_bytes(w));
+	}
+}
+
+static void send_told(struct told_jobs *t)
+{
+	struct cells *c = t->cells;
+	auto_wire_out struct wire_out w = {0};
+	size_t i;
+
+	wire_begin(&w, SYC_PEER_OPEN_JOBS, 3);
+	wire_put_u64(&w, t->own->number);
+	wire_put_bool(&w, t->is_complete);
+	wire_put_array(&w, t->n);
+	for (i = 0; i < t->n; i++)
+		wire_put_u64(&w, t->hashes[i]);
+	send_to_members(t->own->fleet, &w);
+	for (i = 0; i < c->n; i++)
+		if (&c->cells[i] != t->own)
+			cells_send_to_driver(&c->cells[i], &w);
+	t->n = 0;
+}
+
+static void add_job(void *ctx, const char *id)
+{
+	struct told_jobs *t = ctx;
+
+	t->hashes[t->n++] = open_jobs_hash(id);
+	if (t->n == HASHES_MAX)
+		send_told(t);
+}
+
+void open_jobs_tell(struct cells *c, const struct cell *own, int64_t now)
+{
+	const struct drive *d = fleet_get_drive(own->fleet);
+	struct told_jobs t;
+
+	if (now < c->next_tell_at)
+		return;
+	c->next_tell_at = now + TELL_INTERVAL_MS;
+	open_jobs_expire(&c->open_jobs, now);
+	t.cells = c;
+	t.own = own;
+	t.is_complete = drive_knows_runs(d);
+	t.n = 0;
+	drive_list_jobs(d, now, TELL_AGE_MS, add_job, &t);
+	send_told(&t);
+}
+
+static bool is_silence(const struct cells *c, int64_t ms)
+{
+	return ms >= open_jobs_hold_ms(c) - LATE_MAX_MS;
+}
+
+/*
+ * What this driver has told does not hold in that cell any more if nothing passed
+ * between the two for long, so its jobs may have been begun there.
+ */
+static void note_told(struct cell *cell, int64_t now)
+{
+	struct cells *c = cell->cells;
+	const struct cell *own = cells_driven(c);
+	int64_t silence_ms = now - cell->told_at;
+
+	cell->told_at = now;
+	if (own && own != &c->whole && is_silence(c, silence_ms))
+		drive_ask_again(fleet_get_drive(own->fleet));
+}
+
+/* The others may have new drivers that this instance has not heard of. */
+static void find_drivers(struct cells *c)
+{
+	size_t i;
+
+	for (i = 0; i < c->n; i++)
+		key_watch_note_newer(&c->cells[i].fleet->map_watch);
+	c->next_reports_at = 0;
+}
+
+void open_jobs_check_pause(struct cells *c, const struct cell *own, int64_t now)
+{
+	int64_t pause_ms = now - c->ticked_at;
+
+	c->ticked_at = now;
+	if (own && !c->drives)
+		find_drivers(c);
+	c->drives = own != NULL;
+	if (!own) {
+		c->uncertain_since = now;
+		return;
+	}
+	if (!is_silence(c, pause_ms))
+		return;
+	c->uncertain_since = now;
+	drive_ask_again(fleet_get_drive(own->fleet));
+}
+
+bool open_jobs_receive(struct cells *c, int64_t now, struct wire_in *w)
+{
+	uint64_t number = wire_u64(w);
+	bool is_complete = wire_bool(w);
+	uint32_t i, n = wire_enter(w, HASHES_MAX);
+	uint64_t hash;
+
+	if (w->failed || (number >= c->n && number != c->whole.number))
+		return !w->failed;
+	for (i = 0; i < n; i++) {
+		hash = wire_u64(w);
+		if (!w->failed)
+			open_jobs_note(&c->open_jobs, hash, (uint32_t)number,
+				       now);
+	}
+	wire_leave(w);
+	if (w->failed)
+		return false;
+	if (is_complete && number < c->n)
+		note_told(&c->cells[number], now);
+	open_jobs_drop_older(&c->open_jobs, (uint32_t)number, now);
+	return true;
+}
--- a/src/fleet/receive.c
+++ b/src/fleet/receive.c
@@ -1,6 +1,11 @@
 /* Reads the messages of peers and passes them to the fleet's parts. */
 #include "fleet/fleet_state.h"
 
+enum {
+	/* What a link held back has arrived this long after its end. */
+	HELD_BACK_MS = 1000
+};
+
 static void refuse_unread(struct fleet *f, uint64_t from,
 			  const struct msg_job *m)
 {
@@ -16,6 +21,18 @@
 	fleet_send_job_done(f, &done);
 }
 
+/* A job that waited on a link comes together with later heartbeats. */
+static void take_job(struct fleet *f, int64_t now, uint64_t from,
+		     struct msg_job *m)
+{
+	const struct fleet_peer *home = heartbeat_find_peer(f, from);
+
+	if (home && home->heard_again_at &&
+	    now - home->heard_again_at < HELD_BACK_MS)
+		m->job.may_be_old = true;
+	drive_submit(f->drive, now, from, m->tag, &m->job);
+}
+
 static bool receive_job(struct fleet *f, int64_t now, uint64_t from,
 			struct syc_bytes msg)
 {
@@ -31,28 +48,31 @@
 	if (ok && drive_is_active(f->drive) && fleet_is_resuming(f, now))
 		refuse_unread(f, from, &m);
 	else if (ok && drive_is_active(f->drive))
-		drive_submit(f->drive, now, from, m.tag, &m.job);
+		take_job(f, now, from, &m);
 	return wire_close(&w) && ok;
 }
 
 static bool receive_job_done(struct fleet *f, int64_t now, struct syc_bytes msg)
 {
+	struct drive_job_done done = {0};
 	char reason[SYC_NAME_MAX];
-	uint32_t generation, retry_ms;
-	enum drive_outcome outcome;
 	struct wire_in w;
-	uint64_t tag;
 
 	wire_open(&w, msg);
-	tag = wire_u64(&w);
-	generation = (uint32_t)wire_u64(&w);
-	outcome = (enum drive_outcome)wire_u64(&w);
-	retry_ms = (uint32_t)wire_u64(&w);
+	done.tag = wire_u64(&w);
+	done.generation = (uint32_t)wire_u64(&w);
+	done.outcome = (enum drive_outcome)wire_u64(&w);
+	done.retry_after_ms = (uint32_t)wire_u64(&w);
 	wire_str(&w, reason, sizeof(reason));
-	if (!wire_close(&w) || outcome < DRIVE_COMPLETED ||
-	    outcome > DRIVE_NOT_TAKEN)
+	done.reason = reason;
+	if (wire_has_more(&w)) {
+		done.outcome = DRIVE_ELSEWHERE;
+		done.cell = (uint32_t)wire_u64(&w);
+	}
+	if (!wire_close(&w) || done.outcome < DRIVE_COMPLETED ||
+	    done.outcome > DRIVE_ELSEWHERE)
 		return false;
-	home_job_done(f, now, tag, generation, outcome, retry_ms, reason);
+	home_job_done(f, now, &done);
 	return true;
 }
 
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -36,6 +36,7 @@
 	int domain;
 	int64_t paused_until;
 	bool cut; /* cut off from all other instances */
+	int64_t cut_at, joined_at; /* when the last cut began and ended */
 	int64_t busy_until_us; /* it handles no event before */
 	int64_t next_tick_at;
 	uint32_t event_late_ms; /* how long the last event waited for it */
@@ -50,6 +51,7 @@
 struct fsim_run {
 	struct drive_task task;
 	uint32_t number;
+	int starter; /* the instance that started it */
 	int64_t began_at, ends_at;
 	int64_t crashes_at; /* when it crashes its worker; zero: never */
 };
@@ -140,6 +142,9 @@
 	unsigned long n_messages; /* sent between instances */
 	unsigned long n_lists; /* lists of workers among them */
 	bool domain_cut[FSIM_DOMAINS]; /* cut off from the others */
+	int starter; /* the instance whose call a worker carries out */
+	/* When the last cut of the domain began and ended. */
+	int64_t domain_cut_at[FSIM_DOMAINS], domain_joined_at[FSIM_DOMAINS];
 	bool callers_leave_early; /* if their home is not reachable */
 	bool callers_move; /* submit again to an instance of any domain */
 	uint32_t deadline_ms; /* of the jobs submitted from now on */
@@ -166,6 +171,11 @@
 	 * any call that fences it. No driver can prevent that. Not a failure.
 	 */
 	unsigned n_unfenced_runs;
+	/*
+	 * Pairs of runs in two domains that cannot know of each other, as a cut
+	 * between them lasts or has just ended.
+	 */
+	unsigned n_runs_behind_cuts;
 	unsigned n_false_refusals; /* answered as not run after a start */
 	unsigned n_late_configs; /* instances with too old a configuration */
 	unsigned n_late_evacuations; /* starts in evacuated domains */
--- a/test/sim/fleet_sim_calls.c
+++ b/test/sim/fleet_sim_calls.c
@@ -214,6 +214,7 @@
 		return;
 	}
 	w->call_sent_at = e->sent_at;
+	s->starter = e->instance;
 	if (e->call_kind == CALL_START)
 		result = fsim_worker_start(s, w, &e->task, e->run, e->fence,
 					   e->lease_expires_at);
