Find the next drivers of other cells without the store

A driver learned of another cell's next driver from that cell's map in the store, or from a driver that both hear. When the drivers of two cells were lost together while the store was unreachable, the next ones knew nothing of each other for seconds: none was told of the other's jobs, and no job moved between the cells.

A driver now dials the members of a cell whose driver it does not hear, by the cell's map and by that of the fleet before it was divided. Each driver sends heartbeats over the links that it has, so they know each other as soon as one link is up.

--- a/src/fleet/cell_reports.c
+++ b/src/fleet/cell_reports.c
@@ -106,6 +106,37 @@
 	}
 }
 
+static void dial_listed(const struct cells *c, const struct fleet *f,
+			const struct fleet_map *m)
+{
+	size_t i;
+
+	for (i = 0; i < m->n_members; i++)
+		if (fleet_is_eligible_domain(f, m->members[i].domain))
+			c->opt.dial(c->opt.ctx, &m->members[i].peer_addr);
+}
+
+/*
+ * Opens links to the members of cells whose driver is not heard, as the next
+ * driver sends heartbeats to each instance that it has a link to. Two drivers
+ * that begin while the store is unreachable would not know of each other.
+ */
+static void dial_members(struct cells *c, int64_t now)
+{
+	const struct fleet *f;
+	size_t i;
+
+	for (i = 0; i < c->n; i++) {
+		f = c->cells[i].fleet;
+		if (fleet_is_eligible(f) ||
+		    election_is_driver_reachable(f, now))
+			continue;
+		dial_listed(c, f, &f->map);
+		/* The cell's own map is not read by all of its neighbours. */
+		dial_listed(c, f, &c->whole.fleet->map);
+	}
+}
+
 /*
  * Keeps links to the drivers of cells that have jobs of this instance, and of
  * those that were used lately. There may be another driver meanwhile.
@@ -149,6 +180,7 @@
 		dial_drivers(c, now);
 	} else if (fleet_is_driver(own)) {
 		dial_drivers(c, now);
+		dial_members(c, now);
 		send_reports(c, own, now);
 	} else {
 		tend_links(c, now);
