--- a/test/sim/fleet_sim.c
+++ b/test/sim/fleet_sim.c
@@ -381,15 +381,20 @@
 		cells_leave(s->instances[instance].cells, s->now);
 }
 
+static void note_cut(const struct fsim *s, struct fsim_contact *c, bool cut)
+{
+	if (!cut)
+		c->since = s->now;
+	else if (s->now - c->since >= FSIM_TELL_AGAIN_MS)
+		c->until = s->now;
+}
+
 void fsim_cut_domain(struct fsim *s, int domain, bool cut)
 {
 	if (s->domain_cut[domain] == cut)
 		return;
 	log_info("domain_cut", LOG_I("domain", domain), LOG_I("cut", cut));
-	if (cut)
-		s->domain_cut_at[domain] = s->now;
-	else
-		s->domain_joined_at[domain] = s->now;
+	note_cut(s, &s->domain_contact[domain], cut);
 	s->domain_cut[domain] = cut;
 }
 
@@ -400,10 +405,7 @@
 	if (i->cut == cut)
 		return;
 	log_info("instance_cut", LOG_I("index", instance), LOG_I("cut", cut));
-	if (cut)
-		i->cut_at = s->now;
-	else
-		i->joined_at = s->now;
+	note_cut(s, &i->contact, cut);
 	i->cut = cut;
 }
 
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -23,10 +23,18 @@
 	FSIM_JOBS = 4096,
 	FSIM_CONFIGS = 1024,
 	FSIM_CONFIG_APPLY_MS = 2000, /* also the bound of evacuations */
+	/* After a cut links are opened, and drivers tell and are told. */
+	FSIM_TELL_AGAIN_MS = 700,
 };
 
 struct fsim;
 
+/* When an instance or a domain could tell the others of its runs. */
+struct fsim_contact {
+	int64_t since; /* the present contact; zero: from the start on */
+	int64_t until; /* the end of the last one that was long enough */
+};
+
 struct fsim_instance {
 	struct fsim *sim;
 	struct cells *cells; /* NULL while it is down */
@@ -36,7 +44,7 @@
 	int domain;
 	int64_t paused_until;
 	bool cut; /* cut off from all other instances */
-	int64_t cut_at, joined_at; /* when the last cut began and ended */
+	struct fsim_contact contact; /* with the others */
 	int64_t busy_until_us; /* it handles no event before */
 	int64_t next_tick_at;
 	uint32_t event_late_ms; /* how long the last event waited for it */
@@ -143,8 +151,7 @@
 	unsigned long n_lists; /* lists of workers among them */
 	bool domain_cut[FSIM_DOMAINS]; /* cut off from the others */
 	int starter; /* the instance whose call a worker carries out */
-	/* When the last cut of the domain began and ended. */
-	int64_t domain_cut_at[FSIM_DOMAINS], domain_joined_at[FSIM_DOMAINS];
+	struct fsim_contact domain_contact[FSIM_DOMAINS]; /* with the others */
 	bool callers_leave_early; /* if their home is not reachable */
 	bool callers_move; /* submit again to an instance of any domain */
 	uint32_t deadline_ms; /* of the jobs submitted from now on */
--- a/test/sim/fleet_sim_worker.c
+++ b/test/sim/fleet_sim_worker.c
@@ -10,9 +10,7 @@
 	/* A run is told of within this time, unless its driver is cut off. */
 	TOLD_AFTER_MS = 300,
 	/* What was told holds for longer than a lease. */
-	TOLD_HOLDS_MS = 1000,
-	/* After a cut links are opened, and drivers tell and are told. */
-	TOLD_AGAIN_MS = 700
+	TOLD_HOLDS_MS = 1000
 };
 
 static int64_t read_worker_clock(const struct fsim *s,
@@ -76,22 +74,22 @@
 }
 
 /*
- * Whether a cut from `cut_at` on hides a run that began at `began_at`: it could
- * not be told of, or what was told does not hold any more.
+ * Whether a run that began at `began_at` cannot be known on the other side of a
+ * cut: it could not be told of, or what was told does not hold any more.
  */
-static bool hides_run(const struct fsim *s, bool is_cut, int64_t cut_at,
-		      int64_t joined_at, int64_t began_at)
+static bool hides_run(const struct fsim *s, const struct fsim_contact *c,
+		      bool is_cut, int64_t began_at)
 {
-	if (!cut_at || (!is_cut && s->now >= joined_at + TOLD_AGAIN_MS))
+	if (!is_cut && s->now - c->since >= FSIM_TELL_AGAIN_MS)
 		return false;
-	return began_at + TOLD_AFTER_MS > cut_at ||
-	       s->now > cut_at + TOLD_HOLDS_MS;
+	return c->until < began_at + TOLD_AFTER_MS ||
+	       s->now > c->until + TOLD_HOLDS_MS;
 }
 
 static bool is_domain_cut(const struct fsim *s, int domain, int64_t began_at)
 {
-	return hides_run(s, s->domain_cut[domain], s->domain_cut_at[domain],
-			 s->domain_joined_at[domain], began_at);
+	return hides_run(s, &s->domain_contact[domain], s->domain_cut[domain],
+			 began_at);
 }
 
 static bool is_instance_cut(const struct fsim *s, int instance,
@@ -99,7 +97,7 @@
 {
 	const struct fsim_instance *i = &s->instances[instance];
 
-	return hides_run(s, i->cut, i->cut_at, i->joined_at, began_at);
+	return hides_run(s, &i->contact, i->cut, began_at);
 }
 
 /* No two sides of a cut can know of each other's runs. */
