--- a/test/unit/platform_store_test.c
+++ b/test/unit/platform_store_test.c
@@ -1,4 +1,6 @@
 /* Tests the adapter of the platform's store with a server of raw answers. */
+#include <sodium.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "platform/store.h"
@@ -10,9 +12,16 @@
 	POOLED = 3,
 	TIMEOUT_MS = 1000,
 	LATE_MS = 250, /* when a read is repeated */
-	FDS_MAX = 1024
+	FDS_MAX = 1024,
+	NAMES_MAX = 256
 };
 
+/* A worker that can be used. */
+static const char worker[] =
+	"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	"\"state\":\"ready\",\"labels\":[\"a\"],"
+	"\"capacity\":{\"cpu\":1,\"memMb\":1}}";
+
 struct fixture {
 	struct ev_loop *loop;
 	struct raw_server server;
@@ -27,6 +36,8 @@
 	const char *const *bodies; /* the next answers; NULL: as above */
 	uint64_t index; /* of the last call to end */
 	char value[64];
+	int n_lists, n_failed_lists;
+	char names[NAMES_MAX]; /* of the workers of the last list */
 };
 
 static void on_done(void *arg, const struct syc_platform_value *v)
@@ -41,27 +52,42 @@
 		 v->value.p ? (const char *)v->value.p : "");
 }
 
+static void on_workers(void *ctx, const struct drive_worker *list, size_t n)
+{
+	struct fixture *f = ctx;
+	size_t i, len = 0;
+
+	f->n_lists++;
+	f->n_failed_lists += !list;
+	f->names[0] = '\0';
+	for (i = 0; list && i < n; i++)
+		len += (size_t)snprintf(f->names + len, sizeof(f->names) - len,
+					"%s ", list[i].name);
+}
+
 static void answer(struct raw_server *s, int fd)
 {
 	struct fixture *f = s->ctx;
-	char body[512], text[640];
+	auto_buf struct buf text = {0};
+	const char *body;
+	char usual[512];
 
 	f->was_used[fd] = true;
 	if (f->is_silent[fd])
 		return;
-	snprintf(body, sizeof(body),
+	snprintf(usual, sizeof(usual),
 		 f->answers_watch
 			 ? "{\"events\":[],\"storeRevision\":%d}"
 			 : "{\"key\":\"op/"
 			   "config\",\"value\":\"eA==\",\"revision\":5,"
 			   "\"storeRevision\":%d}",
 		 f->store_revision);
-	if (f->bodies)
-		snprintf(body, sizeof(body), "%s", *f->bodies++);
-	snprintf(text, sizeof(text),
-		 "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
-		 strlen(body), body);
-	raw_send(fd, text);
+	body = f->bodies ? *f->bodies++ : usual;
+	if (!body)
+		return;
+	buf_printf(&text, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+		   strlen(body), body);
+	raw_send(fd, text.data);
 }
 
 static void setup(struct fixture *f)
@@ -76,6 +102,8 @@
 	raw_server_start(&f->server, f->loop);
 	opt.loop = f->loop;
 	opt.addr = loopback(f->server.port);
+	opt.ctx = f;
+	opt.workers = on_workers;
 	f->store = platform_store_new(&opt);
 	f->ops = platform_store_ops(f->store);
 }
@@ -291,8 +319,94 @@
 	teardown(&f);
 }
 
+/* Appends an item to the page of a list of workers. */
+static void add_item(struct buf *page, const char *key, const char *value)
+{
+	size_t n = sodium_base64_ENCODED_LEN(strlen(value),
+					     sodium_base64_VARIANT_ORIGINAL);
+	char *text = malloc(n);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(text);
+	sodium_bin2base64(text, n, (const unsigned char *)value, strlen(value),
+			  sodium_base64_VARIANT_ORIGINAL);
+	buf_printf(page,
+		   "%s{\"key\":\"servers/%s\",\"value\":\"%s\","
+		   "\"revision\":9,\"created\":8,\"lease\":0}",
+		   page->len ? "," : "{\"items\":[", key, text);
+	free(text);
+}
+
+static const char *end_page(struct buf *page, bool has_more)
+{
+	buf_printf(page, "],\"hasMore\":%s,\"storeRevision\":30}",
+		   has_more ? "true" : "false");
+	return page->data;
+}
+
+/* Reads the list of workers; `pages` ends with NULL, which is not answered. */
+static void read_workers(struct fixture *f, const char *const *pages)
+{
+	int n_lists = f->n_lists;
+
+	f->bodies = pages;
+	f->server.in.len = 0;
+	platform_store_workers(f->store);
+	CU_ASSERT(run_until(f->loop, &f->n_lists, n_lists + 1));
+	f->bodies = NULL;
+}
+
+/* Reads a list of workers of two pages; the odd entry ends the first one. */
+static void read_two_pages(struct fixture *f, const char *odd_key,
+			   const char *odd_value)
+{
+	auto_buf struct buf first = {0};
+	auto_buf struct buf second = {0};
+	const char *pages[4] = {0};
+
+	add_item(&first, "a", worker);
+	add_item(&first, odd_key, odd_value);
+	add_item(&second, "z", worker);
+	pages[0] = end_page(&first, true);
+	pages[1] = pages[2] = end_page(&second, false);
+	read_workers(f, pages);
+}
+
+/*
+ * Otherwise the store gets another key, and may return the same page again,
+ * without end.
+ */
+static void page_after_a_key_with_any_bytes_is_requested(void)
+{
+	static const struct {
+		const char *key, *after;
+	} cases[] = {
+		{"b&c=d", "b%26c%3Dd"},
+		{"b%41", "b%2541"},
+		{"b#c+d e", "b%23c%2Bd%20e"},
+		{"b\\\"\\\\\\r\\n", "b%22%5C%0D%0A"},
+		{"b\xc3\xa4", "b%C3%A4"},
+		{"b/c-._~9Z", "b/c-._~9Z"},
+	};
+	struct fixture f;
+	char query[128];
+	size_t i;
+
+	log_level_set(LOG_ERROR);
+	setup(&f);
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		read_two_pages(&f, cases[i].key, "x");
+		CU_ASSERT_STRING_EQUAL(f.names, "a z ");
+		snprintf(query, sizeof(query),
+			 "?prefix=servers/&after=servers/%s HTTP/1.1\r\n",
+			 cases[i].after);
+		CU_ASSERT_PTR_NOT_NULL(strstr(f.server.in.data, query));
+	}
+	teardown(&f);
+}
+
 SUITE(platform_store)
 {
+	TEST(page_after_a_key_with_any_bytes_is_requested);
 	TEST(evacuations_of_all_pages_are_one_value);
 	TEST(unusable_evacuation_keys_are_ignored);
 	TEST(damaged_answers_about_evacuations_are_errors);
