--- a/test/unit/platform_store_test.c
+++ b/test/unit/platform_store_test.c
@@ -404,8 +404,32 @@
 	teardown(&f);
 }
 
+/* Otherwise the workers of the further pages would count as gone. */
+static void list_that_cannot_be_read_on_is_a_failure(void)
+{
+	static const char *const pages[] = {
+		"{\"items\":[],\"hasMore\":true}",
+		"{\"items\":[{\"value\":\"eA==\"}],\"hasMore\":true}",
+		"{\"items\":[{\"key\":\"servers/\\ud800\"}],\"hasMore\":true}",
+	};
+	const char *next[] = {NULL, NULL};
+	struct fixture f;
+	size_t i;
+
+	log_level_set(LOG_ERROR);
+	setup(&f);
+	for (i = 0; i < sizeof(pages) / sizeof(*pages); i++) {
+		next[0] = pages[i];
+		read_workers(&f, next);
+	}
+	CU_ASSERT_EQUAL(f.n_failed_lists, 3);
+	CU_ASSERT_EQUAL(platform_store_calls(f.store), 3);
+	teardown(&f);
+}
+
 SUITE(platform_store)
 {
+	TEST(list_that_cannot_be_read_on_is_a_failure);
 	TEST(page_after_a_key_with_any_bytes_is_requested);
 	TEST(evacuations_of_all_pages_are_one_value);
 	TEST(unusable_evacuation_keys_are_ignored);
