--- a/test/unit/platform_store_test.c
+++ b/test/unit/platform_store_test.c
@@ -427,9 +427,26 @@
 	teardown(&f);
 }
 
+/* A store that does not go on would be asked for the same page without end. */
+static void page_that_ends_where_it_begins_ends_the_read(void)
+{
+	static const char page[] =
+		"{\"items\":[{\"key\":\"servers/a\"}],\"hasMore\":true}";
+	static const char *const pages[] = {page, page, page, page, NULL};
+	struct fixture f;
+
+	log_level_set(LOG_ERROR);
+	setup(&f);
+	read_workers(&f, pages);
+	CU_ASSERT_EQUAL(f.n_failed_lists, 1);
+	CU_ASSERT_EQUAL(platform_store_calls(f.store), 2);
+	teardown(&f);
+}
+
 SUITE(platform_store)
 {
 	TEST(list_that_cannot_be_read_on_is_a_failure);
+	TEST(page_that_ends_where_it_begins_ends_the_read);
 	TEST(page_after_a_key_with_any_bytes_is_requested);
 	TEST(evacuations_of_all_pages_are_one_value);
 	TEST(unusable_evacuation_keys_are_ignored);
