--- a/test/unit/platform_store_test.c
+++ b/test/unit/platform_store_test.c
@@ -404,6 +404,47 @@
 	teardown(&f);
 }
 
+/* Its key or another field is at fault; its value would be that of a worker. */
+static void item_that_cannot_be_parsed_costs_only_itself(void)
+{
+	static const char *const keys[] = {
+		"b\\u0000c",
+		"\\u0000",
+		"b\\ud800",
+		"\\udc00\\ud800",
+		"b\xff",
+		"\xed\xa0\x80",
+		"b\",\"n\":1e999,\"m\":\"",
+		"b\",\"n\":1000000000000000000000000,\"m\":\"",
+		"b\",\"key\":\"",
+	};
+	struct fixture f;
+	size_t i;
+
+	log_level_set(LOG_ERROR);
+	setup(&f);
+	for (i = 0; i < sizeof(keys) / sizeof(*keys); i++) {
+		read_two_pages(&f, keys[i], worker);
+		CU_ASSERT_STRING_EQUAL(f.names, "a z ");
+	}
+	CU_ASSERT_EQUAL(f.n_failed_lists, 0);
+	teardown(&f);
+}
+
+static void page_begins_after_the_last_key_that_is_readable(void)
+{
+	struct fixture f;
+
+	log_level_set(LOG_ERROR);
+	setup(&f);
+	read_two_pages(&f, "b\\ud800", worker);
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.server.in.data, "after=servers/a "));
+	read_two_pages(&f, "b\\u0000c", worker);
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(f.server.in.data, "after=servers/b%00c "));
+	teardown(&f);
+}
+
 /* Otherwise the workers of the further pages would count as gone. */
 static void list_that_cannot_be_read_on_is_a_failure(void)
 {
@@ -445,6 +486,8 @@
 
 SUITE(platform_store)
 {
+	TEST(item_that_cannot_be_parsed_costs_only_itself);
+	TEST(page_begins_after_the_last_key_that_is_readable);
 	TEST(list_that_cannot_be_read_on_is_a_failure);
 	TEST(page_that_ends_where_it_begins_ends_the_read);
 	TEST(page_after_a_key_with_any_bytes_is_requested);
