Read the other targets if one of a Consul list cannot be parsed

One target that the JSON parser refuses cost the whole list of its service: a zero byte in any text, such as the output of a check, half of a surrogate pair, a number too large, or a nesting of more than 2048 levels. For as long as that target was registered each read failed: `entry` kept its last list, so targets that left or joined were not noticed, and one that began then never had a list.

Cause: the answer was parsed as one JSON text, without zero bytes.

Now zero bytes are allowed in texts that are not used; a name, address, domain or number that has one makes its target unreadable. If the answer cannot be parsed, each target that cannot be parsed alone counts as unreadable.

--- a/src/protocol/consul.c
+++ b/src/protocol/consul.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "protocol/consul.h"
+#include "protocol/json_items.h"
 #include "util/alloc.h"
 
 static void free_json(json_t **doc)
@@ -18,7 +19,7 @@
 static json_t *parse_array(struct syc_bytes json)
 {
 	json_error_t err;
-	json_t *doc = json_loadb(json.p, json.n, 0, &err);
+	json_t *doc = json_load_items(json, 1, JSON_ALLOW_NUL, &err);
 
 	if (!doc) {
 		protocol_fail(PROTOCOL_SYNTAX, "store: line %d: %s", err.line,
@@ -79,9 +80,11 @@
 static bool read_text(const json_t *obj, const char *key, char *dst,
 		      size_t size)
 {
-	const char *text = json_string_value(json_object_get(obj, key));
+	const json_t *field = json_object_get(obj, key);
+	const char *text = json_string_value(field);
 
-	if (!text || !*text || strlen(text) >= size)
+	if (!text || !*text || strlen(text) >= size ||
+	    strlen(text) != json_string_length(field))
 		return false;
 	copy_text(dst, size, text);
 	return true;
@@ -90,16 +93,18 @@
 /* Reads a number from Meta, which holds strings only; zero if it is missing. */
 static bool read_number(const json_t *meta, const char *key, uint32_t *val)
 {
-	const char *text = json_string_value(json_object_get(meta, key));
+	const json_t *field = json_object_get(meta, key);
+	const char *text = json_string_value(field);
 	unsigned long long n;
 	char *end;
 
 	*val = 0;
 	if (!text)
-		return !json_object_get(meta, key);
+		return !field;
 	errno = 0;
 	n = strtoull(text, &end, 10);
-	if (errno || end == text || *end || *text == '-' || n > UINT32_MAX)
+	if (errno || end == text || end != text + json_string_length(field) ||
+	    *text == '-' || n > UINT32_MAX)
 		return false;
 	*val = (uint32_t)n;
 	return true;
--- a/test/unit/consul_test.c
+++ b/test/unit/consul_test.c
@@ -6,6 +6,8 @@
 #include "unit.h"
 #include "util/rng.h"
 
+enum { DEEP = 100000 /* levels of a target that is nested very deeply */ };
+
 #define KEY_ANSWER                                                 \
 	"[{\"Key\":\"a/b\",\"LockIndex\":0,\"Flags\":0,\"Value\":" \
 	"\"aGVsbG8=\",\"CreateIndex\":1,\"ModifyIndex\":42}]"
@@ -161,6 +163,62 @@
 		PROTOCOL_OK);
 }
 
+/* Reads a list of `odd` between two targets, and returns whether it has both. */
+static bool has_both_targets(const char *odd, size_t skipped_expected)
+{
+	auto_buf struct buf json = {0};
+	struct syc_target *t = NULL;
+	size_t n = 0, skipped = 0;
+	bool ok;
+
+	buf_printf(&json, "[%s,%s,%s]", TARGET("\"t1\"", "80", META, ""), odd,
+		   TARGET("\"t3\"", "82", META, ""));
+	ok = !consul_read_health((struct syc_bytes){json.data, json.len}, &t,
+				 &n, &skipped) &&
+	     n == 3 - skipped_expected && skipped == skipped_expected &&
+	     !strcmp(t[0].name, "t1") && !strcmp(t[n - 1].name, "t3");
+	free(t);
+	return ok;
+}
+
+static void odd_target_costs_only_itself(void)
+{
+	static const char *const odd[] = {
+		TARGET("\"t2\"", "1e999", META, ""),
+		TARGET("\"t2\"", "1000000000000000000000000", META, ""),
+		TARGET("\"t2\"", "70000", META, ""),
+		TARGET("\"t2\"", "-1", META, ""),
+		TARGET("\"t2\"", "80.5", META, ""),
+		TARGET("\"t2\\u0000\"", "80", META, ""),
+		TARGET("\"t2\\ud800\"", "80", META, ""),
+		TARGET("\"t2\xff\"", "80", META, ""),
+		TARGET("\"t2\"", "80", META ",\"a\":NaN", ""),
+		TARGET("\"t2\"", "80", META ",\"memory_mb\":\"4\\u0000\"", ""),
+	};
+	auto_buf struct buf deep = {0};
+	size_t i;
+
+	for (i = 0; i < sizeof(odd) / sizeof(*odd); i++)
+		CU_ASSERT(has_both_targets(odd[i], 1));
+	buf_puts(&deep, "{\"Service\":");
+	for (i = 0; i < DEEP; i++)
+		buf_puts(&deep, "[");
+	for (i = 0; i < DEEP; i++)
+		buf_puts(&deep, "]");
+	buf_puts(&deep, "}");
+	CU_ASSERT(has_both_targets(deep.data, 1));
+}
+
+/* The output of a check has what the checked program wrote. */
+static void zero_byte_in_an_unused_text_costs_nothing(void)
+{
+	static const char check[] = TARGET(
+		"\"t2\"", "80", META,
+		"{\"CheckID\":\"c\",\"Output\":\"a\\u0000b\"}");
+
+	CU_ASSERT(has_both_targets(check, 0));
+}
+
 static void damaged_answers_are_parsed_or_refused(void)
 {
 	static const char health[] = "[" TARGET(
@@ -196,5 +254,7 @@
 	TEST(invalid_key_answers_are_refused);
 	TEST(health_list_is_read);
 	TEST(invalid_targets_are_skipped);
+	TEST(odd_target_costs_only_itself);
+	TEST(zero_byte_in_an_unused_text_costs_nothing);
 	TEST(damaged_answers_are_parsed_or_refused);
 }
