--- a/test/unit/platform_reader_test.c
+++ b/test/unit/platform_reader_test.c
@@ -146,6 +146,45 @@
 		CU_ASSERT_FALSE(read_with_field(fields[i], &w));
 }
 
+/* Reads an entry with this capacity, address and further fields. */
+static bool read_odd(const char *cpu, const char *address, const char *fields,
+		     struct drive_worker *w)
+{
+	char text[TEXT_MAX];
+
+	snprintf(text, sizeof(text),
+		 "{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"z\","
+		 "\"state\":\"ready\",\"labels\":[\"a\"],"
+		 "\"capacity\":{\"cpu\":%s,\"memMb\":1}%s}",
+		 address, cpu, fields);
+	return read_worker(text, w);
+}
+
+static void entry_whose_address_names_no_port_is_rejected(void)
+{
+	static const char *const addresses[] = {
+		"10.0.0.1:0",	   "10.0.0.1:00000",
+		"[::1]:0",	   "10.0.0.1:65536",
+		"10.0.0.1:70000",  "[::1]:70000",
+		"10.0.0.1:-1",	   "10.0.0.1:1e2",
+		"10.0.0.1:",	   "10.0.0.1:80x",
+		"10.0.0.1",	   ":80",
+		"10.0.0.1: 80",	   "::1:80",
+		"[::1]",	   "[]:80",
+		"host.example:80", "10.0.0.1:80\\u0000",
+		"10.0.0.256:80",   "fe80::1%lo:80",
+		"[fe80::1%lo]:80", "10.0.0.1:9999999999999999999999",
+	};
+	struct drive_worker w;
+	size_t i;
+
+	for (i = 0; i < sizeof(addresses) / sizeof(*addresses); i++)
+		CU_ASSERT_FALSE(read_odd("1", addresses[i], "", &w));
+	CU_ASSERT(read_odd("1", "[::1]:65535", "", &w));
+	CU_ASSERT_STRING_EQUAL(w.addr.ip, "::1");
+	CU_ASSERT_EQUAL(w.addr.port, 65535);
+}
+
 static void answer_names_the_life_of_its_worker(void)
 {
 	static const char with[] = "{\"clockMs\":7,\"born\":1701705600123}";
@@ -361,6 +400,7 @@
 	TEST(invalid_worker_entry_is_rejected);
 	TEST(life_of_a_worker_is_read);
 	TEST(entry_with_a_field_of_another_type_is_rejected);
+	TEST(entry_whose_address_names_no_port_is_rejected);
 	TEST(answer_names_the_life_of_its_worker);
 	TEST(config_is_read_and_routes_are_found);
 	TEST(invalid_route_is_skipped_and_the_others_are_kept);
