Test that an address that cannot be reached ends only its request

It passes without a change: a request to port 0, to the broadcast address or to what is no IP address ends as not sent, at once (names are never resolved), and the client goes on. An entry of another writer may name such an address.

--- a/test/unit/transport_client_test.c
+++ b/test/unit/transport_client_test.c
@@ -476,6 +476,39 @@
 	teardown(&f);
 }
 
+/* It may come from an entry in the store; the loop must not wait for it. */
+static void address_that_cannot_be_reached_ends_only_its_request(void)
+{
+	static const struct syc_addr odd[] = {
+		{.ip = "255.255.255.255", .port = 80},
+		{.ip = "127.0.0.1", .port = 0},
+		{.ip = "::1", .port = 0},
+		{.ip = "host.example", .port = 80},
+		{.ip = "", .port = 80},
+	};
+	struct http_call call = {.method = "GET",
+				 .path = "/",
+				 .timeout_ms = 200,
+				 .body_max = 40};
+	struct fixture f;
+	size_t i;
+
+	setup(&f);
+	f.server.data = send_ok_answer;
+	for (i = 0; i < sizeof(odd) / sizeof(*odd); i++) {
+		call.addr = odd[i];
+		f.n_done = 0;
+		http_client_send(f.client, &call, on_done, &f);
+		CU_ASSERT(run_until(f.loop, &f.n_done, 1));
+		CU_ASSERT_EQUAL(f.end, HTTP_NOT_SENT);
+	}
+	f.n_done = 0;
+	post(&f, 2000);
+	CU_ASSERT(run_until(f.loop, &f.n_done, 1));
+	CU_ASSERT_EQUAL(f.end, HTTP_ANSWERED);
+	teardown(&f);
+}
+
 SUITE(transport_client)
 {
 	TEST(answers_arrive_over_one_connection);
@@ -492,5 +525,6 @@
 	TEST(late_answer_is_not_used_for_the_next_request);
 	TEST(connection_idle_for_long_is_closed);
 	TEST(ipv6_address_is_reached);
+	TEST(address_that_cannot_be_reached_ends_only_its_request);
 	TEST(random_bytes_are_never_an_answer);
 }
