--- a/test/unit/platform_reader_test.c
+++ b/test/unit/platform_reader_test.c
@@ -295,6 +295,27 @@
 	CU_ASSERT_EQUAL(a.clock_ms, 482113);
 }
 
+/* One more than the greatest number would be zero, and divide the run time. */
+static void progress_over_one_hundred_percent_is_one_hundred(void)
+{
+	static const char *const numbers[] = {"101", "4294967295", "4294967396",
+					      "1e300"};
+	struct platform_held lists;
+	char text[TEXT_MAX];
+	size_t i;
+
+	for (i = 0; i < sizeof(numbers) / sizeof(*numbers); i++) {
+		snprintf(text, sizeof(text),
+			 "{\"running\":[[\"a.0.1.17\",1,\"\",%s]],"
+			 "\"finished\":[]}",
+			 numbers[i]);
+		CU_ASSERT(platform_held_read(bytes_of(text), &lists));
+		CU_ASSERT_EQUAL_FATAL(lists.n_running, 1);
+		CU_ASSERT_EQUAL(lists.running[0].percent, 100);
+		platform_held_free(&lists);
+	}
+}
+
 static void status_and_reason_of_answers_are_mapped(void)
 {
 	static const struct {
@@ -406,6 +427,7 @@
 	TEST(invalid_route_is_skipped_and_the_others_are_kept);
 	TEST(invalid_and_unsupported_jobs_are_distinguished);
 	TEST(lists_of_a_hold_are_read);
+	TEST(progress_over_one_hundred_percent_is_one_hundred);
 	TEST(status_and_reason_of_answers_are_mapped);
 	TEST(calls_are_written);
 	TEST(damaged_text_does_not_end_the_process);
