--- a/test/unit/platform_reader_test.c
+++ b/test/unit/platform_reader_test.c
@@ -295,6 +295,28 @@
 	CU_ASSERT_EQUAL(a.clock_ms, 482113);
 }
 
+/* Cut off, a number would name another run. */
+static void row_with_a_number_out_of_range_is_skipped(void)
+{
+	static const char *const numbers[] = {"4294967297", "1e300", "-1",
+					      "18446744073709551616.0"};
+	struct platform_held lists;
+	char text[TEXT_MAX];
+	size_t i;
+
+	for (i = 0; i < sizeof(numbers) / sizeof(*numbers); i++) {
+		snprintf(text, sizeof(text),
+			 "{\"running\":[[\"a.0.1.17\",%s,\"\",41]],"
+			 "\"finished\":[[58,\"a.0.0.9\",%s,\"done\",\"\"]]}",
+			 numbers[i], numbers[i]);
+		CU_ASSERT(platform_held_read(bytes_of(text), &lists));
+		CU_ASSERT_EQUAL(lists.n_running, 0);
+		CU_ASSERT_EQUAL(lists.n_ended, 0);
+		CU_ASSERT_EQUAL(lists.skipped, 2);
+		platform_held_free(&lists);
+	}
+}
+
 /* One more than the greatest number would be zero, and divide the run time. */
 static void progress_over_one_hundred_percent_is_one_hundred(void)
 {
@@ -428,6 +450,7 @@
 	TEST(invalid_and_unsupported_jobs_are_distinguished);
 	TEST(lists_of_a_hold_are_read);
 	TEST(progress_over_one_hundred_percent_is_one_hundred);
+	TEST(row_with_a_number_out_of_range_is_skipped);
 	TEST(status_and_reason_of_answers_are_mapped);
 	TEST(calls_are_written);
 	TEST(damaged_text_does_not_end_the_process);
