Take no clock from an answer that the driver cannot calculate with

The driver subtracts its own time from a worker's clock and adds a lease to the difference. With a clock near the ends of 64 bits both overflow, which is undefined, and the lease's end sent to that worker would be any time.

The overflow was read in the source, not played.

--- a/test/unit/platform_reader_test.c
+++ b/test/unit/platform_reader_test.c
@@ -295,6 +295,34 @@
 	CU_ASSERT_EQUAL(a.clock_ms, 482113);
 }
 
+/* The driver adds to it and subtracts from it. */
+static void clock_that_cannot_be_added_to_is_not_taken(void)
+{
+	static const char *const clocks[] = {
+		"9223372036854775807",
+		"-9223372036854775808",
+		"9007199254740993",
+		"-9007199254740993",
+		"\"7\"",
+		"1e300",
+	};
+	struct drive_call_answer a;
+	char text[64];
+	size_t i;
+
+	for (i = 0; i < sizeof(clocks) / sizeof(*clocks); i++) {
+		snprintf(text, sizeof(text), "{\"clockMs\":%s}", clocks[i]);
+		platform_answer_read(200, bytes_of(text), &a);
+		CU_ASSERT_EQUAL(a.result, DRIVE_CALL_DONE);
+		CU_ASSERT_FALSE(a.has_clock);
+		CU_ASSERT_EQUAL(a.clock_ms, 0);
+	}
+	platform_answer_read(200, bytes_of("{\"clockMs\":9007199254740992}"),
+			     &a);
+	CU_ASSERT(a.has_clock);
+	CU_ASSERT_EQUAL(a.clock_ms, 9007199254740992);
+}
+
 /* Cut off, a number would name another run. */
 static void row_with_a_number_out_of_range_is_skipped(void)
 {
@@ -450,6 +478,7 @@
 	TEST(invalid_and_unsupported_jobs_are_distinguished);
 	TEST(lists_of_a_hold_are_read);
 	TEST(progress_over_one_hundred_percent_is_one_hundred);
+	TEST(clock_that_cannot_be_added_to_is_not_taken);
 	TEST(row_with_a_number_out_of_range_is_skipped);
 	TEST(status_and_reason_of_answers_are_mapped);
 	TEST(calls_are_written);
