Test odd entries of workers: nesting, numbers, texts, and random ones

They pass without a change of the readers that is made here. JSON nested deeper than 2048 levels, also cut off, is refused by the parser without using the stack (up to 1,000,000 levels tried); numbers out of range are compared before they are converted, or refused by the parser (1e999, 10^30); a text that is too long, given twice, with a zero byte or with bytes that are not UTF-8 costs its entry only, and in a page too, as a value is base64 there.

The new random test puts such values for values of valid texts, for all readers.

--- a/test/unit/platform_reader_test.c
+++ b/test/unit/platform_reader_test.c
@@ -13,7 +13,12 @@
 #include "util/log.h"
 #include "util/rng.h"
 
-enum { DAMAGED_TEXTS = 3000, TEXT_MAX = 2048 };
+enum {
+	DAMAGED_TEXTS = 3000,
+	ODD_TEXTS = 1000,
+	TEXT_MAX = 2048,
+	LONG_TEXT = 200000
+};
 
 static const char worker_text[] =
 	"{\"service\":\"s1\",\"address\":\"10.128.0.9:8080\",\"zone\":\"z1\","
@@ -185,6 +190,99 @@
 	CU_ASSERT_EQUAL(w.addr.port, 65535);
 }
 
+static void entry_with_a_number_out_of_range_is_rejected(void)
+{
+	static const char *const numbers[] = {
+		"-1",	      "-0.5",
+		"4294967296", "1e30",
+		"1e308",      "1e999",
+		"-1e999",     "9223372036854775808",
+		"NaN",	      "Infinity",
+		"0x10",	      "\"1\"",
+		"null",	      "1000000000000000000000000000000",
+	};
+	char field[128];
+	struct drive_worker w;
+	size_t i;
+
+	for (i = 0; i < sizeof(numbers) / sizeof(*numbers); i++) {
+		CU_ASSERT_FALSE(read_odd(numbers[i], "10.0.0.1:80", "", &w));
+		snprintf(field, sizeof(field), ",\"coldRemainingMs\":%s",
+			 numbers[i]);
+		CU_ASSERT_FALSE(read_odd("1", "10.0.0.1:80", field, &w));
+	}
+	CU_ASSERT(read_odd("4294967295", "10.0.0.1:80",
+			   ",\"coldRemainingMs\":4294967295,"
+			   "\"born\":9007199254740992.0,"
+			   "\"sequence\":9223372036854775807,\"slots\":1e308",
+			   &w));
+	CU_ASSERT_EQUAL(w.cpu_milli, UINT32_MAX);
+	CU_ASSERT_EQUAL(w.cold_ms, UINT32_MAX);
+	CU_ASSERT_FALSE(read_with_field("\"born\":9007199254740994.0", &w));
+	CU_ASSERT_FALSE(read_with_field("\"sequence\":1e999", &w));
+}
+
+static void add_nested(struct buf *out, size_t depth, bool is_closed)
+{
+	size_t i;
+
+	for (i = 0; i < depth; i++)
+		buf_puts(out, i % 2 ? "{\"a\":" : "[");
+	if (!is_closed)
+		return;
+	buf_puts(out, "1");
+	while (i--)
+		buf_puts(out, i % 2 ? "}" : "]");
+}
+
+/* In a field, alone and cut off; none may use up the stack. */
+static void entry_that_is_nested_very_deeply_is_rejected(void)
+{
+	static const size_t depths[] = {2047, 2049, 10000, 1000000};
+	struct drive_worker w;
+	size_t i;
+
+	for (i = 0; i < sizeof(depths) / sizeof(*depths); i++) {
+		auto_buf struct buf alone = {0};
+		auto_buf struct buf field = {0};
+
+		add_nested(&alone, depths[i], i % 2);
+		CU_ASSERT_FALSE(read_worker(alone.data, &w));
+		buf_puts(&field, "{\"state\":\"ready\",\"labels\":");
+		add_nested(&field, depths[i], true);
+		buf_puts(&field, "}");
+		CU_ASSERT_FALSE(read_worker(field.data, &w));
+	}
+}
+
+static void entry_with_an_odd_text_is_rejected(void)
+{
+	static const char *const fields[] = {
+		",\"service\":\"s\"", /* a second time */
+		",\"a\":\"\\u0000\"", ",\"\\u0000\":1", ",\"a\":\"\\ud800\"",
+		",\"a\":\"\xff\"",    ",\"a\":\"\n\"",	",",
+		",\"version\":[]",
+	};
+	auto_buf struct buf text = {0};
+	char name[SYC_NAME_MAX + 1];
+	struct drive_worker w;
+	size_t i;
+
+	for (i = 0; i < sizeof(fields) / sizeof(*fields); i++)
+		CU_ASSERT_FALSE(read_odd("1", "10.0.0.1:80", fields[i], &w));
+	memset(name, 'i', SYC_NAME_MAX);
+	name[SYC_NAME_MAX] = '\0';
+	CU_ASSERT_FALSE(platform_worker_read(name, bytes_of(worker_text), &w));
+	name[SYC_NAME_MAX - 1] = '\0';
+	CU_ASSERT(platform_worker_read(name, bytes_of(worker_text), &w));
+	CU_ASSERT_STRING_EQUAL(w.name, name);
+	buf_puts(&text, "{\"state\":\"");
+	for (i = 0; i < LONG_TEXT; i++)
+		buf_puts(&text, "ready");
+	buf_puts(&text, "\"}");
+	CU_ASSERT_FALSE(read_worker(text.data, &w));
+}
+
 static void answer_names_the_life_of_its_worker(void)
 {
 	static const char with[] = "{\"clockMs\":7,\"born\":1701705600123}";
@@ -465,6 +563,76 @@
 	CU_PASS("no reader ended the process");
 }
 
+/* Where a value begins: behind a colon, a bracket or a comma. */
+static size_t find_value(struct rng *rng, const char *text)
+{
+	size_t n = strlen(text), at = rng_below(rng, n), i;
+
+	for (i = 0; i < n; i++, at = (at + 1) % n)
+		if (strchr(":[,", text[at]))
+			return at + 1;
+	return n;
+}
+
+static void add_odd_value(struct rng *rng, struct buf *out)
+{
+	static const char *const values[] = {
+		"1e308",
+		"-1e308",
+		"1e999",
+		"9223372036854775807",
+		"-9223372036854775808",
+		"1000000000000000000000000",
+		"4294967295",
+		"4294967296",
+		"-0.0",
+		"0",
+		"\"10.0.0.1:0\"",
+		"\"10.0.0.1:70000\"",
+		"\"[::1]:99999999999999999999\"",
+		"\"\\u0000\"",
+		"{}",
+		"[]",
+	};
+	static const size_t depths[] = {20, 2040, 5000};
+	size_t kind = rng_below(rng, sizeof(values) / sizeof(*values) + 2);
+
+	if (kind < sizeof(values) / sizeof(*values))
+		buf_puts(out, values[kind]);
+	else
+		add_nested(out, depths[rng_below(rng, 3)], true);
+}
+
+/* Puts an odd value for one of the text's values, or before it. */
+static void read_with_odd_value(struct rng *rng, const char *text)
+{
+	auto_buf struct buf odd = {0};
+	size_t at = find_value(rng, text);
+	size_t skip = strcspn(text + at, ",]}");
+
+	buf_add(&odd, text, at);
+	add_odd_value(rng, &odd);
+	if (!rng_below(rng, 8))
+		skip = 0;
+	buf_puts(&odd, text + at + skip);
+	read_all((struct syc_bytes){odd.data, odd.len});
+}
+
+static void odd_value_does_not_end_the_process(void)
+{
+	struct rng rng = {.state = 20261205};
+	int i;
+
+	log_level_set(LOG_ERROR);
+	for (i = 0; i < ODD_TEXTS; i++) {
+		read_with_odd_value(&rng, worker_text);
+		read_with_odd_value(&rng, config_text);
+		read_with_odd_value(&rng, job_text);
+		read_with_odd_value(&rng, lists_text);
+	}
+	CU_PASS("no reader ended the process");
+}
+
 SUITE(platform_reader)
 {
 	TEST(worker_entry_is_read);
@@ -472,6 +640,9 @@
 	TEST(life_of_a_worker_is_read);
 	TEST(entry_with_a_field_of_another_type_is_rejected);
 	TEST(entry_whose_address_names_no_port_is_rejected);
+	TEST(entry_with_a_number_out_of_range_is_rejected);
+	TEST(entry_that_is_nested_very_deeply_is_rejected);
+	TEST(entry_with_an_odd_text_is_rejected);
 	TEST(answer_names_the_life_of_its_worker);
 	TEST(config_is_read_and_routes_are_found);
 	TEST(invalid_route_is_skipped_and_the_others_are_kept);
@@ -483,4 +654,5 @@
 	TEST(status_and_reason_of_answers_are_mapped);
 	TEST(calls_are_written);
 	TEST(damaged_text_does_not_end_the_process);
+	TEST(odd_value_does_not_end_the_process);
 }
--- a/test/unit/platform_store_test.c
+++ b/test/unit/platform_store_test.c
@@ -13,7 +13,8 @@
 	TIMEOUT_MS = 1000,
 	LATE_MS = 250, /* when a read is repeated */
 	FDS_MAX = 1024,
-	NAMES_MAX = 256
+	NAMES_MAX = 256,
+	DEEP = 100000 /* levels of an entry that is nested very deeply */
 };
 
 /* A worker that can be used. */
@@ -445,6 +446,36 @@
 	teardown(&f);
 }
 
+/* A value may have any bytes; in base64 they cannot damage the page. */
+static void odd_value_costs_only_its_entry(void)
+{
+	static const char *const values[] = {
+		"",
+		"\xff\xfe",
+		"{\"a\":1e999}",
+		"NaN",
+		"\"\\ud800\"",
+		"[1,2,",
+		"{\"a\":1000000000000000000000000}",
+	};
+	auto_buf struct buf deep = {0};
+	struct fixture f;
+	size_t i;
+
+	log_level_set(LOG_ERROR);
+	setup(&f);
+	for (i = 0; i < sizeof(values) / sizeof(*values); i++) {
+		read_two_pages(&f, "b", values[i]);
+		CU_ASSERT_STRING_EQUAL(f.names, "a z ");
+	}
+	for (i = 0; i < DEEP; i++)
+		buf_puts(&deep, i % 2 ? "{\"a\":" : "[");
+	read_two_pages(&f, "b", deep.data);
+	CU_ASSERT_STRING_EQUAL(f.names, "a z ");
+	CU_ASSERT_EQUAL(f.n_failed_lists, 0);
+	teardown(&f);
+}
+
 /* Otherwise the workers of the further pages would count as gone. */
 static void list_that_cannot_be_read_on_is_a_failure(void)
 {
@@ -488,6 +519,7 @@
 {
 	TEST(item_that_cannot_be_parsed_costs_only_itself);
 	TEST(page_begins_after_the_last_key_that_is_readable);
+	TEST(odd_value_costs_only_its_entry);
 	TEST(list_that_cannot_be_read_on_is_a_failure);
 	TEST(page_that_ends_where_it_begins_ends_the_read);
 	TEST(page_after_a_key_with_any_bytes_is_requested);
