--- a/test/standin/fleet_store.c
+++ b/test/standin/fleet_store.c
@@ -7,6 +7,9 @@
 #include "fleet.h"
 #include "platform/names.h"
 #include "util/alloc.h"
+#include "util/buf.h"
+
+enum { PAGE_BYTES = 1000000 /* of the values in one page, as base64 */ };
 
 static struct fleet_item *find_item(struct fleet_platform *p, const char *key)
 {
@@ -101,12 +104,39 @@
 	return list;
 }
 
-static void get_range(struct fleet_platform *p, uint64_t id, const char *prefix)
+/* The item with the least key that begins with `prefix` and is after `key`. */
+static const struct fleet_item *next_item(const struct fleet_platform *p,
+					  const char *prefix, const char *key)
 {
+	const struct fleet_item *item, *next = NULL;
+	size_t i;
+
+	for (i = 0; i < p->n_items; i++) {
+		item = &p->items[i];
+		if (!strncmp(item->key, prefix, strlen(prefix)) &&
+		    strcmp(item->key, key) > 0 &&
+		    (!next || strcmp(item->key, next->key) < 0))
+			next = item;
+	}
+	return next;
+}
+
+/* A page ends after about PAGE_BYTES of values. */
+static void get_range(struct fleet_platform *p, uint64_t id, const char *prefix,
+		      const char *after)
+{
+	const struct fleet_item *item = next_item(p, prefix, after);
+	json_t *list = json_array();
+	size_t bytes = 0;
+
+	for (; item && bytes < PAGE_BYTES; item = next_item(p, prefix, after)) {
+		json_array_append_new(list, item_json(p, item));
+		bytes += strlen(item->value);
+		after = item->key;
+	}
 	fleet_reply(p->store, id, 200,
-		    json_pack("{s:o, s:b, s:I}", RANGE_ITEMS,
-			      items_json(p, prefix ? prefix : "", 0),
-			      RANGE_MORE, 0, STORE_REVISION,
+		    json_pack("{s:o, s:b, s:I}", RANGE_ITEMS, list, RANGE_MORE,
+			      item != NULL, STORE_REVISION,
 			      (json_int_t)p->revision));
 }
 
@@ -266,6 +296,37 @@
 	fleet_reply(p->store, id, 200, json_object());
 }
 
+static const char *query_or_empty(const struct http_request *req,
+				  const char *name)
+{
+	const char *text = http_query(req, name);
+
+	return text ? text : "";
+}
+
+/*
+ * Puts any text under any key, as another writer may: the body, and then as many
+ * bytes as `more` says. Removes the key if there is neither.
+ */
+static void put_entry(struct fleet_platform *p, uint64_t id,
+		      const struct http_request *req)
+{
+	const char *key = query_or_empty(req, "key");
+	size_t more = strtoul(query_or_empty(req, "more"), NULL, 10);
+	auto_buf struct buf text = {0};
+	char *padding = xcalloc(1, more + 1);
+
+	memset(padding, 'x', more);
+	buf_add(&text, req->body.p, req->body.n);
+	buf_add(&text, padding, more);
+	free(padding);
+	if (text.len)
+		fleet_store_put(p, key, text.data);
+	else
+		fleet_store_remove(p, key);
+	fleet_reply(p->store, id, 200, json_object());
+}
+
 void fleet_store_request(void *ctx, uint64_t id, const struct http_request *req)
 {
 	struct fleet_platform *p = ctx;
@@ -274,6 +335,8 @@
 		set_knobs(p, id, req);
 	else if (!strcmp(req->path, "/standin/counts"))
 		reply_counts(p, id);
+	else if (!strcmp(req->path, "/standin/entry"))
+		put_entry(p, id, req);
 	else if (!strcmp(req->path, "/standin/job"))
 		reply_job(p, id, http_query(req, "id"));
 	else if (p->silent)
@@ -283,7 +346,8 @@
 	else if (!strcmp(req->path, STORE_KEY_PATH))
 		get_key(p, id, http_query(req, "key"));
 	else if (!strcmp(req->path, STORE_RANGE_PATH))
-		get_range(p, id, http_query(req, "prefix"));
+		get_range(p, id, query_or_empty(req, "prefix"),
+			  query_or_empty(req, "after"));
 	else if (!strcmp(req->path, STORE_WATCH_PATH))
 		add_watch(p, id, req);
 	else if (!strcmp(req->path, STORE_WRITE_PATH))
