Test that an entry with sizes at the limits costs no other worker

It passes without a change: sums and differences of sizes are 64 bits wide or limited by what is free, nothing is divided by a size, and the time until a worker is warm is added in 64 bits.

--- a/test/unit/drive_test.c
+++ b/test/unit/drive_test.c
@@ -826,8 +826,56 @@
 	drive_fake_free(&f);
 }
 
+/* Lists another worker with these sizes, which answers or not. */
+static void drive_with_odd_worker(struct drive_fake *f, uint32_t size,
+				  bool answers)
+{
+	struct drive_worker list[2];
+	struct drive_counts counts;
+	struct drive_room room;
+	int i;
+
+	drive_fake_init(f, 1);
+	list[0] = list[1] = f->workers[0];
+	snprintf(list[1].name, sizeof(list[1].name), "w1\r\n&%%");
+	snprintf(list[1].domain, sizeof(list[1].domain), "nowhere");
+	list[1].cpu_milli = list[1].memory_mb = list[1].accelerators = size;
+	list[1].cold_ms = size;
+	for (i = 0; i < 8; i++) {
+		list[1].born_ms = i % 3 ? INT64_MAX - i % 3 : 0;
+		drive_set_workers(f->drive, f->now, list, 2);
+		if (i % 4 == 0)
+			submit(f, (uint64_t)i + 1, i ? "b" : "a", 1, 0);
+		drive_fake_advance(f, 200, answers);
+		drive_fake_answer_hold(f, 0, NULL, 0, NULL, 0);
+		drive_get_counts(f->drive, &counts);
+		drive_get_room(f->drive, f->now, &room);
+	}
+}
+
+/*
+ * Such an entry may be another writer's. Its sizes are added up, compared and
+ * divided, and the other worker gets the tasks.
+ */
+static void worker_of_any_size_costs_no_other(void)
+{
+	static const uint32_t sizes[] = {0, 1, UINT32_MAX - 1, UINT32_MAX};
+	struct drive_fake f;
+	size_t i, k;
+
+	for (i = 0; i < 2 * sizeof(sizes) / sizeof(*sizes); i++) {
+		drive_with_odd_worker(&f, sizes[i / 2], i % 2);
+		CU_ASSERT(f.n_starts > 0);
+		CU_ASSERT_EQUAL(f.starts[0].worker, 0);
+		for (k = 0; k < f.n_starts && !(i % 2); k++)
+			CU_ASSERT_EQUAL(f.starts[k].worker, 0);
+		drive_fake_free(&f);
+	}
+}
+
 SUITE(drive)
 {
+	TEST(worker_of_any_size_costs_no_other);
 	TEST(job_waits_for_the_first_list);
 	TEST(job_is_refused_if_no_worker_is_listed);
 	TEST(first_queued_job_begins_partially);
