--- a/test/unit/platform_reader_test.c
+++ b/test/unit/platform_reader_test.c
@@ -13,7 +13,12 @@
 #include "util/log.h"
 #include "util/rng.h"
 
-enum { DAMAGED_TEXTS = 3000, TEXT_MAX = 2048 };
+enum {
+	DAMAGED_TEXTS = 3000,
+	ODD_TEXTS = 1000,
+	TEXT_MAX = 2048,
+	LONG_TEXT = 200000
+};
 
 static const char worker_text[] =
 	"{\"service\":\"s1\",\"address\":\"10.128.0.9:8080\",\"zone\":\"z1\","
@@ -146,6 +151,138 @@
 		CU_ASSERT_FALSE(read_with_field(fields[i], &w));
 }
 
+/* Reads an entry with this capacity, address and further fields. */
+static bool read_odd(const char *cpu, const char *address, const char *fields,
+		     struct drive_worker *w)
+{
+	char text[TEXT_MAX];
+
+	snprintf(text, sizeof(text),
+		 "{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"z\","
+		 "\"state\":\"ready\",\"labels\":[\"a\"],"
+		 "\"capacity\":{\"cpu\":%s,\"memMb\":1}%s}",
+		 address, cpu, fields);
+	return read_worker(text, w);
+}
+
+static void entry_whose_address_names_no_port_is_rejected(void)
+{
+	static const char *const addresses[] = {
+		"10.0.0.1:0",	   "10.0.0.1:00000",
+		"[::1]:0",	   "10.0.0.1:65536",
+		"10.0.0.1:70000",  "[::1]:70000",
+		"10.0.0.1:-1",	   "10.0.0.1:1e2",
+		"10.0.0.1:",	   "10.0.0.1:80x",
+		"10.0.0.1",	   ":80",
+		"10.0.0.1: 80",	   "::1:80",
+		"[::1]",	   "[]:80",
+		"host.example:80", "10.0.0.1:80\\u0000",
+		"10.0.0.256:80",   "fe80::1%lo:80",
+		"[fe80::1%lo]:80", "10.0.0.1:9999999999999999999999",
+	};
+	struct drive_worker w;
+	size_t i;
+
+	for (i = 0; i < sizeof(addresses) / sizeof(*addresses); i++)
+		CU_ASSERT_FALSE(read_odd("1", addresses[i], "", &w));
+	CU_ASSERT(read_odd("1", "[::1]:65535", "", &w));
+	CU_ASSERT_STRING_EQUAL(w.addr.ip, "::1");
+	CU_ASSERT_EQUAL(w.addr.port, 65535);
+}
+
+static void entry_with_a_number_out_of_range_is_rejected(void)
+{
+	static const char *const numbers[] = {
+		"-1",	      "-0.5",
+		"4294967296", "1e30",
+		"1e308",      "1e999",
+		"-1e999",     "9223372036854775808",
+		"NaN",	      "Infinity",
+		"0x10",	      "\"1\"",
+		"null",	      "1000000000000000000000000000000",
+	};
+	char field[128];
+	struct drive_worker w;
+	size_t i;
+
+	for (i = 0; i < sizeof(numbers) / sizeof(*numbers); i++) {
+		CU_ASSERT_FALSE(read_odd(numbers[i], "10.0.0.1:80", "", &w));
+		snprintf(field, sizeof(field), ",\"coldRemainingMs\":%s",
+			 numbers[i]);
+		CU_ASSERT_FALSE(read_odd("1", "10.0.0.1:80", field, &w));
+	}
+	CU_ASSERT(read_odd("4294967295", "10.0.0.1:80",
+			   ",\"coldRemainingMs\":4294967295,"
+			   "\"born\":9007199254740992.0,"
+			   "\"sequence\":9223372036854775807,\"slots\":1e308",
+			   &w));
+	CU_ASSERT_EQUAL(w.cpu_milli, UINT32_MAX);
+	CU_ASSERT_EQUAL(w.cold_ms, UINT32_MAX);
+	CU_ASSERT_FALSE(read_with_field("\"born\":9007199254740994.0", &w));
+	CU_ASSERT_FALSE(read_with_field("\"sequence\":1e999", &w));
+}
+
+static void add_nested(struct buf *out, size_t depth, bool is_closed)
+{
+	size_t i;
+
+	for (i = 0; i < depth; i++)
+		buf_puts(out, i % 2 ? "{\"a\":" : "[");
+	if (!is_closed)
+		return;
+	buf_puts(out, "1");
+	while (i--)
+		buf_puts(out, i % 2 ? "}" : "]");
+}
+
+/* In a field, alone and cut off; none may use up the stack. */
+static void entry_that_is_nested_very_deeply_is_rejected(void)
+{
+	static const size_t depths[] = {2047, 2049, 10000, 1000000};
+	struct drive_worker w;
+	size_t i;
+
+	for (i = 0; i < sizeof(depths) / sizeof(*depths); i++) {
+		auto_buf struct buf alone = {0};
+		auto_buf struct buf field = {0};
+
+		add_nested(&alone, depths[i], i % 2);
+		CU_ASSERT_FALSE(read_worker(alone.data, &w));
+		buf_puts(&field, "{\"state\":\"ready\",\"labels\":");
+		add_nested(&field, depths[i], true);
+		buf_puts(&field, "}");
+		CU_ASSERT_FALSE(read_worker(field.data, &w));
+	}
+}
+
+static void entry_with_an_odd_text_is_rejected(void)
+{
+	static const char *const fields[] = {
+		",\"service\":\"s\"", /* a second time */
+		",\"a\":\"\\u0000\"", ",\"\\u0000\":1", ",\"a\":\"\\ud800\"",
+		",\"a\":\"\xff\"",    ",\"a\":\"\n\"",	",",
+		",\"version\":[]",
+	};
+	auto_buf struct buf text = {0};
+	char name[SYC_NAME_MAX + 1];
+	struct drive_worker w;
+	size_t i;
+
+	for (i = 0; i < sizeof(fields) / sizeof(*fields); i++)
+		CU_ASSERT_FALSE(read_odd("1", "10.0.0.1:80", fields[i], &w));
+	memset(name, 'i', SYC_NAME_MAX);
+	name[SYC_NAME_MAX] = '\0';
+	CU_ASSERT_FALSE(platform_worker_read(name, bytes_of(worker_text), &w));
+	name[SYC_NAME_MAX - 1] = '\0';
+	CU_ASSERT(platform_worker_read(name, bytes_of(worker_text), &w));
+	CU_ASSERT_STRING_EQUAL(w.name, name);
+	buf_puts(&text, "{\"state\":\"");
+	for (i = 0; i < LONG_TEXT; i++)
+		buf_puts(&text, "ready");
+	buf_puts(&text, "\"}");
+	CU_ASSERT_FALSE(read_worker(text.data, &w));
+}
+
 static void answer_names_the_life_of_its_worker(void)
 {
 	static const char with[] = "{\"clockMs\":7,\"born\":1701705600123}";
@@ -256,6 +393,77 @@
 	CU_ASSERT_EQUAL(a.clock_ms, 482113);
 }
 
+/* The driver adds to it and subtracts from it. */
+static void clock_that_cannot_be_added_to_is_not_taken(void)
+{
+	static const char *const clocks[] = {
+		"9223372036854775807",
+		"-9223372036854775808",
+		"9007199254740993",
+		"-9007199254740993",
+		"\"7\"",
+		"1e300",
+	};
+	struct drive_call_answer a;
+	char text[64];
+	size_t i;
+
+	for (i = 0; i < sizeof(clocks) / sizeof(*clocks); i++) {
+		snprintf(text, sizeof(text), "{\"clockMs\":%s}", clocks[i]);
+		platform_answer_read(200, bytes_of(text), &a);
+		CU_ASSERT_EQUAL(a.result, DRIVE_CALL_DONE);
+		CU_ASSERT_FALSE(a.has_clock);
+		CU_ASSERT_EQUAL(a.clock_ms, 0);
+	}
+	platform_answer_read(200, bytes_of("{\"clockMs\":9007199254740992}"),
+			     &a);
+	CU_ASSERT(a.has_clock);
+	CU_ASSERT_EQUAL(a.clock_ms, 9007199254740992);
+}
+
+/* Cut off, a number would name another run. */
+static void row_with_a_number_out_of_range_is_skipped(void)
+{
+	static const char *const numbers[] = {"4294967297", "1e300", "-1",
+					      "18446744073709551616.0"};
+	struct platform_held lists;
+	char text[TEXT_MAX];
+	size_t i;
+
+	for (i = 0; i < sizeof(numbers) / sizeof(*numbers); i++) {
+		snprintf(text, sizeof(text),
+			 "{\"running\":[[\"a.0.1.17\",%s,\"\",41]],"
+			 "\"finished\":[[58,\"a.0.0.9\",%s,\"done\",\"\"]]}",
+			 numbers[i], numbers[i]);
+		CU_ASSERT(platform_held_read(bytes_of(text), &lists));
+		CU_ASSERT_EQUAL(lists.n_running, 0);
+		CU_ASSERT_EQUAL(lists.n_ended, 0);
+		CU_ASSERT_EQUAL(lists.skipped, 2);
+		platform_held_free(&lists);
+	}
+}
+
+/* One more than the greatest number would be zero, and divide the run time. */
+static void progress_over_one_hundred_percent_is_one_hundred(void)
+{
+	static const char *const numbers[] = {"101", "4294967295", "4294967396",
+					      "1e300"};
+	struct platform_held lists;
+	char text[TEXT_MAX];
+	size_t i;
+
+	for (i = 0; i < sizeof(numbers) / sizeof(*numbers); i++) {
+		snprintf(text, sizeof(text),
+			 "{\"running\":[[\"a.0.1.17\",1,\"\",%s]],"
+			 "\"finished\":[]}",
+			 numbers[i]);
+		CU_ASSERT(platform_held_read(bytes_of(text), &lists));
+		CU_ASSERT_EQUAL_FATAL(lists.n_running, 1);
+		CU_ASSERT_EQUAL(lists.running[0].percent, 100);
+		platform_held_free(&lists);
+	}
+}
+
 static void status_and_reason_of_answers_are_mapped(void)
 {
 	static const struct {
@@ -355,18 +563,96 @@
 	CU_PASS("no reader ended the process");
 }
 
+/* Where a value begins: behind a colon, a bracket or a comma. */
+static size_t find_value(struct rng *rng, const char *text)
+{
+	size_t n = strlen(text), at = rng_below(rng, n), i;
+
+	for (i = 0; i < n; i++, at = (at + 1) % n)
+		if (strchr(":[,", text[at]))
+			return at + 1;
+	return n;
+}
+
+static void add_odd_value(struct rng *rng, struct buf *out)
+{
+	static const char *const values[] = {
+		"1e308",
+		"-1e308",
+		"1e999",
+		"9223372036854775807",
+		"-9223372036854775808",
+		"1000000000000000000000000",
+		"4294967295",
+		"4294967296",
+		"-0.0",
+		"0",
+		"\"10.0.0.1:0\"",
+		"\"10.0.0.1:70000\"",
+		"\"[::1]:99999999999999999999\"",
+		"\"\\u0000\"",
+		"{}",
+		"[]",
+	};
+	static const size_t depths[] = {20, 2040, 5000};
+	size_t kind = rng_below(rng, sizeof(values) / sizeof(*values) + 2);
+
+	if (kind < sizeof(values) / sizeof(*values))
+		buf_puts(out, values[kind]);
+	else
+		add_nested(out, depths[rng_below(rng, 3)], true);
+}
+
+/* Puts an odd value for one of the text's values, or before it. */
+static void read_with_odd_value(struct rng *rng, const char *text)
+{
+	auto_buf struct buf odd = {0};
+	size_t at = find_value(rng, text);
+	size_t skip = strcspn(text + at, ",]}");
+
+	buf_add(&odd, text, at);
+	add_odd_value(rng, &odd);
+	if (!rng_below(rng, 8))
+		skip = 0;
+	buf_puts(&odd, text + at + skip);
+	read_all((struct syc_bytes){odd.data, odd.len});
+}
+
+static void odd_value_does_not_end_the_process(void)
+{
+	struct rng rng = {.state = 20261205};
+	int i;
+
+	log_level_set(LOG_ERROR);
+	for (i = 0; i < ODD_TEXTS; i++) {
+		read_with_odd_value(&rng, worker_text);
+		read_with_odd_value(&rng, config_text);
+		read_with_odd_value(&rng, job_text);
+		read_with_odd_value(&rng, lists_text);
+	}
+	CU_PASS("no reader ended the process");
+}
+
 SUITE(platform_reader)
 {
 	TEST(worker_entry_is_read);
 	TEST(invalid_worker_entry_is_rejected);
 	TEST(life_of_a_worker_is_read);
 	TEST(entry_with_a_field_of_another_type_is_rejected);
+	TEST(entry_whose_address_names_no_port_is_rejected);
+	TEST(entry_with_a_number_out_of_range_is_rejected);
+	TEST(entry_that_is_nested_very_deeply_is_rejected);
+	TEST(entry_with_an_odd_text_is_rejected);
 	TEST(answer_names_the_life_of_its_worker);
 	TEST(config_is_read_and_routes_are_found);
 	TEST(invalid_route_is_skipped_and_the_others_are_kept);
 	TEST(invalid_and_unsupported_jobs_are_distinguished);
 	TEST(lists_of_a_hold_are_read);
+	TEST(progress_over_one_hundred_percent_is_one_hundred);
+	TEST(clock_that_cannot_be_added_to_is_not_taken);
+	TEST(row_with_a_number_out_of_range_is_skipped);
 	TEST(status_and_reason_of_answers_are_mapped);
 	TEST(calls_are_written);
 	TEST(damaged_text_does_not_end_the_process);
+	TEST(odd_value_does_not_end_the_process);
 }
