Let a job name its run time at the platform's stand-in

A test of a job that is submitted again needs single tasks of several seconds and more than two failure domains.

--- a/test/standin/fleet.c
+++ b/test/standin/fleet.c
@@ -16,18 +16,22 @@
 	IDLE_S = 60,
 	TICK_MS = 5,
 	FIRST_VERSION = 3, /* of the configuration */
+	DOMAINS = 2, /* of the workers: d0, d1 */
 	RESTART_S = 2 /* from a worker's crash to its next life */
 };
 
 static int opt_workers = 6;
 static int opt_run_ms = 60;
+static int opt_domains = DOMAINS;
 static char *opt_ports;
 static int opt_same_ids;
 
 static struct poptOption options[] = {
 	{"workers", 'n', POPT_ARG_INT, &opt_workers, 0, "worker count", "N"},
-	{"run-ms", 'r', POPT_ARG_INT, &opt_run_ms, 0, "run time of every task",
-	 "MS"},
+	{"run-ms", 'r', POPT_ARG_INT, &opt_run_ms, 0,
+	 "run time of a task, unless its job's taskSpec is \"run MS\"", "MS"},
+	{"domains", 'd', POPT_ARG_INT, &opt_domains, 0,
+	 "failure domains that the workers alternate between", "N"},
 	{"ports", 'p', POPT_ARG_STRING, &opt_ports, 0,
 	 "ports that the workers register, as proxies serve them", "N,..."},
 	{"same-ids", 's', POPT_ARG_NONE, &opt_same_ids, 0,
@@ -111,10 +115,10 @@
 		"{s:s, s:o, s:o, s:s, s:{s:i, s:i, s:i}, s:[s], s:I}",
 		WORKER_SERVICE, "s", WORKER_ADDRESS,
 		json_sprintf("127.0.0.1:%u", w->registered_port), WORKER_DOMAIN,
-		json_sprintf("d%zu", w->number % FLEET_DOMAINS), WORKER_STATE,
-		"ready", WORKER_CAPACITY, SIZE_CPU, 16000, SIZE_MEMORY, 65536,
-		SIZE_ACCELERATORS, 0, WORKER_LABELS, "a", WORKER_BORN,
-		(json_int_t)w->born_ms);
+		json_sprintf("d%zu", w->number % w->platform->n_domains),
+		WORKER_STATE, "ready", WORKER_CAPACITY, SIZE_CPU, 16000,
+		SIZE_MEMORY, 65536, SIZE_ACCELERATORS, 0, WORKER_LABELS, "a",
+		WORKER_BORN, (json_int_t)w->born_ms);
 	text = json_dumps(entry, 0);
 	fleet_store_put(w->platform, key, text);
 	free(text);
@@ -203,11 +207,12 @@
 	size_t i;
 
 	if (poptGetNextOpt(ctx) != -1 || sodium_init() < 0 ||
-	    opt_workers > FLEET_WORKERS_MAX)
+	    opt_workers > FLEET_WORKERS_MAX || opt_domains < 1)
 		return 2;
 	poptFreeContext(ctx);
 	p.loop = ev_default_loop(0);
 	p.run_ms = opt_run_ms;
+	p.n_domains = (size_t)opt_domains;
 	p.same_ids = opt_same_ids;
 	p.store = listen_on(&p, &p, 0, fleet_store_request,
 			    fleet_store_client_gone);
--- a/test/standin/fleet.h
+++ b/test/standin/fleet.h
@@ -21,8 +21,7 @@
 	FLEET_TASKS_MAX = 8, /* of a job, of which crashes are counted */
 	FLEET_JOBS_MAX = 65536, /* further jobs are not counted */
 	FLEET_HOLDS_MAX = 8, /* waiting holds of one worker */
-	FLEET_REMOVED_MAX = 16, /* removed keys that watches report */
-	FLEET_DOMAINS = 2 /* of the workers, d0 and d1 */
+	FLEET_REMOVED_MAX = 16 /* removed keys that watches report */
 };
 
 struct fleet_item {
@@ -99,7 +98,8 @@
 	struct ev_loop *loop;
 	struct http_server *store;
 	ev_timer tick;
-	int run_ms; /* run time of every task */
+	int run_ms; /* run time of a task whose job names none */
+	size_t n_domains; /* of the workers */
 	bool same_ids; /* workers start again under the names they had */
 	bool down; /* the store answers 503 to all calls */
 	/* Calls that reach the store, or are due, now get no answer at all. */
--- a/test/standin/fleet_worker.c
+++ b/test/standin/fleet_worker.c
@@ -1,5 +1,6 @@
 /* The workers of the platform's stand-in: starts, stops, holds and leases. */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "fleet.h"
@@ -15,6 +16,9 @@
 static const char crash_spec[] = "crash";
 static const double crash_after_s = 0.01;
 
+/* The specification of a job that names its tasks' run time: "run MS". */
+static const char run_spec[] = "run ";
+
 static double loop_time_s(const struct fleet_worker *w)
 {
 	return ev_now(w->platform->loop);
@@ -155,6 +159,16 @@
 	       !strcmp(index, ".0");
 }
 
+static double run_time_s(const struct fleet_worker *w, const json_t *body)
+{
+	const char *spec = json_string_value(json_object_get(body, JOB_BODY));
+	size_t n = sizeof(run_spec) - 1;
+
+	if (!spec || strncmp(spec, run_spec, n))
+		return w->platform->run_ms / 1000.0;
+	return strtod(spec + n, NULL) / 1000;
+}
+
 static void handle_start(struct fleet_worker *w, uint64_t id,
 			 const json_t *body, const char *task, uint64_t run)
 {
@@ -167,7 +181,7 @@
 		return;
 	}
 	w->platform->starts++;
-	if (fleet_is_evacuated(w->platform, w->number % FLEET_DOMAINS))
+	if (fleet_is_evacuated(w->platform, w->number % w->platform->n_domains))
 		w->platform->evacuated_starts++;
 	fleet_count_start(w->platform, task);
 	w->platform->concurrent_starts += is_running_anywhere(w->platform,
@@ -176,7 +190,7 @@
 	copy_text(r->task, sizeof(r->task), task);
 	r->run = run;
 	r->began_at = loop_time_s(w);
-	r->ends_at = r->began_at + w->platform->run_ms / 1000.0;
+	r->ends_at = r->began_at + run_time_s(w, body);
 	r->crashes_at = 0;
 	if (is_crashing(body, task))
 		r->crashes_at = r->began_at + crash_after_s;
