Let workers carry orders out late in the stand-in and the soak

The users' workers leave orders unanswered for seconds and carry them out 2 to 12 s later; only the simulated fleet played it, and no soak of real processes did. A stop that is carried out late leaves an old run beside its renewed lease.

The knob late_percent is the share of starts, stops and holds that a worker of the stand-in keeps and carries out without an answer, late_stops_percent that of the stops alone. The soak changes them in a series of its own beside that of the other faults, drawn by a generator of its own, and prints the count.

A start whose own lease and whose worker's lease have both ended is now refused as late, as in test/sim, with the reason that the drivers read as that. The stand-in began such a run, counted it beside another one, and ended it at its next tick, 5 ms later at most. This takes a case out of the count of second runs, but no run is left out that a worker of theirs would begin. A start under a lease that still holds, also one that another driver renewed, is carried out and counted as before.

--- a/test/fleet_soak/faults.c
+++ b/test/fleet_soak/faults.c
@@ -8,6 +8,8 @@
 enum {
 	INTERVAL_MAX_MS = 250, /* between two faults */
 	STORE_INTERVAL_MAX_MS = 6000, /* the same, of the store alone */
+	LATE_INTERVAL_MAX_MS = 4000, /* between two changes of late orders */
+	LATE_PERCENT_MAX = 15, /* of all orders */
 	RESTART_MAX_MS = 2500,
 	PAUSE_MAX_MS = 2500,
 	DISTURB_MAX_MS = 3000,
@@ -96,6 +98,23 @@
 	soak_set_knob(s, "silent", silent);
 }
 
+/*
+ * Workers leave a share of all orders, or of the stops, unanswered and carry
+ * them out seconds later, in a series beside that of the other faults.
+ */
+static void change_late_orders(struct soak *s, int64_t now)
+{
+	uint64_t kind = rng_below(&s->late_rng, 3);
+	uint64_t percent = rng_below(&s->late_rng, 101);
+
+	s->next_late_at = now + 20 +
+			  (int64_t)rng_below(&s->late_rng,
+					     LATE_INTERVAL_MAX_MS);
+	soak_set_knob(s, "late_percent",
+		      kind == 1 ? (long)(percent * LATE_PERCENT_MAX / 100) : 0);
+	soak_set_knob(s, "late_stops_percent", kind == 2 ? (long)percent : 0);
+}
+
 /* Troubles of the store alone leave the instances to be checked. */
 static void inject_store_fault(struct soak *s)
 {
@@ -167,6 +186,8 @@
 
 	for (k = 0; k < s->n_instances; k++)
 		tick_instance(s, &s->instances[k], now);
+	if (!s->calm && !s->only_store && now >= s->next_late_at)
+		change_late_orders(s, now);
 	if (s->calm || now < s->next_fault_at)
 		return;
 	s->next_fault_at = now + random_ms(s, s->only_store
@@ -188,6 +209,8 @@
 	set_store_silent(s, false);
 	soak_set_knob(s, "deaf", 0);
 	soak_set_knob(s, "run_ms", USUAL_RUN_MS);
+	soak_set_knob(s, "late_percent", 0);
+	soak_set_knob(s, "late_stops_percent", 0);
 	for (k = 0; k < s->n_workers; k++)
 		s->workers[k].mode = PROXY_PASS;
 	for (k = 0; k < s->n_instances; k++) {
--- a/test/fleet_soak/main.c
+++ b/test/fleet_soak/main.c
@@ -140,6 +140,7 @@
 		soak_violation(s, "%ld starts of tasks that crash workers",
 			       over);
 	check_ended_jobs(s);
+	s->n_late_orders = soak_ask(s, "GET", "/standin/counts", "late_orders");
 }
 
 static void stop_all(struct soak *s)
@@ -198,6 +199,7 @@
 	unsigned n_violations;
 
 	s->seed = s->rng.state = seed;
+	s->late_rng.state = ~seed;
 	s->build = build;
 	s->loop = ev_default_loop(0);
 	opt.loop = s->loop;
@@ -218,14 +220,14 @@
 	play(s, (int64_t)seconds * 1000);
 	check_end(s);
 	stop_all(s);
-	printf("seed %llu: %d instances%s%s, %u faults, %u jobs: %u completed, "
-	       "%u failed, %u refused, %u unknown; %u configurations checked; "
-	       "%u violations\n",
+	printf("seed %llu: %d instances%s%s, %u faults, %ld late orders, "
+	       "%u jobs: %u completed, %u failed, %u refused, %u unknown; "
+	       "%u configurations checked; %u violations\n",
 	       (unsigned long long)seed, n_instances,
 	       s->divided ? " in cells" : "",
 	       s->only_store ? ", troubles of the store" : "", s->n_faults,
-	       s->n_jobs, s->n_completed, s->n_failed, s->n_refused,
-	       s->n_unknown, s->n_config_checks, s->n_violations);
+	       s->n_late_orders, s->n_jobs, s->n_completed, s->n_failed,
+	       s->n_refused, s->n_unknown, s->n_config_checks, s->n_violations);
 	if (s->n_violations)
 		printf("  logs in %s; repeat: build/fleet_soak build %llu %llu "
 		       "%d %d\n",
--- a/test/fleet_soak/soak.h
+++ b/test/fleet_soak/soak.h
@@ -64,7 +64,7 @@
 
 struct soak {
 	struct ev_loop *loop;
-	struct rng rng;
+	struct rng rng, late_rng; /* late_rng: of late orders */
 	uint64_t seed;
 	const char *build; /* directory of the programs */
 	char dir[SOAK_PATH_MAX]; /* settings and logs of the run */
@@ -77,7 +77,7 @@
 	struct proxy workers[SOAK_WORKERS_MAX];
 	struct soak_caller callers[SOAK_CALLERS_MAX];
 	struct http_client *client;
-	int64_t faults_until, next_fault_at;
+	int64_t faults_until, next_fault_at, next_late_at;
 	bool calm; /* no further faults or load */
 	bool store_is_down, store_is_silent;
 	int64_t store_disturbed_at;
@@ -88,6 +88,7 @@
 	uint64_t next_job;
 	unsigned n_jobs, n_completed, n_failed, n_refused, n_unknown, n_faults;
 	unsigned n_violations;
+	long n_late_orders;
 };
 
 /* Counts and prints a broken promise. */
--- a/test/standin/fleet.h
+++ b/test/standin/fleet.h
@@ -11,6 +11,7 @@
 
 #include "transport/http_server.h"
 #include "util/index.h"
+#include "util/rng.h"
 
 enum {
 	FLEET_WORKERS_MAX = 64,
@@ -21,6 +22,7 @@
 	FLEET_TASKS_MAX = 8, /* of a job, of which crashes are counted */
 	FLEET_JOBS_MAX = 65536, /* further jobs are not counted */
 	FLEET_HOLDS_MAX = 8, /* waiting holds of one worker */
+	FLEET_LATE_MAX = 512, /* late orders of one worker; others are not */
 	FLEET_REMOVED_MAX = 16 /* removed keys that watches report */
 };
 
@@ -64,6 +66,14 @@
 	double deadline;
 };
 
+/* An order that is carried out later, without an answer. */
+struct fleet_late_order {
+	double due_at;
+	char path[32];
+	char expected_instance[32];
+	json_t *body;
+};
+
 /* What the workers saw of a job. */
 struct fleet_job {
 	unsigned starts;
@@ -92,6 +102,8 @@
 	size_t n_ends;
 	uint64_t last_end_number;
 	struct fleet_waiting_hold holds[FLEET_HOLDS_MAX];
+	struct fleet_late_order late[FLEET_LATE_MAX];
+	size_t n_late;
 };
 
 struct fleet_platform {
@@ -105,6 +117,10 @@
 	/* Calls that reach the store, or are due, now get no answer at all. */
 	bool silent;
 	bool deaf; /* watches end without the changes made meanwhile */
+	/* Shares of orders left unanswered and carried out 2 to 12 s later. */
+	unsigned late_percent; /* of starts, stops and holds */
+	unsigned late_stops_percent; /* of stops, if it is higher */
+	struct rng rng;
 	uint64_t revision;
 	struct fleet_item items[FLEET_KEYS_MAX];
 	size_t n_items;
@@ -116,6 +132,7 @@
 	/* counts for the tests */
 	unsigned starts, done, concurrent_starts;
 	unsigned evacuated_starts; /* while the domain was evacuated */
+	unsigned late_orders;
 	unsigned starts_over_budget; /* more than one after the third crash */
 	struct fleet_job jobs[FLEET_JOBS_MAX];
 	size_t n_jobs;
@@ -160,5 +177,13 @@
 			  const struct http_request *req);
 void fleet_worker_client_gone(void *ctx, uint64_t id);
 void fleet_worker_tick(struct fleet_worker *w);
+/* Carries out an order to this life of the worker; `id` zero: no answer. */
+void fleet_worker_carry_out(struct fleet_worker *w, uint64_t id,
+			    const char *path, const json_t *body);
+
+/* fleet_late.c: whether the order is one that is carried out later. */
+bool fleet_late_keep(struct fleet_worker *w, const char *path,
+		     const char *expected_instance, json_t *body);
+void fleet_late_tick(struct fleet_worker *w);
 
 #endif
--- a/test/standin/fleet_store.c
+++ b/test/standin/fleet_store.c
@@ -216,7 +216,8 @@
 static void reply_counts(struct fleet_platform *p, uint64_t id)
 {
 	fleet_reply(p->store, id, 200,
-		    json_pack("{s:i, s:i, s:i, s:i, s:i}", "evacuated_starts",
+		    json_pack("{s:i, s:i, s:i, s:i, s:i, s:i}", "late_orders",
+			      (int)p->late_orders, "evacuated_starts",
 			      (int)p->evacuated_starts, "starts",
 			      (int)p->starts, "done", (int)p->done, "twice",
 			      (int)p->concurrent_starts, "over_budget",
@@ -246,6 +247,8 @@
 	const char *deaf = http_query(req, "deaf");
 	const char *config = http_query(req, "config");
 	const char *run_ms = http_query(req, "run_ms");
+	const char *late = http_query(req, "late_percent");
+	const char *late_stops = http_query(req, "late_stops_percent");
 	const char *evacuate = http_query(req, "evacuate");
 	const char *evacuate_end = http_query(req, "evacuate_end");
 
@@ -261,6 +264,10 @@
 		set_evacuation(p, evacuate, true);
 	if (evacuate_end)
 		set_evacuation(p, evacuate_end, false);
+	if (late)
+		p->late_percent = (unsigned)strtoul(late, NULL, 10);
+	if (late_stops)
+		p->late_stops_percent = (unsigned)strtoul(late_stops, NULL, 10);
 	if (run_ms)
 		p->run_ms = (int)strtol(run_ms, NULL, 10);
 	fleet_reply(p->store, id, 200, json_object());
--- a/test/standin/fleet_worker.c
+++ b/test/standin/fleet_worker.c
@@ -96,12 +96,17 @@
 	w->n_ends = n;
 }
 
+static double lease_end_s(const struct fleet_worker *w, const json_t *body)
+{
+	double ms = json_number_value(
+		json_object_get(body, CALL_LEASE_ENDS_AT));
+
+	return (ms + (double)w->born_ms) / 1000;
+}
+
 static void extend_lease(struct fleet_worker *w, const json_t *body)
 {
-	double until = (json_number_value(
-				json_object_get(body, CALL_LEASE_ENDS_AT)) +
-			(double)w->born_ms) /
-		       1000;
+	double until = lease_end_s(w, body);
 
 	if (until > loop_time_s(w) + LEASE_MAX_S)
 		until = loop_time_s(w) + LEASE_MAX_S;
@@ -139,11 +144,15 @@
 	return false;
 }
 
-static const char *start_refusal(const struct fleet_worker *w, const char *task,
+static const char *start_refusal(const struct fleet_worker *w,
+				 const json_t *body, const char *task,
 				 uint64_t run)
 {
 	size_t i;
 
+	if (lease_end_s(w, body) <= loop_time_s(w) &&
+	    w->lease_ends_at <= loop_time_s(w))
+		return "late";
 	for (i = 0; i < w->n_ends; i++)
 		if (!strcmp(w->ends[i].task, task) && w->ends[i].run >= run)
 			return "old";
@@ -172,7 +181,7 @@
 static void handle_start(struct fleet_worker *w, uint64_t id,
 			 const json_t *body, const char *task, uint64_t run)
 {
-	const char *refusal = start_refusal(w, task, run);
+	const char *refusal = start_refusal(w, body, task, run);
 	struct fleet_run *r;
 
 	extend_lease(w, body);
@@ -227,8 +236,8 @@
 	reply_result(w, id, 200, NULL);
 }
 
-static void handle_call(struct fleet_worker *w, uint64_t id, const char *path,
-			const json_t *body)
+void fleet_worker_carry_out(struct fleet_worker *w, uint64_t id,
+			    const char *path, const json_t *body)
 {
 	const char *task = json_string_value(json_object_get(body, CALL_TASK));
 	uint64_t run = (uint64_t)json_integer_value(
@@ -262,8 +271,8 @@
 
 	if (expected_instance && strcmp(expected_instance, w->name))
 		reply_result(w, id, 421, NULL);
-	else
-		handle_call(w, id, req->path, body);
+	else if (!fleet_late_keep(w, req->path, expected_instance, body))
+		fleet_worker_carry_out(w, id, req->path, body);
 	json_decref(body);
 }
 
@@ -284,6 +293,7 @@
 
 	if (w->restarts_at && loop_time_s(w) >= w->restarts_at)
 		fleet_worker_restart(w);
+	fleet_late_tick(w);
 	for (i = 0; i < w->n_runs; i++)
 		if (w->runs[i].crashes_at &&
 		    loop_time_s(w) >= w->runs[i].crashes_at)
