Report where both runs of a task were in the stand-in

A count of second runs does not tell whether one cell or two began them, which are faults of different kinds. The stand-in now prints both runs with their workers and domains, and counts those within one domain apart; the soak prints both counts.

--- a/test/fleet_soak/main.c
+++ b/test/fleet_soak/main.c
@@ -124,7 +124,7 @@
 static void check_end(struct soak *s)
 {
 	int unserved;
-	long twice, over;
+	long twice, twice_in_domain, over;
 
 	soak_heal(s);
 	play(s, HEAL_MS);
@@ -133,8 +133,13 @@
 		soak_violation(s, "%d of %d instances serve no job after it",
 			       unserved, s->n_instances);
 	twice = soak_ask(s, "GET", "/standin/counts", "twice");
+	twice_in_domain = soak_ask(s, "GET", "/standin/counts",
+				   "twice_in_domain");
 	if (twice)
-		soak_violation(s, "%ld tasks had two runs at one time", twice);
+		soak_violation(s,
+			       "%ld tasks had two runs at one time, %ld of "
+			       "them both in one domain",
+			       twice, twice_in_domain);
 	over = soak_ask(s, "GET", "/standin/counts", "over_budget");
 	if (over)
 		soak_violation(s, "%ld starts of tasks that crash workers",
--- a/test/standin/fleet.h
+++ b/test/standin/fleet.h
@@ -131,6 +131,7 @@
 	size_t n_workers;
 	/* counts for the tests */
 	unsigned starts, done, concurrent_starts;
+	unsigned concurrent_starts_in_domain; /* both runs in one domain */
 	unsigned evacuated_starts; /* while the domain was evacuated */
 	unsigned late_orders;
 	unsigned starts_over_budget; /* more than one after the third crash */
--- a/test/standin/fleet_store.c
+++ b/test/standin/fleet_store.c
@@ -216,12 +216,14 @@
 static void reply_counts(struct fleet_platform *p, uint64_t id)
 {
 	fleet_reply(p->store, id, 200,
-		    json_pack("{s:i, s:i, s:i, s:i, s:i, s:i}", "late_orders",
-			      (int)p->late_orders, "evacuated_starts",
-			      (int)p->evacuated_starts, "starts",
-			      (int)p->starts, "done", (int)p->done, "twice",
-			      (int)p->concurrent_starts, "over_budget",
-			      (int)p->starts_over_budget));
+		    json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i}",
+			      "late_orders", (int)p->late_orders,
+			      "evacuated_starts", (int)p->evacuated_starts,
+			      "starts", (int)p->starts, "done", (int)p->done,
+			      "twice", (int)p->concurrent_starts,
+			      "twice_in_domain",
+			      (int)p->concurrent_starts_in_domain,
+			      "over_budget", (int)p->starts_over_budget));
 }
 
 static void reply_job(struct fleet_platform *p, uint64_t id, const char *job)
--- a/test/standin/fleet_worker.c
+++ b/test/standin/fleet_worker.c
@@ -132,15 +132,36 @@
 	fleet_reply(w->server, id, 200, lists_json(w));
 }
 
-static bool is_running_anywhere(const struct fleet_platform *p,
-				const char *task)
+static void report_second_run(const struct fleet_worker *w, uint64_t run,
+			      const struct fleet_worker *other,
+			      const struct fleet_run *r)
 {
+	size_t n = w->platform->n_domains;
+
+	printf("%s: run %llu on %s in d%zu beside run %llu on %s in d%zu\n",
+	       r->task, (unsigned long long)run, w->name, w->number % n,
+	       (unsigned long long)r->run, other->name, other->number % n);
+	fflush(stdout);
+	w->platform->concurrent_starts_in_domain += w->number % n ==
+						    other->number % n;
+}
+
+/* Reports the first run of the task that is active on any worker. */
+static bool is_second_run(const struct fleet_worker *w, const char *task,
+			  uint64_t run)
+{
+	const struct fleet_worker *other;
 	size_t i, k;
 
-	for (i = 0; i < p->n_workers; i++)
-		for (k = 0; k < p->workers[i].n_runs; k++)
-			if (!strcmp(p->workers[i].runs[k].task, task))
-				return true;
+	for (i = 0; i < w->platform->n_workers; i++) {
+		other = &w->platform->workers[i];
+		for (k = 0; k < other->n_runs; k++) {
+			if (strcmp(other->runs[k].task, task))
+				continue;
+			report_second_run(w, run, other, &other->runs[k]);
+			return true;
+		}
+	}
 	return false;
 }
 
@@ -193,8 +214,7 @@
 	if (fleet_is_evacuated(w->platform, w->number % w->platform->n_domains))
 		w->platform->evacuated_starts++;
 	fleet_count_start(w->platform, task);
-	w->platform->concurrent_starts += is_running_anywhere(w->platform,
-							      task);
+	w->platform->concurrent_starts += is_second_run(w, task, run);
 	r = &w->runs[w->n_runs++];
 	copy_text(r->task, sizeof(r->task), task);
 	r->run = run;
