Let the soak's callers submit an open job again

Cause: no caller of the soak submitted a job while its first request was open, and no job ran for longer than 0.7 s, so no run could meet a second one.

In the divided series one job in 12 now runs for 2 to 4 s with a deadline of 9 s. These jobs, and one in 3 of the others, are submitted again to another instance 1.3 to 2.8 s after a request that is still open, and once more 1.3 to 5.3 s after the answer. Jobs that crash workers are not. A job counts as refused only if each of its attempts was; then none of its tasks may have been started, as before. More connections for each instance, as requests now stay open for seconds.

--- a/test/fleet_soak/main.c
+++ b/test/fleet_soak/main.c
@@ -20,7 +20,7 @@
 	INSTANCES = 6,
 	WORKERS_PER_INSTANCE = 2,
 	CALLERS_PER_INSTANCE = 3,
-	CONNS_PER_HOST = 8,
+	CONNS_PER_HOST = 16,
 	TICK_MS = 5,
 	START_MS = 3000, /* until the fleet serves its first jobs */
 	/* A fleet whose members were all replaced serves after this time. */
@@ -227,12 +227,13 @@
 	stop_all(s);
 	printf("seed %llu: %d instances%s%s, %u faults, %ld late orders, "
 	       "%u jobs: %u completed, %u failed, %u refused, %u unknown; "
-	       "%u configurations checked; %u violations\n",
+	       "%u copies; %u configurations checked; %u violations\n",
 	       (unsigned long long)seed, n_instances,
 	       s->divided ? " in cells" : "",
 	       s->only_store ? ", troubles of the store" : "", s->n_faults,
 	       s->n_late_orders, s->n_jobs, s->n_completed, s->n_failed,
-	       s->n_refused, s->n_unknown, s->n_config_checks, s->n_violations);
+	       s->n_refused, s->n_unknown, s->n_copies, s->n_config_checks,
+	       s->n_violations);
 	if (s->n_violations)
 		printf("  logs in %s; repeat: build/fleet_soak build %llu %llu "
 		       "%d %d\n",
--- a/test/fleet_soak/soak.h
+++ b/test/fleet_soak/soak.h
@@ -47,18 +47,19 @@
 	long checked_version; /* of the configuration */
 };
 
+struct soak_job; /* see callers.c */
+
 /* A caller with one job at a time. */
 struct soak_caller {
 	struct soak *soak;
-	char id[SOAK_ID_MAX]; /* of its job; empty: it has none */
-	int n_tasks;
+	struct soak_job *job; /* NULL: it has none */
 	int n_sent;
 	int home; /* of the last attempt */
-	int64_t sent_at;
 	int64_t next_at; /* when it sends next */
+	int64_t copy_at; /* when it submits the open job again; zero: never */
+	struct soak_job *late_copy; /* an answered job; NULL: none */
+	int64_t late_copy_at;
 	bool in_flight;
-	bool may_have_run; /* an attempt was neither refused nor unsent */
-	bool is_crashing; /* its first task crashes each worker */
 	bool is_probe; /* it must be served */
 };
 
@@ -87,6 +88,7 @@
 	unsigned n_config_checks;
 	uint64_t next_job;
 	unsigned n_jobs, n_completed, n_failed, n_refused, n_unknown, n_faults;
+	unsigned n_copies, n_open_copies; /* jobs that were submitted again */
 	unsigned n_violations;
 	long n_late_orders;
 };
