--- a/test/fleet_soak/main.c
+++ b/test/fleet_soak/main.c
@@ -20,7 +20,7 @@
 	INSTANCES = 6,
 	WORKERS_PER_INSTANCE = 2,
 	CALLERS_PER_INSTANCE = 3,
-	CONNS_PER_HOST = 8,
+	CONNS_PER_HOST = 16,
 	TICK_MS = 5,
 	START_MS = 3000, /* until the fleet serves its first jobs */
 	/* A fleet whose members were all replaced serves after this time. */
@@ -124,7 +124,7 @@
 static void check_end(struct soak *s)
 {
 	int unserved;
-	long twice, over;
+	long twice, twice_in_domain, over;
 
 	soak_heal(s);
 	play(s, HEAL_MS);
@@ -133,13 +133,19 @@
 		soak_violation(s, "%d of %d instances serve no job after it",
 			       unserved, s->n_instances);
 	twice = soak_ask(s, "GET", "/standin/counts", "twice");
+	twice_in_domain = soak_ask(s, "GET", "/standin/counts",
+				   "twice_in_domain");
 	if (twice)
-		soak_violation(s, "%ld tasks had two runs at one time", twice);
+		soak_violation(s,
+			       "%ld tasks had two runs at one time, %ld of "
+			       "them both in one domain",
+			       twice, twice_in_domain);
 	over = soak_ask(s, "GET", "/standin/counts", "over_budget");
 	if (over)
 		soak_violation(s, "%ld starts of tasks that crash workers",
 			       over);
 	check_ended_jobs(s);
+	s->n_late_orders = soak_ask(s, "GET", "/standin/counts", "late_orders");
 }
 
 static void stop_all(struct soak *s)
@@ -198,6 +204,7 @@
 	unsigned n_violations;
 
 	s->seed = s->rng.state = seed;
+	s->late_rng.state = ~seed;
 	s->build = build;
 	s->loop = ev_default_loop(0);
 	opt.loop = s->loop;
@@ -218,14 +225,15 @@
 	play(s, (int64_t)seconds * 1000);
 	check_end(s);
 	stop_all(s);
-	printf("seed %llu: %d instances%s%s, %u faults, %u jobs: %u completed, "
-	       "%u failed, %u refused, %u unknown; %u configurations checked; "
-	       "%u violations\n",
+	printf("seed %llu: %d instances%s%s, %u faults, %ld late orders, "
+	       "%u jobs: %u completed, %u failed, %u refused, %u unknown; "
+	       "%u copies; %u configurations checked; %u violations\n",
 	       (unsigned long long)seed, n_instances,
 	       s->divided ? " in cells" : "",
 	       s->only_store ? ", troubles of the store" : "", s->n_faults,
-	       s->n_jobs, s->n_completed, s->n_failed, s->n_refused,
-	       s->n_unknown, s->n_config_checks, s->n_violations);
+	       s->n_late_orders, s->n_jobs, s->n_completed, s->n_failed,
+	       s->n_refused, s->n_unknown, s->n_copies, s->n_config_checks,
+	       s->n_violations);
 	if (s->n_violations)
 		printf("  logs in %s; repeat: build/fleet_soak build %llu %llu "
 		       "%d %d\n",
--- a/test/fleet_soak/soak.h
+++ b/test/fleet_soak/soak.h
@@ -47,24 +47,25 @@
 	long checked_version; /* of the configuration */
 };
 
+struct soak_job; /* see callers.c */
+
 /* A caller with one job at a time. */
 struct soak_caller {
 	struct soak *soak;
-	char id[SOAK_ID_MAX]; /* of its job; empty: it has none */
-	int n_tasks;
+	struct soak_job *job; /* NULL: it has none */
 	int n_sent;
 	int home; /* of the last attempt */
-	int64_t sent_at;
 	int64_t next_at; /* when it sends next */
+	int64_t copy_at; /* when it submits the open job again; zero: never */
+	struct soak_job *late_copy; /* an answered job; NULL: none */
+	int64_t late_copy_at;
 	bool in_flight;
-	bool may_have_run; /* an attempt was neither refused nor unsent */
-	bool is_crashing; /* its first task crashes each worker */
 	bool is_probe; /* it must be served */
 };
 
 struct soak {
 	struct ev_loop *loop;
-	struct rng rng;
+	struct rng rng, late_rng; /* late_rng: of late orders */
 	uint64_t seed;
 	const char *build; /* directory of the programs */
 	char dir[SOAK_PATH_MAX]; /* settings and logs of the run */
@@ -77,7 +78,7 @@
 	struct proxy workers[SOAK_WORKERS_MAX];
 	struct soak_caller callers[SOAK_CALLERS_MAX];
 	struct http_client *client;
-	int64_t faults_until, next_fault_at;
+	int64_t faults_until, next_fault_at, next_late_at;
 	bool calm; /* no further faults or load */
 	bool store_is_down, store_is_silent;
 	int64_t store_disturbed_at;
@@ -87,7 +88,9 @@
 	unsigned n_config_checks;
 	uint64_t next_job;
 	unsigned n_jobs, n_completed, n_failed, n_refused, n_unknown, n_faults;
+	unsigned n_copies, n_open_copies; /* jobs that were submitted again */
 	unsigned n_violations;
+	long n_late_orders;
 };
 
 /* Counts and prints a broken promise. */
--- a/test/standin/fleet_worker.c
+++ b/test/standin/fleet_worker.c
@@ -1,5 +1,6 @@
 /* The workers of the platform's stand-in: starts, stops, holds and leases. */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "fleet.h"
@@ -15,6 +16,9 @@
 static const char crash_spec[] = "crash";
 static const double crash_after_s = 0.01;
 
+/* The specification of a job that names its tasks' run time: "run MS". */
+static const char run_spec[] = "run ";
+
 static double loop_time_s(const struct fleet_worker *w)
 {
 	return ev_now(w->platform->loop);
@@ -92,12 +96,17 @@
 	w->n_ends = n;
 }
 
+static double lease_end_s(const struct fleet_worker *w, const json_t *body)
+{
+	double ms = json_number_value(
+		json_object_get(body, CALL_LEASE_ENDS_AT));
+
+	return (ms + (double)w->born_ms) / 1000;
+}
+
 static void extend_lease(struct fleet_worker *w, const json_t *body)
 {
-	double until = (json_number_value(
-				json_object_get(body, CALL_LEASE_ENDS_AT)) +
-			(double)w->born_ms) /
-		       1000;
+	double until = lease_end_s(w, body);
 
 	if (until > loop_time_s(w) + LEASE_MAX_S)
 		until = loop_time_s(w) + LEASE_MAX_S;
@@ -123,23 +132,48 @@
 	fleet_reply(w->server, id, 200, lists_json(w));
 }
 
-static bool is_running_anywhere(const struct fleet_platform *p,
-				const char *task)
+static void report_second_run(const struct fleet_worker *w, uint64_t run,
+			      const struct fleet_worker *other,
+			      const struct fleet_run *r)
+{
+	size_t n = w->platform->n_domains;
+
+	printf("%s: run %llu on %s in d%zu beside run %llu on %s in d%zu\n",
+	       r->task, (unsigned long long)run, w->name, w->number % n,
+	       (unsigned long long)r->run, other->name, other->number % n);
+	fflush(stdout);
+	w->platform->concurrent_starts_in_domain += w->number % n ==
+						    other->number % n;
+}
+
+/* Reports the first run of the task that is active on any worker. */
+static bool is_second_run(const struct fleet_worker *w, const char *task,
+			  uint64_t run)
 {
+	const struct fleet_worker *other;
 	size_t i, k;
 
-	for (i = 0; i < p->n_workers; i++)
-		for (k = 0; k < p->workers[i].n_runs; k++)
-			if (!strcmp(p->workers[i].runs[k].task, task))
-				return true;
+	for (i = 0; i < w->platform->n_workers; i++) {
+		other = &w->platform->workers[i];
+		for (k = 0; k < other->n_runs; k++) {
+			if (strcmp(other->runs[k].task, task))
+				continue;
+			report_second_run(w, run, other, &other->runs[k]);
+			return true;
+		}
+	}
 	return false;
 }
 
-static const char *start_refusal(const struct fleet_worker *w, const char *task,
+static const char *start_refusal(const struct fleet_worker *w,
+				 const json_t *body, const char *task,
 				 uint64_t run)
 {
 	size_t i;
 
+	if (lease_end_s(w, body) <= loop_time_s(w) &&
+	    w->lease_ends_at <= loop_time_s(w))
+		return "late";
 	for (i = 0; i < w->n_ends; i++)
 		if (!strcmp(w->ends[i].task, task) && w->ends[i].run >= run)
 			return "old";
@@ -155,10 +189,20 @@
 	       !strcmp(index, ".0");
 }
 
+static double run_time_s(const struct fleet_worker *w, const json_t *body)
+{
+	const char *spec = json_string_value(json_object_get(body, JOB_BODY));
+	size_t n = sizeof(run_spec) - 1;
+
+	if (!spec || strncmp(spec, run_spec, n))
+		return w->platform->run_ms / 1000.0;
+	return strtod(spec + n, NULL) / 1000;
+}
+
 static void handle_start(struct fleet_worker *w, uint64_t id,
 			 const json_t *body, const char *task, uint64_t run)
 {
-	const char *refusal = start_refusal(w, task, run);
+	const char *refusal = start_refusal(w, body, task, run);
 	struct fleet_run *r;
 
 	extend_lease(w, body);
@@ -167,16 +211,15 @@
 		return;
 	}
 	w->platform->starts++;
-	if (fleet_is_evacuated(w->platform, w->number % FLEET_DOMAINS))
+	if (fleet_is_evacuated(w->platform, w->number % w->platform->n_domains))
 		w->platform->evacuated_starts++;
 	fleet_count_start(w->platform, task);
-	w->platform->concurrent_starts += is_running_anywhere(w->platform,
-							      task);
+	w->platform->concurrent_starts += is_second_run(w, task, run);
 	r = &w->runs[w->n_runs++];
 	copy_text(r->task, sizeof(r->task), task);
 	r->run = run;
 	r->began_at = loop_time_s(w);
-	r->ends_at = r->began_at + w->platform->run_ms / 1000.0;
+	r->ends_at = r->began_at + run_time_s(w, body);
 	r->crashes_at = 0;
 	if (is_crashing(body, task))
 		r->crashes_at = r->began_at + crash_after_s;
@@ -213,8 +256,8 @@
 	reply_result(w, id, 200, NULL);
 }
 
-static void handle_call(struct fleet_worker *w, uint64_t id, const char *path,
-			const json_t *body)
+void fleet_worker_carry_out(struct fleet_worker *w, uint64_t id,
+			    const char *path, const json_t *body)
 {
 	const char *task = json_string_value(json_object_get(body, CALL_TASK));
 	uint64_t run = (uint64_t)json_integer_value(
@@ -248,8 +291,8 @@
 
 	if (expected_instance && strcmp(expected_instance, w->name))
 		reply_result(w, id, 421, NULL);
-	else
-		handle_call(w, id, req->path, body);
+	else if (!fleet_late_keep(w, req->path, expected_instance, body))
+		fleet_worker_carry_out(w, id, req->path, body);
 	json_decref(body);
 }
 
@@ -270,6 +313,7 @@
 
 	if (w->restarts_at && loop_time_s(w) >= w->restarts_at)
 		fleet_worker_restart(w);
+	fleet_late_tick(w);
 	for (i = 0; i < w->n_runs; i++)
 		if (w->runs[i].crashes_at &&
 		    loop_time_s(w) >= w->runs[i].crashes_at)
