Let a copy of a job that has ended start at once, and a moved job wait for its link

A job that a list lacks is now forgotten with that list, unless its cell has just asked for it or its driver does not know its runs yet. A moved job keeps its generation and only asks the other cells, and waits a second for its link, as no other cell may run it.

--- a/src/fleet/cell_jobs.c
+++ b/src/fleet/cell_jobs.c
@@ -150,8 +150,8 @@
 		 LOG_U("moves", j->n_moves));
 	j->n_moves++;
 	c->n_moved++;
-	/* That cell may have started tasks of it. */
-	job.generation++;
+	/* That cell may not have it any more, and then asks the others. */
+	job.may_be_old = true;
 	submit_to_cell(c, j, answer->cell, &job, now);
 	return true;
 }
--- a/src/fleet/home.c
+++ b/src/fleet/home.c
@@ -13,6 +13,8 @@
 enum {
 	/* A link to the driver of another cell is up sooner. */
 	LINK_TIMEOUT_MS = 40,
+	/* The same for a job that only that cell may run. */
+	LINK_TIMEOUT_OLD_MS = 1000,
 	/* A takeover takes less, so after this time no instance can drive. */
 	NO_DRIVER_TIMEOUT_MS = 600,
 	NO_DRIVER_RETRY_MS = 1000,
@@ -297,6 +299,11 @@
 	f->opt.answer(f->opt.ctx, tag, &answer);
 }
 
+static int64_t link_timeout_ms(const struct home_job *j)
+{
+	return j->spec.may_be_old ? LINK_TIMEOUT_OLD_MS : LINK_TIMEOUT_MS;
+}
+
 static void tick_job(struct fleet *f, struct home_job *j, int64_t now)
 {
 	bool is_takeover_overdue = election_is_takeover_overdue(f, now) ||
@@ -310,7 +317,7 @@
 	if (j->resubmit_at && now >= j->resubmit_at)
 		submit_job(f, j, now);
 	if (!j->submitted && !fleet_is_eligible(f) &&
-	    now - j->taken_at > LINK_TIMEOUT_MS) {
+	    now - j->taken_at > link_timeout_ms(j)) {
 		answer_job(f, j, FLEET_NOT_RUN, NO_DRIVER_RETRY_MS, "no_link",
 			   now);
 		return;
--- a/src/fleet/job_query.c
+++ b/src/fleet/job_query.c
@@ -188,7 +188,7 @@
 		  (p == DRIVE_AWAITS_CELLS && own->number < number);
 	if (!is_here)
 		open_jobs_note(&c->open_jobs, open_jobs_hash(id),
-			       (uint32_t)number, now);
+			       (uint32_t)number, true, now);
 	answer_query(c, own, from, id, is_here);
 	return true;
 }
--- a/src/fleet/open_jobs.c
+++ b/src/fleet/open_jobs.c
@@ -3,13 +3,16 @@
 #include "fleet/open_jobs.h"
 
 enum {
-	/* A cell's list is sent more often, and one may be late or lost. */
-	NOTED_LATELY_MS = 350
+	/* Messages of one list arrive within this time. */
+	ONE_LIST_MS = 50,
+	/* A job that a cell asked for is in its lists by then. */
+	ASKED_MS = 350
 };
 
 struct open_job {
 	uint64_t hash;
 	uint32_t cell;
+	bool was_asked; /* noted as the cell asked for it */
 	int64_t noted_at;
 };
 
@@ -61,12 +64,13 @@
 }
 
 void open_jobs_note(struct open_jobs *o, uint64_t hash, uint32_t cell,
-		    int64_t now)
+		    bool was_asked, int64_t now)
 {
 	struct open_job *j = find(o, hash, cell);
 
 	if (!j)
 		j = add(o, hash, cell);
+	j->was_asked = was_asked;
 	j->noted_at = now;
 }
 
@@ -93,7 +97,9 @@
 	uint32_t pos = 0;
 
 	while ((j = table_next(&o->items, &pos, &handle)))
-		if (j->cell == cell && now - j->noted_at >= NOTED_LATELY_MS)
+		if (j->cell == cell &&
+		    now - j->noted_at >=
+			    (j->was_asked ? ASKED_MS : ONE_LIST_MS))
 			drop(o, handle);
 }
 
--- a/src/fleet/open_jobs.h
+++ b/src/fleet/open_jobs.h
@@ -19,13 +19,13 @@
 void open_jobs_free(struct open_jobs *o);
 
 uint64_t open_jobs_hash(const char *id);
-/* Notes that the cell has the job. */
+/* Notes that the cell has the job: it is in its list, or it asked for it. */
 void open_jobs_note(struct open_jobs *o, uint64_t hash, uint32_t cell,
-		    int64_t now);
+		    bool was_asked, int64_t now);
 /* Whether the cell is known to have the job. */
 bool open_jobs_find(const struct open_jobs *o, uint64_t hash, uint32_t cell,
 		    int64_t now);
-/* Drops the entries of the cell that were not noted lately. */
+/* Drops the entries of the cell that its last list lacks. */
 void open_jobs_drop_older(struct open_jobs *o, uint32_t cell, int64_t now);
 /* Drops the entries that do not hold any more. */
 void open_jobs_expire(struct open_jobs *o, int64_t now);
--- a/src/fleet/open_jobs_tell.c
+++ b/src/fleet/open_jobs_tell.c
@@ -180,12 +180,15 @@
 		hash = wire_u64(w);
 		if (!w->failed)
 			open_jobs_note(&c->open_jobs, hash, (uint32_t)number,
-				       now);
+				       false, now);
 	}
 	wire_leave(w);
 	if (w->failed)
 		return false;
-	if (is_complete && number < c->n)
+	/* Until then the jobs of the driver before it count too. */
+	if (!is_complete)
+		return true;
+	if (number < c->n)
 		note_told(&c->cells[number], now);
 	open_jobs_drop_older(&c->open_jobs, (uint32_t)number, now);
 	return true;
