--- a/src/cmd/fleet_metrics.c
+++ b/src/cmd/fleet_metrics.c
@@ -126,6 +126,20 @@
 			   rows[i].labels, rows[i].val);
 }
 
+static void set_job_metrics(struct fleet_daemon *d)
+{
+	struct cells_job_counts c;
+
+	cells_get_job_counts(d->fleet, &c);
+	set_metric(d, METRIC_GAUGE, "sycamoreshore_jobs_told",
+		   "Jobs that other drivers have told this instance of.", NULL,
+		   c.told);
+	set_metric(d, METRIC_COUNTER, "sycamoreshore_jobs_moved_total",
+		   "Jobs of this instance's callers that were moved to the "
+		   "cell that has them.",
+		   NULL, c.moved);
+}
+
 static void set_drive_metrics(struct fleet_daemon *d)
 {
 	struct drive_counts c;
@@ -182,6 +196,11 @@
 			 c.restarts},
 			{"sycamoreshore_runs_lost_total",
 			 "Runs that were lost with their worker.", c.runs_lost},
+			{"sycamoreshore_jobs_redirected_total",
+			 "Submissions of jobs that another cell has.",
+			 c.redirected},
+			{"sycamoreshore_jobs_asked_total",
+			 "Jobs that the other cells were asked for.", c.asked},
 			{"sycamoreshore_runs_outlived_total",
 			 "Runs that outlived their job, as no stop ended them.",
 			 c.runs_outlived},
@@ -280,6 +299,7 @@
 	set_answer_metrics(d);
 	set_member_metrics(d);
 	set_evacuation_metrics(d);
+	set_job_metrics(d);
 	set_drive_metrics(d);
 }
 
--- a/src/fleet/cells.c
+++ b/src/fleet/cells.c
@@ -302,6 +302,13 @@
 	return c->n;
 }
 
+void cells_get_job_counts(const struct cells *c,
+			  struct cells_job_counts *counts)
+{
+	counts->told = open_jobs_count(&c->open_jobs);
+	counts->moved = c->n_moved;
+}
+
 static json_t *dump_fleet(const struct fleet *f, int64_t now)
 {
 	char *text = fleet_dump(f, now);
--- a/src/fleet/cells.h
+++ b/src/fleet/cells.h
@@ -59,6 +59,15 @@
 /* The number of cells; zero: the fleet is not divided. */
 size_t cells_count(const struct cells *c);
 
+/* Of jobs that are submitted in several cells. */
+struct cells_job_counts {
+	size_t told; /* jobs that other drivers have told of, current */
+	uint64_t moved; /* of this home's jobs, to the cell that has them */
+};
+
+void cells_get_job_counts(const struct cells *c,
+			  struct cells_job_counts *counts);
+
 /* The fleet as a whole. */
 struct fleet *cells_whole(struct cells *c);
 /*
