Let one of two cells that have begun the same job give way

A job that two cells had both begun, behind a cut or as its caller submitted it to both within 180 ms, ran in both to its end.

The driver of the cell with the higher number now sees the job in the other's list, asks, and hands its own over: it stops its runs, and its homes move the job. A query says whether the asking cell has runs, so that a job which only waits never takes over one that runs.

cells_resubmit.job_begun_in_two_cells_at_once_goes_on_in_one fails without this commit (4 runs, not 2, after 420 ms) and passes with it; the same after a cut, job_begun_on_both_sides_of_a_cut_goes_on_in_one_cell, passes in both, as drivers ask again after a silence. cells_resubmit: 163 of 163 assertions.

--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -191,6 +191,13 @@
 	char names[DRIVE_DOMAINS_MAX][SYC_NAME_MAX];
 };
 
+/* A job that the other cells are asked for. */
+struct drive_job_query {
+	const char *id;
+	bool is_fresh; /* its caller has just submitted it for the first time */
+	bool has_runs; /* in the cell that asks */
+};
+
 struct drive_options {
 	void *ctx;
 	/* Outlives the drive and may be shared by several; see losses.h. */
@@ -227,7 +234,7 @@
 	 * drive_job_elsewhere or drive_job_not_elsewhere is called. False: no
 	 * cell is asked. NULL: there are no others.
 	 */
-	bool (*ask_cells)(void *ctx, const char *id, bool is_fresh);
+	bool (*ask_cells)(void *ctx, const struct drive_job_query *q);
 };
 
 #define DRIVE_OWN_CELL UINT32_MAX /* that of this drive's workers */
@@ -360,6 +367,8 @@
  * then: this driver was silent for so long that others may have begun them.
  */
 void drive_ask_again(struct drive *d);
+/* The same for one job, as another cell tells that it has it too. */
+void drive_ask_for_job(struct drive *d, const char *id);
 
 /* All cells that were asked for the job have answered that they lack it. */
 void drive_job_not_elsewhere(struct drive *d, int64_t now, const char *id);
--- a/src/drive/elsewhere.c
+++ b/src/drive/elsewhere.c
@@ -93,7 +93,13 @@
 
 static void ask_cells(struct drive *d, struct job *j, bool fresh)
 {
-	if (!d->opt.ask_cells || !d->opt.ask_cells(d->opt.ctx, j->id, fresh))
+	const struct drive_job_query q = {
+		.id = j->id,
+		.is_fresh = fresh,
+		.has_runs = j->n_active > 0,
+	};
+
+	if (!d->opt.ask_cells || !d->opt.ask_cells(d->opt.ctx, &q))
 		return;
 	j->awaits_cells = true;
 	d->counts.asked++;
@@ -113,6 +119,17 @@
 	ask_cells(d, j, is_fresh(spec));
 }
 
+void drive_ask_for_job(struct drive *d, const char *id)
+{
+	char padded[DRIVE_JOB_ID_MAX] = "";
+	struct job *j;
+
+	copy_text(padded, sizeof(padded), id);
+	j = job_find(d, padded);
+	if (j && !j->awaits_cells)
+		ask_cells(d, j, false);
+}
+
 void drive_ask_again(struct drive *d)
 {
 	struct list *pos, *after;
--- a/src/fleet/cell_fleet.c
+++ b/src/fleet/cell_fleet.c
@@ -136,11 +136,11 @@
 	return open_jobs_find(&c->open_jobs, hash, (uint32_t)cell->number, now);
 }
 
-static bool on_ask_cells(void *ctx, const char *id, bool is_fresh)
+static bool on_ask_cells(void *ctx, const struct drive_job_query *q)
 {
 	struct cell *cell = ctx;
 
-	return !is_whole(cell) && job_query_ask(cell, id, is_fresh);
+	return !is_whole(cell) && job_query_ask(cell, q);
 }
 
 void cell_create_fleet(struct cell *cell, const char *domain,
--- a/src/fleet/cells_state.h
+++ b/src/fleet/cells_state.h
@@ -94,7 +94,7 @@
  * Asks the other cells for a job; its drive gets the answer. A fresh job is asked
  * for only where the driver has not told of its jobs. False: no cell is asked.
  */
-bool job_query_ask(struct cell *own, const char *id, bool is_fresh);
+bool job_query_ask(struct cell *own, const struct drive_job_query *asked);
 bool job_query_receive(struct cells *c, int64_t now, uint64_t from,
 		       struct wire_in *w);
 bool job_located_receive(struct cells *c, int64_t now, struct wire_in *w);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -155,11 +155,11 @@
 	return f->opt.find_told && f->opt.find_told(f->opt.ctx, id, cell);
 }
 
-static bool on_ask_cells(void *ctx, const char *id, bool is_fresh)
+static bool on_ask_cells(void *ctx, const struct drive_job_query *q)
 {
 	struct fleet *f = ctx;
 
-	return f->opt.ask_cells && f->opt.ask_cells(f->opt.ctx, id, is_fresh);
+	return f->opt.ask_cells && f->opt.ask_cells(f->opt.ctx, q);
 }
 
 static void on_start(void *ctx, const struct drive_start *call)
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -98,7 +98,7 @@
 	uint32_t (*get_late_ms)(void *ctx);
 	/* About jobs that other drivers have; see drive.h. Set by cells.h. */
 	bool (*find_told)(void *ctx, const char *id, uint32_t *cell);
-	bool (*ask_cells)(void *ctx, const char *id, bool is_fresh);
+	bool (*ask_cells)(void *ctx, const struct drive_job_query *q);
 };
 
 struct fleet;
--- a/src/fleet/job_query.c
+++ b/src/fleet/job_query.c
@@ -16,6 +16,7 @@
 /* A job that the other cells were asked for. */
 struct job_query {
 	char id[DRIVE_JOB_ID_MAX];
+	bool has_runs; /* here */
 	uint32_t awaited; /* a bit for each cell that has not answered */
 	int64_t next_at; /* when they are asked again */
 };
@@ -78,9 +79,10 @@
 	size_t i;
 
 	q->next_at = now + ASK_INTERVAL_MS;
-	wire_begin(&w, SYC_PEER_JOB_QUERY, 2);
+	wire_begin(&w, SYC_PEER_JOB_QUERY, 3);
 	wire_put_u64(&w, own->number);
 	wire_put_str(&w, q->id);
+	wire_put_bool(&w, q->has_runs);
 	for (i = 0; i < c->n; i++)
 		if (q->awaited >> i & 1)
 			cells_send_to_driver(&c->cells[i], &w);
@@ -98,24 +100,25 @@
 	return NULL;
 }
 
-bool job_query_ask(struct cell *own, const char *id, bool is_fresh)
+bool job_query_ask(struct cell *own, const struct drive_job_query *asked)
 {
 	struct cells *c = own->cells;
 	int64_t now = syc_now(&c->opt.clock);
-	uint32_t asked = cells_to_ask(c, own, now, is_fresh);
+	uint32_t awaited = cells_to_ask(c, own, now, asked->is_fresh);
 	struct job_query *q;
 	uint64_t handle;
 	void *item;
 
-	if (!asked)
+	if (!awaited)
 		return false;
-	q = find_query(c, id, &handle);
+	q = find_query(c, asked->id, &handle);
 	if (!q) {
 		table_add(&c->queries, &item);
 		q = item;
-		copy_text(q->id, sizeof(q->id), id);
+		copy_text(q->id, sizeof(q->id), asked->id);
 	}
-	q->awaited = asked;
+	q->has_runs = asked->has_runs;
+	q->awaited = awaited;
 	send_query(c, own, q, now);
 	return true;
 }
@@ -167,7 +170,10 @@
 	c->opt.send(c->opt.ctx, to, wire_bytes(&w));
 }
 
-/* If two drivers ask each other, the job goes to the cell of lower number. */
+/*
+ * If two drivers ask each other, the job goes to the cell that has runs of it, or
+ * else to that of lower number.
+ */
 bool job_query_receive(struct cells *c, int64_t now, uint64_t from,
 		       struct wire_in *w)
 {
@@ -175,17 +181,18 @@
 	uint64_t number = wire_u64(w);
 	enum drive_presence p;
 	char id[DRIVE_JOB_ID_MAX];
-	bool is_here;
+	bool is_here, has_runs;
 
 	wire_str(w, id, sizeof(id));
+	has_runs = wire_bool(w);
 	if (w->failed || number >= c->n)
 		return !w->failed;
 	if (!own || own == &c->whole || own->number == number ||
 	    !drive_knows_runs(fleet_get_drive(own->fleet)))
 		return true;
 	p = drive_find_job(fleet_get_drive(own->fleet), id);
-	is_here = p == DRIVE_PRESENT ||
-		  (p == DRIVE_AWAITS_CELLS && own->number < number);
+	is_here = p == DRIVE_PRESENT || (p == DRIVE_AWAITS_CELLS && !has_runs &&
+					 own->number < number);
 	if (!is_here)
 		open_jobs_note(&c->open_jobs, open_jobs_hash(id),
 			       (uint32_t)number, true, now);
--- a/src/fleet/open_jobs_tell.c
+++ b/src/fleet/open_jobs_tell.c
@@ -55,6 +55,7 @@
 struct told_jobs {
 	struct cells *cells;
 	const struct cell *own;
+	int64_t now;
 	bool is_complete; /* the driver knows the runs of its workers */
 	size_t n;
 	uint64_t hashes[HASHES_MAX];
@@ -93,11 +94,26 @@
 	t->n = 0;
 }
 
+/* Whether a cell that this one gives way to tells that it has the job too. */
+static bool is_open_twice(const struct told_jobs *t, uint64_t hash)
+{
+	const struct open_jobs *o = &t->cells->open_jobs;
+	uint32_t i;
+
+	for (i = 0; i < t->own->number && i < t->cells->n; i++)
+		if (open_jobs_find(o, hash, i, t->now))
+			return true;
+	return false;
+}
+
 static void add_job(void *ctx, const char *id)
 {
 	struct told_jobs *t = ctx;
+	uint64_t hash = open_jobs_hash(id);
 
-	t->hashes[t->n++] = open_jobs_hash(id);
+	if (is_open_twice(t, hash))
+		drive_ask_for_job(fleet_get_drive(t->own->fleet), id);
+	t->hashes[t->n++] = hash;
 	if (t->n == HASHES_MAX)
 		send_told(t);
 }
@@ -113,6 +129,7 @@
 	open_jobs_expire(&c->open_jobs, now);
 	t.cells = c;
 	t.own = own;
+	t.now = now;
 	t.is_complete = drive_knows_runs(d);
 	t.n = 0;
 	drive_list_jobs(d, now, TELL_AGE_MS, add_job, &t);
--- a/test/unit/cells_resubmit_test.c
+++ b/test/unit/cells_resubmit_test.c
@@ -4,6 +4,7 @@
  */
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "sim/fleet_sim.h"
 #include "unit.h"
@@ -298,8 +299,60 @@
 	replace_driver(200, true);
 }
 
+static size_t count_runs(const struct fsim *s, size_t job)
+{
+	size_t i, k, n = 0;
+
+	for (i = 0; i < FSIM_WORKERS; i++)
+		for (k = 0; k < s->workers[i].n_runs; k++)
+			n += !strcmp(s->workers[i].runs[k].task.job,
+				     s->jobs[job].id);
+	return n;
+}
+
+/* Both cells have begun the job; within `ms` one of them gives way. */
+static void check_one_gives_way(struct fsim *s, size_t first, size_t second,
+				int64_t ms)
+{
+	CU_ASSERT_EQUAL(count_runs(s, first), 4);
+	fsim_run(s, ms);
+	CU_ASSERT_EQUAL(count_runs(s, first), 2);
+	fsim_run(s, END_MS);
+	CU_ASSERT(is_completed(s, first) && is_completed(s, second));
+	CU_ASSERT_EQUAL(s->n_false_refusals, 0);
+	fsim_free(s);
+}
+
+static void job_begun_in_two_cells_at_once_goes_on_in_one(void)
+{
+	struct fsim *s = start_fleet();
+	size_t first = submit_first(s), second;
+
+	fsim_run(s, 20);
+	second = submit_second(s, first, 1);
+	fsim_run(s, 20);
+	check_one_gives_way(s, first, second, 400);
+}
+
+static void job_begun_on_both_sides_of_a_cut_goes_on_in_one_cell(void)
+{
+	struct fsim *s = start_fleet();
+	size_t first = submit_first(s), second;
+
+	fsim_run(s, 300);
+	fsim_cut_domain(s, 0, true);
+	fsim_run(s, 2000);
+	second = submit_second(s, first, 1);
+	fsim_run(s, 1000);
+	fsim_cut_domain(s, 0, false);
+	CU_ASSERT_EQUAL(s->n_double_runs, 0);
+	check_one_gives_way(s, first, second, 1000);
+}
+
 SUITE(cells_resubmit)
 {
+	TEST(job_begun_in_two_cells_at_once_goes_on_in_one);
+	TEST(job_begun_on_both_sides_of_a_cut_goes_on_in_one_cell);
 	TEST(second_request_to_another_domain_runs_no_task_twice);
 	TEST(second_request_to_the_same_domain_runs_no_task_twice);
 	TEST(home_that_stood_still_runs_no_task_beside_the_second_request);
