Keep the driver's metrics in tables

set_drive_metrics was one function of 100 lines with two tables of values inside. The tables are static now, with the place of each value in struct drive_counts. Names and texts compared with those before: the same.

--- a/src/cmd/fleet_metrics.c
+++ b/src/cmd/fleet_metrics.c
@@ -1,3 +1,4 @@
+#include <stddef.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -140,121 +141,134 @@
 		   NULL, c.moved);
 }
 
+/* A metric of the driver, with the place of its value. */
+struct drive_metric {
+	const char *name;
+	const char *help;
+	size_t offset; /* in struct drive_counts */
+};
+
+static const struct drive_metric drive_counters[] = {
+	{"sycamoreshore_jobs_driven_total", "Jobs handed in to this driver.",
+	 offsetof(struct drive_counts, jobs)},
+	{"sycamoreshore_starts_total", "Starts sent to workers.",
+	 offsetof(struct drive_counts, starts)},
+	{"sycamoreshore_starts_refused_total",
+	 "Starts that a worker refused or that never left.",
+	 offsetof(struct drive_counts, starts_refused)},
+	{"sycamoreshore_starts_unanswered_total",
+	 "Starts that were not answered in time.",
+	 offsetof(struct drive_counts, starts_unanswered)},
+	{"sycamoreshore_stops_total", "Stops sent to workers.",
+	 offsetof(struct drive_counts, stops)},
+	{"sycamoreshore_holds_total", "Renewals of leases sent.",
+	 offsetof(struct drive_counts, holds)},
+	{"sycamoreshore_starts_hedged_total",
+	 "Starts whose answer took longer than usual, so that a list was "
+	 "requested.",
+	 offsetof(struct drive_counts, starts_hedged)},
+	{"sycamoreshore_lists_due_total",
+	 "Lists requested as a run's end was due.",
+	 offsetof(struct drive_counts, lists_due)},
+	{"sycamoreshore_holds_replaced_total",
+	 "Holds sent again while their worker answered other calls.",
+	 offsetof(struct drive_counts, holds_replaced)},
+	{"sycamoreshore_stalls_total",
+	 "Tasks stopped as they made no progress.",
+	 offsetof(struct drive_counts, stalls)},
+	{"sycamoreshore_behind_stops_total",
+	 "Tasks stopped as their worker has turned slow.",
+	 offsetof(struct drive_counts, behind_stops)},
+	{"sycamoreshore_jobs_refused_late_total",
+	 "Jobs refused as this driver was late.",
+	 offsetof(struct drive_counts, refused_late)},
+	{"sycamoreshore_jobs_waited_total",
+	 "Jobs that were admitted to wait for capacity.",
+	 offsetof(struct drive_counts, waited)},
+	{"sycamoreshore_workers_silent_total",
+	 "Times that a worker stopped answering.",
+	 offsetof(struct drive_counts, silences)},
+	{"sycamoreshore_workers_restarted_total",
+	 "Times that a worker began again under its name.",
+	 offsetof(struct drive_counts, restarts)},
+	{"sycamoreshore_runs_lost_total",
+	 "Runs that were lost with their worker.",
+	 offsetof(struct drive_counts, runs_lost)},
+	{"sycamoreshore_jobs_redirected_total",
+	 "Submissions of jobs that another cell has.",
+	 offsetof(struct drive_counts, redirected)},
+	{"sycamoreshore_jobs_asked_total",
+	 "Jobs that the other cells were asked for.",
+	 offsetof(struct drive_counts, asked)},
+	{"sycamoreshore_runs_outlived_total",
+	 "Runs that outlived their job, as no stop ended them.",
+	 offsetof(struct drive_counts, runs_outlived)},
+	{"sycamoreshore_jobs_given_up_total",
+	 "Jobs with a task that crashed workers, or was lost too often.",
+	 offsetof(struct drive_counts, given_up)},
+	{"sycamoreshore_exclusive_starts_total",
+	 "Starts of tasks on a worker of their own.",
+	 offsetof(struct drive_counts, exclusive_starts)},
+	{"sycamoreshore_ejections_total",
+	 "Times that a worker was passed over for a while.",
+	 offsetof(struct drive_counts, ejections)},
+	{"sycamoreshore_adopted_total",
+	 "Runs taken over from an earlier driver.",
+	 offsetof(struct drive_counts, adopted)},
+	{"sycamoreshore_ends_done_total", "Tasks that ended well.",
+	 offsetof(struct drive_counts, ends_done)},
+	{"sycamoreshore_ends_failed_total", "Tasks that failed.",
+	 offsetof(struct drive_counts, ends_failed)},
+	{"sycamoreshore_ends_other_total",
+	 "Runs stopped, lapsed or proved never begun.",
+	 offsetof(struct drive_counts, ends_other)},
+};
+
+static const struct drive_metric drive_gauges[] = {
+	{"sycamoreshore_jobs_waiting",
+	 "Jobs of this driver with a task that waits.",
+	 offsetof(struct drive_counts, queued)},
+	{"sycamoreshore_runs", "Runs on workers.",
+	 offsetof(struct drive_counts, running)},
+	{"sycamoreshore_workers", "Workers known.",
+	 offsetof(struct drive_counts, workers)},
+	{"sycamoreshore_workers_usable",
+	 "Workers that answer and are not leaving.",
+	 offsetof(struct drive_counts, workers_usable)},
+	{"sycamoreshore_worker_factor_min_percent",
+	 "Run times on the fastest of them, relative to a usual worker; zero: "
+	 "unknown.",
+	 offsetof(struct drive_counts, factor_min_percent)},
+	{"sycamoreshore_worker_factor_max_percent",
+	 "Run times on the slowest of them, relative to a usual worker; zero: "
+	 "unknown.",
+	 offsetof(struct drive_counts, factor_max_percent)},
+	{"sycamoreshore_workers_slowed",
+	 "Workers that are slower than they usually are, or cold.",
+	 offsetof(struct drive_counts, workers_slowed)},
+};
+
+static void set_drive_row(struct fleet_daemon *d, enum metric_kind kind,
+			  const struct drive_metric *m,
+			  const struct drive_counts *c)
+{
+	uint64_t val;
+
+	memcpy(&val, (const char *)c + m->offset, sizeof(val));
+	set_metric(d, kind, m->name, m->help, NULL, val);
+}
+
 static void set_drive_metrics(struct fleet_daemon *d)
 {
 	struct drive_counts c;
-	struct row {
-		const char *name;
-		const char *help;
-		uint64_t val;
-	};
+	size_t i;
 
 	drive_get_counts(fleet_get_drive(cells_own(d->fleet)), &c);
 	set_refusal_metrics(d, &c);
-	{
-		const struct row counters[] = {
-			{"sycamoreshore_jobs_driven_total",
-			 "Jobs handed in to this driver.", c.jobs},
-			{"sycamoreshore_starts_total",
-			 "Starts sent to workers.", c.starts},
-			{"sycamoreshore_starts_refused_total",
-			 "Starts that a worker refused or that never left.",
-			 c.starts_refused},
-			{"sycamoreshore_starts_unanswered_total",
-			 "Starts that were not answered in time.",
-			 c.starts_unanswered},
-			{"sycamoreshore_stops_total", "Stops sent to workers.",
-			 c.stops},
-			{"sycamoreshore_holds_total",
-			 "Renewals of leases sent.", c.holds},
-			{"sycamoreshore_starts_hedged_total",
-			 "Starts whose answer took longer than usual, so that "
-			 "a list was requested.",
-			 c.starts_hedged},
-			{"sycamoreshore_lists_due_total",
-			 "Lists requested as a run's end was due.",
-			 c.lists_due},
-			{"sycamoreshore_holds_replaced_total",
-			 "Holds sent again while their worker answered other "
-			 "calls.",
-			 c.holds_replaced},
-			{"sycamoreshore_stalls_total",
-			 "Tasks stopped as they made no progress.", c.stalls},
-			{"sycamoreshore_behind_stops_total",
-			 "Tasks stopped as their worker has turned slow.",
-			 c.behind_stops},
-			{"sycamoreshore_jobs_refused_late_total",
-			 "Jobs refused as this driver was late.",
-			 c.refused_late},
-			{"sycamoreshore_jobs_waited_total",
-			 "Jobs that were admitted to wait for capacity.",
-			 c.waited},
-			{"sycamoreshore_workers_silent_total",
-			 "Times that a worker stopped answering.", c.silences},
-			{"sycamoreshore_workers_restarted_total",
-			 "Times that a worker began again under its name.",
-			 c.restarts},
-			{"sycamoreshore_runs_lost_total",
-			 "Runs that were lost with their worker.", c.runs_lost},
-			{"sycamoreshore_jobs_redirected_total",
-			 "Submissions of jobs that another cell has.",
-			 c.redirected},
-			{"sycamoreshore_jobs_asked_total",
-			 "Jobs that the other cells were asked for.", c.asked},
-			{"sycamoreshore_runs_outlived_total",
-			 "Runs that outlived their job, as no stop ended them.",
-			 c.runs_outlived},
-			{"sycamoreshore_jobs_given_up_total",
-			 "Jobs with a task that crashed workers, or was lost "
-			 "too often.",
-			 c.given_up},
-			{"sycamoreshore_exclusive_starts_total",
-			 "Starts of tasks on a worker of their own.",
-			 c.exclusive_starts},
-			{"sycamoreshore_ejections_total",
-			 "Times that a worker was passed over for a while.",
-			 c.ejections},
-			{"sycamoreshore_adopted_total",
-			 "Runs taken over from an earlier driver.", c.adopted},
-			{"sycamoreshore_ends_done_total",
-			 "Tasks that ended well.", c.ends_done},
-			{"sycamoreshore_ends_failed_total",
-			 "Tasks that failed.", c.ends_failed},
-			{"sycamoreshore_ends_other_total",
-			 "Runs stopped, lapsed or proved never begun.",
-			 c.ends_other},
-		};
-		const struct row gauges[] = {
-			{"sycamoreshore_jobs_waiting",
-			 "Jobs of this driver with a task that waits.",
-			 c.queued},
-			{"sycamoreshore_runs", "Runs on workers.", c.running},
-			{"sycamoreshore_workers", "Workers known.", c.workers},
-			{"sycamoreshore_workers_usable",
-			 "Workers that answer and are not leaving.",
-			 c.workers_usable},
-			{"sycamoreshore_worker_factor_min_percent",
-			 "Run times on the fastest of them, relative to a "
-			 "usual worker; zero: unknown.",
-			 c.factor_min_percent},
-			{"sycamoreshore_worker_factor_max_percent",
-			 "Run times on the slowest of them, relative to a "
-			 "usual worker; zero: unknown.",
-			 c.factor_max_percent},
-			{"sycamoreshore_workers_slowed",
-			 "Workers that are slower than they usually are, or "
-			 "cold.",
-			 c.workers_slowed},
-		};
-		size_t i;
-
-		for (i = 0; i < sizeof(counters) / sizeof(*counters); i++)
-			set_metric(d, METRIC_COUNTER, counters[i].name,
-				   counters[i].help, NULL, counters[i].val);
-		for (i = 0; i < sizeof(gauges) / sizeof(*gauges); i++)
-			set_metric(d, METRIC_GAUGE, gauges[i].name,
-				   gauges[i].help, NULL, gauges[i].val);
-	}
+	for (i = 0; i < sizeof(drive_counters) / sizeof(*drive_counters); i++)
+		set_drive_row(d, METRIC_COUNTER, &drive_counters[i], &c);
+	for (i = 0; i < sizeof(drive_gauges) / sizeof(*drive_gauges); i++)
+		set_drive_row(d, METRIC_GAUGE, &drive_gauges[i], &c);
 }
 
 void fleet_metrics_refresh(struct fleet_daemon *d)
