Drop the jobs of a driver that begins to drive anew

A driver that was cut off, and fenced by another one of its cell, began anew under a higher epoch after 2 s with the jobs that it had, as if they were fresh: it started a task whose run the other driver had begun, and a task that it took for active waited for a run that it had forgotten.

It ends its drive first now. The homes see the new epoch and submit their jobs again, so these wait for all lists, like jobs of any earlier driver.

--- a/src/fleet/election.c
+++ b/src/fleet/election.c
@@ -248,6 +248,8 @@
 	f->driver_lost_at = 0;
 	f->fenced_at = 0;
 	f->next_workers_read_at = now; /* the known list may be old */
+	/* If it drove before, another driver may have its jobs meanwhile. */
+	drive_end(f->drive, now);
 	if (!fleet_is_divided(f))
 		drive_begin(f->drive, now, epoch);
 	heartbeat_send_all(f, now);
