Tell a driver which jobs its cell had, though no instance of it is left

A job was moved to its cell, whose instances had all been killed and one of them started again 0.7 s later. The new driver knew nothing of the job and began it beside the run of the driver before, whose lease lasted.

The answer to a query says now whether the asking cell has told of the job lately; if so it waits for the lists of all workers, like a job of an earlier driver.

fleet_random seed 660, divided, at 1019708 ms: failed before, passes now; both this seed and 766 are played in each run.

--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -370,6 +370,8 @@
 /* The same for one job, as another cell tells that it has it too. */
 void drive_ask_for_job(struct drive *d, const char *id);
 
+/* Another cell was told of the job by an earlier driver of this one. */
+void drive_job_was_here(struct drive *d, const char *id);
 /* All cells that were asked for the job have answered that they lack it. */
 void drive_job_not_elsewhere(struct drive *d, int64_t now, const char *id);
 /*
--- a/src/drive/elsewhere.c
+++ b/src/drive/elsewhere.c
@@ -153,6 +153,17 @@
 	return j;
 }
 
+void drive_job_was_here(struct drive *d, const char *id)
+{
+	char padded[DRIVE_JOB_ID_MAX] = "";
+	struct job *j;
+
+	copy_text(padded, sizeof(padded), id);
+	j = job_find(d, padded);
+	if (j)
+		j->may_have_runs = true;
+}
+
 void drive_job_not_elsewhere(struct drive *d, int64_t now, const char *id)
 {
 	if (end_wait(d, id))
--- a/src/fleet/job_query.c
+++ b/src/fleet/job_query.c
@@ -158,15 +158,17 @@
 	}
 }
 
+/* `was_there`: the asking cell has told of the job, by an earlier driver. */
 static void answer_query(struct cells *c, const struct cell *own, uint64_t to,
-			 const char *id, bool is_here)
+			 const char *id, bool is_here, bool was_there)
 {
 	auto_wire_out struct wire_out w = {0};
 
-	wire_begin(&w, SYC_PEER_JOB_LOCATED, 3);
+	wire_begin(&w, SYC_PEER_JOB_LOCATED, 4);
 	wire_put_u64(&w, own->number);
 	wire_put_str(&w, id);
 	wire_put_bool(&w, is_here);
+	wire_put_bool(&w, was_there);
 	c->opt.send(c->opt.ctx, to, wire_bytes(&w));
 }
 
@@ -181,7 +183,8 @@
 	uint64_t number = wire_u64(w);
 	enum drive_presence p;
 	char id[DRIVE_JOB_ID_MAX];
-	bool is_here, has_runs;
+	bool is_here, was_there, has_runs;
+	uint64_t hash;
 
 	wire_str(w, id, sizeof(id));
 	has_runs = wire_bool(w);
@@ -193,10 +196,12 @@
 	p = drive_find_job(fleet_get_drive(own->fleet), id);
 	is_here = p == DRIVE_PRESENT || (p == DRIVE_AWAITS_CELLS && !has_runs &&
 					 own->number < number);
+	hash = open_jobs_hash(id);
+	was_there = open_jobs_find(&c->open_jobs, hash, (uint32_t)number, now);
 	if (!is_here)
-		open_jobs_note(&c->open_jobs, open_jobs_hash(id),
-			       (uint32_t)number, true, now);
-	answer_query(c, own, from, id, is_here);
+		open_jobs_note(&c->open_jobs, hash, (uint32_t)number, true,
+			       now);
+	answer_query(c, own, from, id, is_here, was_there);
 	return true;
 }
 
@@ -206,16 +211,19 @@
 	uint64_t handle, number = wire_u64(w);
 	struct job_query *q;
 	char id[DRIVE_JOB_ID_MAX];
-	bool is_there;
+	bool is_there, was_here;
 
 	wire_str(w, id, sizeof(id));
 	is_there = wire_bool(w);
+	was_here = wire_bool(w);
 	if (w->failed || number >= c->n)
 		return !w->failed;
 	q = own ? find_query(c, id, &handle) : NULL;
 	if (!q)
 		return true;
 	q->awaited &= ~(1U << number);
+	if (was_here)
+		drive_job_was_here(fleet_get_drive(own->fleet), id);
 	if (is_there)
 		end_query(c, own, handle, number, now);
 	else if (!q->awaited)
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -59,6 +59,7 @@
 struct fsim_run {
 	struct drive_task task;
 	uint32_t number;
+	bool unfenced; /* a new life carried out an order to an earlier one */
 	int starter; /* the instance that started it */
 	int64_t began_at, ends_at;
 	int64_t crashes_at; /* when it crashes its worker; zero: never */
--- a/test/unit/fleet_random_test.c
+++ b/test/unit/fleet_random_test.c
@@ -60,6 +60,7 @@
 	static const unsigned long seeds[] = {5353, 9849};
 	static const unsigned long mixed[] = {624, 840, 2420};
 	static const unsigned long reborn[] = {13, 29};
+	static const unsigned long divided[] = {660, 766};
 	size_t i;
 
 	init_log();
@@ -69,6 +70,8 @@
 		run_seed(mixed[i], FSIM_MIXED);
 	for (i = 0; i < sizeof(reborn) / sizeof(*reborn); i++)
 		run_seed(reborn[i], FSIM_DIVIDED_REBORN_STAYING);
+	for (i = 0; i < sizeof(divided) / sizeof(*divided); i++)
+		run_seed(divided[i], FSIM_DIVIDED);
 }
 
 static bool is_divided(enum fsim_mode mode)
