Do not say that a job has not run to a home that comes fifth

Four homes may wait for one job. A fifth submission was answered as refused, which its home passes on as not run (503), while tasks of the job were running for the others. It is answered as unknown now (502), and logged (job_turned_away).

drive.running_job_is_not_refused_as_not_run_to_a_fifth_home fails without the change (outcome 4, not 5) and passes with it.

--- a/src/drive/admit.c
+++ b/src/drive/admit.c
@@ -113,9 +113,9 @@
 	}
 }
 
-void admit_refuse(struct drive *d, uint64_t home, uint64_t tag,
-		  const struct drive_job *spec, uint32_t retry_ms,
-		  const char *reason)
+static void refuse_submission(struct drive *d, uint64_t home, uint64_t tag,
+			      const struct drive_job *spec, uint32_t retry_ms,
+			      const char *reason)
 {
 	struct drive_job_done done = {
 		.home = home,
@@ -132,14 +132,31 @@
 	d->opt.job_done(d->opt.ctx, &done);
 }
 
+/* Too many homes wait for the job, which may have been started for one of them. */
+static void turn_away(struct drive *d, uint64_t home, uint64_t tag,
+		      const struct drive_job *spec)
+{
+	const struct drive_job_done done = {
+		.home = home,
+		.tag = tag,
+		.generation = spec->generation,
+		.outcome = DRIVE_ABORTED,
+		.reason = "submitted_too_often",
+	};
+
+	d->counts.aborted++;
+	log_info("job_turned_away", LOG_S("job", spec->id),
+		 LOG_U("home", home));
+	d->opt.job_done(d->opt.ctx, &done);
+}
+
 static void join_job(struct drive *d, struct job *j, uint64_t home,
 		     uint64_t tag, const struct drive_job *spec, int64_t now)
 {
 	int64_t deadline_at = now + spec->deadline_ms;
 
 	if (!add_waiter(j, home, tag, spec->generation)) {
-		admit_refuse(d, home, tag, spec, REFUSED_RETRY_MS,
-			     "handed_in_too_often");
+		turn_away(d, home, tag, spec);
 		return;
 	}
 	if (deadline_at > j->deadline_at)
@@ -341,8 +358,8 @@
 	copy_text(id, sizeof(id), spec->id);
 	d->counts.jobs++;
 	if (!d->active) {
-		admit_refuse(d, home, tag, spec, REFUSED_RETRY_MS,
-			     "not_driving");
+		refuse_submission(d, home, tag, spec, REFUSED_RETRY_MS,
+				  "not_driving");
 		return;
 	}
 	j = job_find(d, id);
@@ -354,13 +371,13 @@
 		return;
 	if (is_driver_too_late(d, spec)) {
 		d->counts.refused_late++;
-		admit_refuse(d, home, tag, spec, REFUSED_RETRY_MS,
-			     "driver_late");
+		refuse_submission(d, home, tag, spec, REFUSED_RETRY_MS,
+				  "driver_late");
 		return;
 	}
 	if (is_route_closed(d, spec, now)) {
-		admit_refuse(d, home, tag, spec, REFUSED_RETRY_MS,
-			     "route_crashes_workers");
+		refuse_submission(d, home, tag, spec, REFUSED_RETRY_MS,
+				  "route_crashes_workers");
 		return;
 	}
 	j = job_new(d, spec, now);
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -380,9 +380,6 @@
  * answered a hold of this driver.
  */
 bool admit_awaits_lists(const struct drive *d);
-void admit_refuse(struct drive *d, uint64_t home, uint64_t tag,
-		  const struct drive_job *spec, uint32_t retry_ms,
-		  const char *reason);
 
 /* elsewhere.c */
 /* Whether the job is open in another cell and not here; its home is told. */
--- a/test/unit/drive_test.c
+++ b/test/unit/drive_test.c
@@ -873,8 +873,25 @@
 	}
 }
 
+/* Four homes may wait for a job. */
+static void running_job_is_not_refused_as_not_run_to_a_fifth_home(void)
+{
+	struct drive_fake f;
+	uint64_t tag;
+
+	drive_fake_init(&f, 2);
+	for (tag = 1; tag <= 5; tag++)
+		submit(&f, tag, "job", 1, 0);
+	CU_ASSERT_EQUAL(f.n_starts, 1);
+	CU_ASSERT_EQUAL_FATAL(f.n_jobs_done, 1);
+	CU_ASSERT_EQUAL(f.jobs_done[0].tag, 5);
+	CU_ASSERT_EQUAL(f.jobs_done[0].outcome, DRIVE_ABORTED);
+	drive_fake_free(&f);
+}
+
 SUITE(drive)
 {
+	TEST(running_job_is_not_refused_as_not_run_to_a_fifth_home);
 	TEST(worker_of_any_size_costs_no_other);
 	TEST(job_waits_for_the_first_list);
 	TEST(job_is_refused_if_no_worker_is_listed);
