Accept no driver of another domain for a cell

A damaged message that named the wrong cell made an instance take itself for the driver of a cell of another domain, under a higher epoch, which the members followed: the cell had no driver 5 s after the damage had ended.

An instance drives no cell that it cannot be a member of, and a driver that is known to be of another domain is not followed (driver_not_accepted in the log).

--- a/src/fleet/election.c
+++ b/src/fleet/election.c
@@ -409,6 +409,16 @@
 	return true;
 }
 
+/* Whether the instance is known, and cannot drive this cell. */
+static bool is_of_other_domain(const struct fleet *f, uint64_t driver)
+{
+	const struct fleet_peer *p = heartbeat_find_peer(f, driver);
+
+	if (driver == f->opt.self.id)
+		return !fleet_is_eligible(f);
+	return p && !fleet_is_eligible_domain(f, p->instance.domain);
+}
+
 void election_update_driver(struct fleet *f, int64_t now, uint64_t epoch,
 			    uint64_t driver)
 {
@@ -417,9 +427,9 @@
 
 	if (!driver || !newer)
 		return;
-	if (epoch > epoch_max) {
-		log_warn("epoch_out_of_range", LOG_U("epoch", epoch),
-			 LOG_U("driver", driver));
+	if (epoch > epoch_max || is_of_other_domain(f, driver)) {
+		log_warn("driver_not_accepted", LOG_S("cell", f->opt.cell),
+			 LOG_U("epoch", epoch), LOG_U("driver", driver));
 		return;
 	}
 	if (driver == f->opt.self.id) {
