Tell a complete list only when no worker can hide a run

A new driver called its list complete while a worker that did not answer still ran a job of the driver before. The other cells forgot that job, and one of them began it: 2 double runs with the driver killed 800 or 850 ms before the second request and the worker's answers lost (cells_resubmit.run_on_a_silent_worker_is_told_of_through_a_takeover).

A list is complete, and a query is answered, when all workers have listed their runs under the new driver, or the leases of the driver before it have expired. Only the last message of a list says that it is complete.

A cell that has had no driver for longer than what it told holds is not waited for: fresh jobs of 80 ms were held for up to 1.2 s after each takeover while a domain was away (first_requests_are_not_held_for_a_cell_that_is_away, 8 of 10 jobs before). A moved job alone waits a second for its link, not each job after a pause. A request that is read by a loop that is 200 ms late may be old.

cells_resubmit: 10 of 269 assertions fail without the change, none with it.

--- a/src/drive/admit.c
+++ b/src/drive/admit.c
@@ -195,6 +195,13 @@
 	return !j->awaits_cells && are_runs_settled(d, j, now);
 }
 
+static void unsettle(const struct drive *d, struct job *j, int64_t now)
+{
+	j->may_have_runs = true;
+	j->submitted_at = now;
+	j->settled_at = now + DRIVE_HOME_TIMEOUT_MS + worker_lease_max_ms(d);
+}
+
 /*
  * Requests the lists of all responsive workers whose last list was requested
  * before `j` was submitted.
@@ -211,7 +218,11 @@
 			hold_probe(d, w, now);
 }
 
-bool admit_awaits_lists(const struct drive *d)
+/*
+ * Whether the free capacity is not known yet, as a responsive worker has not
+ * answered a hold of this driver.
+ */
+static bool is_awaiting_lists(const struct drive *d)
 {
 	const struct worker *w;
 	uint64_t handle;
@@ -224,11 +235,25 @@
 	return false;
 }
 
-bool admit_awaits_first_list(const struct drive *d)
+/* Whether this driver has just begun and knows of no worker yet. */
+static bool awaits_first_list(const struct drive *d)
 {
 	return !d->is_list_fresh && !d->workers.used;
 }
 
+void admit_unsettle_all(struct drive *d, int64_t now)
+{
+	struct list *pos, *after;
+
+	LIST_EACH(pos, after, &d->all_jobs)
+	{
+		struct job *j = LIST_ITEM(pos, struct job, all_link);
+
+		unsettle(d, j, now);
+		probe_all_workers(d, j, now);
+	}
+}
+
 /* Logs what decides whether a job that does not fit now may wait. */
 static void log_waits(const struct drive *d, const struct job *j,
 		      int64_t start_at, int64_t now)
@@ -277,7 +302,7 @@
 		if (j->tasks[i].state == TASK_WAITING &&
 		    !suspects_admit(d, j, i, now))
 			return;
-	if (admit_awaits_first_list(d)) {
+	if (awaits_first_list(d)) {
 		queue_add(d, j, now);
 		return;
 	}
@@ -302,7 +327,7 @@
 		return;
 	if (!job_is_settled(d, j, now))
 		return;
-	if (d->awaits_evacuated || admit_awaits_lists(d))
+	if (d->awaits_evacuated || is_awaiting_lists(d))
 		return;
 	if (!place_has_open_worker(d, j)) {
 		job_end(d, j, DRIVE_REFUSED, REFUSED_RETRY_MS, "evacuated",
--- a/src/drive/drive.c
+++ b/src/drive/drive.c
@@ -93,6 +93,7 @@
 	room_renew_plans(d);
 	d->active = true;
 	d->epoch = epoch;
+	d->began_at = now;
 	d->is_list_fresh = false;
 	while ((w = table_next(&d->workers, &pos, &handle))) {
 		reset_worker(w, now);
--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -71,6 +71,7 @@
 	uint32_t deadline_ms; /* from now; its caller waits until then */
 	/* It waited where its age cannot be known, so it may be old. */
 	bool may_be_old;
+	bool is_moved; /* at its home: no other cell may run it */
 	struct syc_bytes body;
 };
 
@@ -350,10 +351,10 @@
 enum drive_presence drive_find_job(const struct drive *d, const char *id);
 
 /*
- * Whether this driver has read the lists of its workers, and so knows which jobs
- * have runs there.
+ * Whether this driver knows which jobs have runs on its workers: all of these have
+ * listed them, or the leases of the driver before it have expired.
  */
-bool drive_knows_runs(const struct drive *d);
+bool drive_knows_runs(const struct drive *d, int64_t now);
 
 /*
  * Calls `each` for the jobs that are open and at least `min_age_ms` old, and for
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -216,6 +216,7 @@
 	bool active;
 	uint64_t n_ticks;
 	uint64_t epoch;
+	int64_t began_at; /* when it began to drive */
 	struct table workers, runs, jobs, holds;
 	struct index worker_names, run_tasks, job_ids;
 	struct list queue; /* of jobs, in the order in which they begin */
@@ -373,13 +374,11 @@
  * or have ended.
  */
 bool job_is_settled(const struct drive *d, const struct job *j, int64_t now);
-/* Whether this driver has just begun and knows of no worker yet. */
-bool admit_awaits_first_list(const struct drive *d);
 /*
- * Whether the free capacity is not known yet, as a responsive worker has not
- * answered a hold of this driver.
+ * Another driver has called a worker meanwhile, so it may have begun any open job:
+ * each starts no further task until all workers have listed their runs.
  */
-bool admit_awaits_lists(const struct drive *d);
+void admit_unsettle_all(struct drive *d, int64_t now);
 
 /* elsewhere.c */
 /* Whether the job is open in another cell and not here; its home is told. */
--- a/src/drive/elsewhere.c
+++ b/src/drive/elsewhere.c
@@ -40,10 +40,22 @@
 	return has_run_of(d, padded) ? DRIVE_PRESENT : DRIVE_ABSENT;
 }
 
-bool drive_knows_runs(const struct drive *d)
+bool drive_knows_runs(const struct drive *d, int64_t now)
 {
-	return d->active && !admit_awaits_first_list(d) &&
-	       !admit_awaits_lists(d);
+	const struct worker *w;
+	uint64_t handle;
+	uint32_t pos = 0;
+
+	if (!d->active)
+		return false;
+	if (now - d->began_at > worker_lease_max_ms(d))
+		return true;
+	if (!d->is_list_fresh)
+		return false;
+	while ((w = table_next(&d->workers, &pos, &handle)))
+		if (worker_may_hide_runs(d, w, 0, now))
+			return false;
+	return true;
 }
 
 void drive_list_jobs(const struct drive *d, int64_t now, int64_t min_age_ms,
--- a/src/fleet/cell_jobs.c
+++ b/src/fleet/cell_jobs.c
@@ -143,7 +143,8 @@
 {
 	struct drive_job job = *answer->job;
 
-	if (answer->cell >= c->n || j->n_moves == MOVES_MAX)
+	if (answer->cell >= c->n || answer->cell == j->cell ||
+	    j->n_moves == MOVES_MAX)
 		return false;
 	log_info("job_moved", LOG_S("job", job.id),
 		 LOG_S("cell", c->cells[answer->cell].fleet->opt.cell),
@@ -152,6 +153,7 @@
 	c->n_moved++;
 	/* That cell may not have it any more, and then asks the others. */
 	job.may_be_old = true;
+	job.is_moved = true;
 	submit_to_cell(c, j, answer->cell, &job, now);
 	return true;
 }
--- a/src/fleet/cells_state.h
+++ b/src/fleet/cells_state.h
@@ -17,6 +17,8 @@
 	int64_t reported_at; /* of that report */
 	int64_t used_at; /* when a job was last submitted to it */
 	int64_t told_at; /* when its driver last told which jobs it has */
+	/* When its driver was last heard; pauses of this process are added. */
+	int64_t heard_at;
 	/* The driver that was last described to the members, and when. */
 	uint64_t described_driver;
 	int64_t described_at;
@@ -46,8 +48,8 @@
 	struct table queries; /* of struct job_query, see job_query.c */
 	int64_t ticked_at;
 	bool drives; /* at the last tick */
-	/* This instance drives, without a pause, since then. */
-	int64_t uncertain_since;
+	int64_t drives_since; /* without a long pause */
+	uint64_t n_queries;
 	int64_t next_tell_at; /* when others are told of this one's jobs */
 	uint64_t n_moved; /* jobs of this home, since the start */
 	/* What heartbeats were last sent for. */
@@ -76,6 +78,11 @@
 int64_t open_jobs_hold_ms(const struct cells *c);
 /* The cell, or the whole fleet, that this instance drives; NULL: none. */
 struct cell *cells_driven(struct cells *c);
+/*
+ * Whether no newer driver of the cell is known than that of the epoch; false for
+ * this instance's own cell, and for cells that it does not know.
+ */
+bool cells_is_current_driver(struct cells *c, uint64_t number, uint64_t epoch);
 /* Sends a message that is for the instance, not for its fleet of that cell. */
 void cells_send_to_driver(const struct cell *cell, const struct wire_out *w);
 /* Tells other instances which jobs this driver has. */
--- a/src/fleet/home.c
+++ b/src/fleet/home.c
@@ -14,7 +14,7 @@
 	/* A link to the driver of another cell is up sooner. */
 	LINK_TIMEOUT_MS = 40,
 	/* The same for a job that only that cell may run. */
-	LINK_TIMEOUT_OLD_MS = 1000,
+	LINK_TIMEOUT_MOVED_MS = 1000,
 	/* A takeover takes less, so after this time no instance can drive. */
 	NO_DRIVER_TIMEOUT_MS = 600,
 	NO_DRIVER_RETRY_MS = 1000,
@@ -22,6 +22,8 @@
 	NOT_TAKEN_RETRY_MS = 50,
 	/* What callers sent during a pause of this process is read by then. */
 	BACKLOG_READ_MS = 200,
+	/* A loop that is so late reads requests long after they came. */
+	LATE_LOOP_MS = 200,
 	DEADLINE_SLACK_MS = 50 /* for the driver's answer at the deadline */
 };
 
@@ -150,7 +152,8 @@
 	j->generation = job->generation;
 	copy_spec(f, j, job);
 	/* It may have waited to be read during a pause of this process. */
-	if (now - f->resumed_at < BACKLOG_READ_MS)
+	if (now - f->resumed_at < BACKLOG_READ_MS ||
+	    f->opt.get_late_ms(f->opt.ctx) >= LATE_LOOP_MS)
 		j->spec.may_be_old = true;
 	index_put(&f->tags, index_hash_number(tag), handle);
 	log_info("job_taken", LOG_S("job", j->spec.id),
@@ -301,7 +304,7 @@
 
 static int64_t link_timeout_ms(const struct home_job *j)
 {
-	return j->spec.may_be_old ? LINK_TIMEOUT_OLD_MS : LINK_TIMEOUT_MS;
+	return j->spec.is_moved ? LINK_TIMEOUT_MOVED_MS : LINK_TIMEOUT_MS;
 }
 
 static void tick_job(struct fleet *f, struct home_job *j, int64_t now)
--- a/src/fleet/job_query.c
+++ b/src/fleet/job_query.c
@@ -10,12 +10,13 @@
 
 enum {
 	ASK_INTERVAL_MS = 50, /* an answer takes a round trip */
-	NO_CELL = FLEET_CELLS_MAX
+	NO_CELL = FLEET_CELLS_MAX + 1
 };
 
 /* A job that the other cells were asked for. */
 struct job_query {
 	char id[DRIVE_JOB_ID_MAX];
+	uint64_t number; /* of the query, which its answers repeat */
 	bool has_runs; /* here */
 	uint32_t awaited; /* a bit for each cell that has not answered */
 	int64_t next_at; /* when they are asked again */
@@ -36,21 +37,22 @@
 {
 	const struct cells *c = cell->cells;
 
-	return cell->told_at >= c->uncertain_since &&
+	return cell->told_at >= c->drives_since &&
 	       now - cell->told_at < open_jobs_hold_ms(c);
 }
 
 /*
- * Whether the cell may have runs that this driver has not been told of. When a
- * cell is silent for long, they have ended with their leases, or this instance
- * is cut off from them.
+ * Whether the cell may have runs that this driver has not been told of. When it
+ * has had no driver for long, they have ended with their leases; when it only
+ * does not reach this instance, that is cut off from them.
  */
 static bool may_hide_runs(const struct cell *cell, int64_t now)
 {
 	const struct cells *c = cell->cells;
 
 	return !has_told(cell, now) &&
-	       now - c->uncertain_since < open_jobs_hold_ms(c);
+	       now - c->drives_since < open_jobs_hold_ms(c) &&
+	       now - cell->heard_at < open_jobs_hold_ms(c);
 }
 
 /* The cells that are to answer for a job that may be old, or for any job. */
@@ -79,8 +81,10 @@
 	size_t i;
 
 	q->next_at = now + ASK_INTERVAL_MS;
-	wire_begin(&w, SYC_PEER_JOB_QUERY, 3);
+	wire_begin(&w, SYC_PEER_JOB_QUERY, 5);
 	wire_put_u64(&w, own->number);
+	wire_put_u64(&w, own->fleet->epoch);
+	wire_put_u64(&w, q->number);
 	wire_put_str(&w, q->id);
 	wire_put_bool(&w, q->has_runs);
 	for (i = 0; i < c->n; i++)
@@ -117,6 +121,7 @@
 		q = item;
 		copy_text(q->id, sizeof(q->id), asked->id);
 	}
+	q->number = ++c->n_queries;
 	q->has_runs = asked->has_runs;
 	q->awaited = awaited;
 	send_query(c, own, q, now);
@@ -158,15 +163,34 @@
 	}
 }
 
+/* What is asked by, or told to, the driver of another cell. */
+struct query_msg {
+	uint64_t cell; /* of the sender */
+	uint64_t epoch; /* of the sender's drive */
+	uint64_t number; /* of the query */
+	char id[DRIVE_JOB_ID_MAX];
+};
+
+static void read_query_msg(struct wire_in *w, struct query_msg *m)
+{
+	m->cell = wire_u64(w);
+	m->epoch = wire_u64(w);
+	m->number = wire_u64(w);
+	wire_str(w, m->id, sizeof(m->id));
+}
+
 /* `was_there`: the asking cell has told of the job, by an earlier driver. */
 static void answer_query(struct cells *c, const struct cell *own, uint64_t to,
-			 const char *id, bool is_here, bool was_there)
+			 const struct query_msg *m, bool is_here,
+			 bool was_there)
 {
 	auto_wire_out struct wire_out w = {0};
 
-	wire_begin(&w, SYC_PEER_JOB_LOCATED, 4);
+	wire_begin(&w, SYC_PEER_JOB_LOCATED, 6);
 	wire_put_u64(&w, own->number);
-	wire_put_str(&w, id);
+	wire_put_u64(&w, own->fleet->epoch);
+	wire_put_u64(&w, m->number);
+	wire_put_str(&w, m->id);
 	wire_put_bool(&w, is_here);
 	wire_put_bool(&w, was_there);
 	c->opt.send(c->opt.ctx, to, wire_bytes(&w));
@@ -176,56 +200,65 @@
  * If two drivers ask each other, the job goes to the cell that has runs of it, or
  * else to that of lower number.
  */
+static bool has_job(const struct cell *own, const struct query_msg *m,
+		    bool has_runs)
+{
+	enum drive_presence p = drive_find_job(fleet_get_drive(own->fleet),
+					       m->id);
+
+	return p == DRIVE_PRESENT ||
+	       (p == DRIVE_AWAITS_CELLS && !has_runs && own->number < m->cell);
+}
+
 bool job_query_receive(struct cells *c, int64_t now, uint64_t from,
 		       struct wire_in *w)
 {
 	const struct cell *own = cells_driven(c);
-	uint64_t number = wire_u64(w);
-	enum drive_presence p;
-	char id[DRIVE_JOB_ID_MAX];
-	bool is_here, was_there, has_runs;
+	struct query_msg m;
+	bool has_runs, is_here, was_there;
 	uint64_t hash;
 
-	wire_str(w, id, sizeof(id));
+	read_query_msg(w, &m);
 	has_runs = wire_bool(w);
-	if (w->failed || number >= c->n)
-		return !w->failed;
-	if (!own || own == &c->whole || own->number == number ||
-	    !drive_knows_runs(fleet_get_drive(own->fleet)))
+	if (w->failed)
+		return false;
+	/* The asking driver repeats what gets no answer. */
+	if (!own || own == &c->whole ||
+	    !cells_is_current_driver(c, m.cell, m.epoch) ||
+	    !drive_knows_runs(fleet_get_drive(own->fleet), now))
 		return true;
-	p = drive_find_job(fleet_get_drive(own->fleet), id);
-	is_here = p == DRIVE_PRESENT || (p == DRIVE_AWAITS_CELLS && !has_runs &&
-					 own->number < number);
-	hash = open_jobs_hash(id);
-	was_there = open_jobs_find(&c->open_jobs, hash, (uint32_t)number, now);
+	is_here = has_job(own, &m, has_runs);
+	hash = open_jobs_hash(m.id);
+	was_there = open_jobs_find(&c->open_jobs, hash, (uint32_t)m.cell, now);
 	if (!is_here)
-		open_jobs_note(&c->open_jobs, hash, (uint32_t)number, true,
+		open_jobs_note(&c->open_jobs, hash, (uint32_t)m.cell, true,
 			       now);
-	answer_query(c, own, from, id, is_here, was_there);
+	answer_query(c, own, from, &m, is_here, was_there);
 	return true;
 }
 
 bool job_located_receive(struct cells *c, int64_t now, struct wire_in *w)
 {
 	const struct cell *own = cells_driven(c);
-	uint64_t handle, number = wire_u64(w);
+	struct query_msg m;
 	struct job_query *q;
-	char id[DRIVE_JOB_ID_MAX];
 	bool is_there, was_here;
+	uint64_t handle;
 
-	wire_str(w, id, sizeof(id));
+	read_query_msg(w, &m);
 	is_there = wire_bool(w);
 	was_here = wire_bool(w);
-	if (w->failed || number >= c->n)
-		return !w->failed;
-	q = own ? find_query(c, id, &handle) : NULL;
-	if (!q)
+	if (w->failed)
+		return false;
+	q = own ? find_query(c, m.id, &handle) : NULL;
+	if (!q || q->number != m.number ||
+	    !cells_is_current_driver(c, m.cell, m.epoch))
 		return true;
-	q->awaited &= ~(1U << number);
+	q->awaited &= ~(1U << m.cell);
 	if (was_here)
-		drive_job_was_here(fleet_get_drive(own->fleet), id);
+		drive_job_was_here(fleet_get_drive(own->fleet), m.id);
 	if (is_there)
-		end_query(c, own, handle, number, now);
+		end_query(c, own, handle, m.cell, now);
 	else if (!q->awaited)
 		end_query(c, own, handle, NO_CELL, now);
 	return true;
--- a/src/fleet/open_jobs.h
+++ b/src/fleet/open_jobs.h
@@ -1,6 +1,7 @@
 /*
- * A table of the jobs that other drivers have, by the hashes of their ids. Each
- * entry holds for a while after it was last noted. Times are in milliseconds.
+ * A table of the jobs that drivers have told of, by the hashes of their ids: those
+ * of other cells, and earlier ones of the own cell. Each entry holds for a while
+ * after it was last noted. Times are in milliseconds.
  */
 #ifndef FLEET_OPEN_JOBS_H
 #define FLEET_OPEN_JOBS_H
--- a/src/fleet/open_jobs_tell.c
+++ b/src/fleet/open_jobs_tell.c
@@ -12,9 +12,9 @@
 enum {
 	TELL_INTERVAL_MS = 100,
 	/*
-	 * A job that a lost driver had not told of has no run any more when its
-	 * caller submits it again: with the interval, this is less than the
-	 * caller's wait of 1300 ms exceeds a lease by.
+	 * A job that a lost driver had not told of is younger than this and the
+	 * interval. Its runs end with their lease, 1110 ms later, and before its
+	 * caller is back after 1300 ms.
 	 */
 	TELL_AGE_MS = 80,
 	HASHES_MAX = 2048, /* in one message */
@@ -24,7 +24,8 @@
 	 * After a silence what was told may hold no more: the longest time that
 	 * a list may be late is taken off.
 	 */
-	LATE_MAX_MS = 400
+	LATE_MAX_MS = 400,
+	USUAL_TICK_MS = 20 /* between two ticks of a process that is in time */
 };
 
 int64_t open_jobs_hold_ms(const struct cells *c)
@@ -42,6 +43,23 @@
 	return fleet_is_driver(c->whole.fleet) ? &c->whole : NULL;
 }
 
+/* Of a member's own fleet too, but for the one that drives it. */
+static bool is_current(struct cells *c, uint64_t number, uint64_t epoch)
+{
+	const struct cell *cell = NULL;
+
+	if (number == c->whole.number)
+		cell = &c->whole;
+	else if (number < c->n)
+		cell = &c->cells[number];
+	return cell && cell != cells_driven(c) && epoch >= cell->fleet->epoch;
+}
+
+bool cells_is_current_driver(struct cells *c, uint64_t number, uint64_t epoch)
+{
+	return number < c->n && is_current(c, number, epoch);
+}
+
 void cells_send_to_driver(const struct cell *cell, const struct wire_out *w)
 {
 	const struct fleet_options *opt = &cell->cells->opt;
@@ -56,7 +74,6 @@
 	struct cells *cells;
 	const struct cell *own;
 	int64_t now;
-	bool is_complete; /* the driver knows the runs of its workers */
 	size_t n;
 	uint64_t hashes[HASHES_MAX];
 };
@@ -75,15 +92,17 @@
 	}
 }
 
-static void send_told(struct told_jobs *t)
+/* `is_complete`: the list ends here, and lacks no job. */
+static void send_told(struct told_jobs *t, bool is_complete)
 {
 	struct cells *c = t->cells;
 	auto_wire_out struct wire_out w = {0};
 	size_t i;
 
-	wire_begin(&w, SYC_PEER_OPEN_JOBS, 3);
+	wire_begin(&w, SYC_PEER_OPEN_JOBS, 4);
 	wire_put_u64(&w, t->own->number);
-	wire_put_bool(&w, t->is_complete);
+	wire_put_u64(&w, t->own->fleet->epoch);
+	wire_put_bool(&w, is_complete);
 	wire_put_array(&w, t->n);
 	for (i = 0; i < t->n; i++)
 		wire_put_u64(&w, t->hashes[i]);
@@ -115,7 +134,7 @@
 		drive_ask_for_job(fleet_get_drive(t->own->fleet), id);
 	t->hashes[t->n++] = hash;
 	if (t->n == HASHES_MAX)
-		send_told(t);
+		send_told(t, false);
 }
 
 void open_jobs_tell(struct cells *c, const struct cell *own, int64_t now)
@@ -130,10 +149,9 @@
 	t.cells = c;
 	t.own = own;
 	t.now = now;
-	t.is_complete = drive_knows_runs(d);
 	t.n = 0;
 	drive_list_jobs(d, now, TELL_AGE_MS, add_job, &t);
-	send_told(&t);
+	send_told(&t, drive_knows_runs(d, now));
 }
 
 static bool is_silence(const struct cells *c, int64_t ms)
@@ -166,32 +184,51 @@
 	c->next_reports_at = 0;
 }
 
+/* A cell that had a driver before a pause may have one still. */
+static void note_heard(struct cells *c, int64_t pause_ms, int64_t now)
+{
+	struct cell *cell;
+	size_t i;
+
+	for (i = 0; i < c->n; i++) {
+		cell = &c->cells[i];
+		if (election_is_driver_reachable(cell->fleet, now))
+			cell->heard_at = now;
+		else if (!cell->heard_at)
+			cell->heard_at = now;
+		else if (pause_ms > USUAL_TICK_MS)
+			cell->heard_at += pause_ms;
+	}
+}
+
 void open_jobs_check_pause(struct cells *c, const struct cell *own, int64_t now)
 {
 	int64_t pause_ms = now - c->ticked_at;
 
 	c->ticked_at = now;
+	note_heard(c, pause_ms, now);
 	if (own && !c->drives)
 		find_drivers(c);
 	c->drives = own != NULL;
 	if (!own) {
-		c->uncertain_since = now;
+		c->drives_since = now;
 		return;
 	}
 	if (!is_silence(c, pause_ms))
 		return;
-	c->uncertain_since = now;
+	c->drives_since = now;
 	drive_ask_again(fleet_get_drive(own->fleet));
 }
 
 bool open_jobs_receive(struct cells *c, int64_t now, struct wire_in *w)
 {
 	uint64_t number = wire_u64(w);
+	uint64_t epoch = wire_u64(w);
 	bool is_complete = wire_bool(w);
 	uint32_t i, n = wire_enter(w, HASHES_MAX);
 	uint64_t hash;
 
-	if (w->failed || (number >= c->n && number != c->whole.number))
+	if (w->failed || !is_current(c, number, epoch))
 		return !w->failed;
 	for (i = 0; i < n; i++) {
 		hash = wire_u64(w);
