Wait for all lists after another driver has fenced a worker

When a worker has seen a higher fence, each open job starts no further task until all workers have listed their runs.

The model's excuse for cuts looks at the present driver of the other run's cell, no longer at the instance that once started it: that let a plain break pass after the run was adopted by a driver in contact.

--- a/src/drive/hold.c
+++ b/src/drive/hold.c
@@ -530,8 +530,10 @@
 		return;
 	w->confirmed_fence = 0;
 	epoch = d->opt.choose_higher_epoch(d->opt.ctx, &w->info);
-	if (epoch > w->epoch)
-		w->epoch = epoch;
+	if (epoch <= w->epoch)
+		return;
+	w->epoch = epoch;
+	admit_unsettle_all(d, now);
 }
 
 /* Frees the place of a call in flight, unless another call has taken it. */
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -60,7 +60,6 @@
 	struct drive_task task;
 	uint32_t number;
 	bool unfenced; /* a new life carried out an order to an earlier one */
-	int starter; /* the instance that started it */
 	int64_t began_at, ends_at;
 	int64_t crashes_at; /* when it crashes its worker; zero: never */
 };
@@ -180,8 +179,8 @@
 	 */
 	unsigned n_unfenced_runs;
 	/*
-	 * Pairs of runs in two domains that cannot know of each other, as a cut
-	 * between them lasts or has just ended.
+	 * Pairs of runs in two domains whose present drivers could not tell each
+	 * other, as a cut between them lasts or has just ended.
 	 */
 	unsigned n_runs_behind_cuts;
 	unsigned n_false_refusals; /* answered as not run after a start */
--- a/test/sim/fleet_sim_worker.c
+++ b/test/sim/fleet_sim_worker.c
@@ -111,6 +111,26 @@
 	return c ? cells_own(c)->drive_began_at : 0;
 }
 
+/* Whether the domain has a driver, and no driver of it is in contact. */
+static bool is_driver_cut(const struct fsim *s, int domain, int64_t began_at,
+			  int64_t driver_since)
+{
+	const struct fsim_instance *i;
+	bool has_driver = false;
+	int k;
+
+	for (k = 0; k < s->n_instances; k++) {
+		i = &s->instances[k];
+		if (!i->cells || i->domain != domain ||
+		    !fleet_is_driver(cells_own(i->cells)))
+			continue;
+		has_driver = true;
+		if (!is_instance_cut(s, k, began_at, driver_since))
+			return false;
+	}
+	return has_driver;
+}
+
 /* No two sides of a cut can know of each other's runs. */
 static bool is_behind_cut(const struct fsim *s, const struct fsim_worker *w,
 			  const struct fsim_worker *other,
@@ -122,7 +142,7 @@
 	       (is_domain_cut(s, w->domain, r->began_at, since) ||
 		is_domain_cut(s, other->domain, r->began_at, since) ||
 		is_instance_cut(s, s->starter, r->began_at, since) ||
-		is_instance_cut(s, r->starter, r->began_at, since));
+		is_driver_cut(s, other->domain, r->began_at, since));
 }
 
 static void check_double_run(struct fsim *s, const struct fsim_worker *w,
@@ -238,7 +258,6 @@
 	r->task = *task;
 	r->number = run;
 	r->unfenced = unfenced;
-	r->starter = s->starter;
 	r->began_at = w->last_start_at = s->now;
 	r->ends_at = s->now + j->run_ms;
 	if (w->n_runs * FSIM_TASK_CPU_MILLI > w->info.cpu_milli)
