Remember cancelled jobs at the driver, and answer later submissions

A driver ended a job that was cancelled by its id and forgot it. The job's first home, which had stood still meanwhile, submitted it again on waking, and a copy of the job's request that came seconds after the acknowledgement did the same: its tasks ran. "It remains one job." (PROTOCOL.md, Jobs)

New suite cells_cancel.

--- a/src/drive/admit.c
+++ b/src/drive/admit.c
@@ -345,6 +345,8 @@
 			     "not_driving");
 		return;
 	}
+	if (cancelled_answer(d, home, tag, spec, id, now))
+		return;
 	j = job_find(d, id);
 	if (j) {
 		join_job(d, j, home, tag, spec, now);
--- a/src/drive/drive.c
+++ b/src/drive/drive.c
@@ -22,6 +22,7 @@
 	list_init(&d->queue);
 	list_init(&d->suspect_jobs);
 	list_init(&d->all_jobs);
+	cancelled_init(d);
 	return d;
 }
 
@@ -52,6 +53,7 @@
 	run_times_free(&d->run_times);
 	if (!d->opt.losses)
 		losses_free(d->losses);
+	cancelled_free(d);
 	index_free(&d->worker_names);
 	index_free(&d->run_tasks);
 	index_free(&d->job_ids);
--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -373,8 +373,13 @@
 /* Stops and drops a job whose caller has disconnected, without `job_done`. */
 void drive_cancel(struct drive *d, int64_t now, uint64_t home, uint64_t tag);
 
-/* Cancels the job of that id; calls `job_done` for each home and tag. */
-void drive_cancel_id(struct drive *d, int64_t now, const char *id);
+/*
+ * Cancels the job of that id; calls `job_done` for each home and tag. For a
+ * while it is also the answer to later submissions of the job, under this driver
+ * or, if this is called while another instance drives, when this one does.
+ * Returns false if the job's cancel was known already.
+ */
+bool drive_cancel_id(struct drive *d, int64_t now, const char *id);
 
 /* Cancels all jobs of a home that sent no heartbeat for too long. */
 void drive_cancel_home(struct drive *d, int64_t now, uint64_t home);
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -239,6 +239,10 @@
 	uint32_t largest_free_milli; /* of a worker; see queue.c */
 	uint32_t next_pick; /* rotates the choice among equal workers */
 	struct stop_budget stop_budget; /* of runs that fall behind */
+	/* cancelled.c */
+	struct table cancelled; /* of struct cancelled_job */
+	struct index cancelled_ids;
+	struct list cancelled_by_age; /* the oldest is the first */
 	bool awaits_evacuated; /* which domains are evacuated is not known */
 	struct drive_domains evacuated;
 };
@@ -410,6 +414,17 @@
 /* The expected run time of its tasks on a worker of usual speed, in ms. */
 double job_expected_ms(const struct job *j);
 
+/* cancelled.c */
+void cancelled_init(struct drive *d);
+void cancelled_free(struct drive *d);
+/* Remembers a job that is cancelled; false: it was remembered already. */
+bool cancelled_note(struct drive *d, const char id[DRIVE_JOB_ID_MAX],
+		    int64_t now);
+/* Answers a submission of a job that was cancelled; false: it was not. */
+bool cancelled_answer(struct drive *d, uint64_t home, uint64_t tag,
+		      const struct drive_job *spec,
+		      const char id[DRIVE_JOB_ID_MAX], int64_t now);
+
 /* incarnation.c */
 /* What the incarnation that an answer names says about the answer. */
 enum answer_source {
--- a/src/drive/job.c
+++ b/src/drive/job.c
@@ -148,19 +148,22 @@
 	cancel_waiters(d, home, &tag, "caller_gone", now);
 }
 
-void drive_cancel_id(struct drive *d, int64_t now, const char *id)
+bool drive_cancel_id(struct drive *d, int64_t now, const char *id)
 {
 	char padded[DRIVE_JOB_ID_MAX] = "";
 	struct job *j;
+	bool is_new;
 
 	copy_text(padded, sizeof(padded), id);
+	is_new = cancelled_note(d, padded, now);
 	j = job_find(d, padded);
 	if (!j)
-		return;
+		return is_new;
 	d->counts.cancelled++;
 	job_end(d, j, DRIVE_CANCELLED, 0, "cancelled", now);
 	d->capacity_changed = true;
 	queue_run(d, now);
+	return is_new;
 }
 
 void drive_cancel_home(struct drive *d, int64_t now, uint64_t home)
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -22,6 +22,8 @@
 	FSIM_ENDS = 64, /* ended runs of one worker, not acknowledged yet */
 	FSIM_JOBS = 4096,
 	FSIM_CONFIGS = 1024,
+	/* No task of a cancelled job starts later after the acknowledgement. */
+	FSIM_CANCEL_MS = 3000,
 	FSIM_CONFIG_APPLY_MS = 2000, /* also the bound of evacuations */
 	/* After a cut links are opened, and drivers tell and are told. */
 	FSIM_TELL_AGAIN_MS = 700,
@@ -124,6 +126,10 @@
 	int64_t ended_at;
 	int64_t last_sent_at; /* any of the job's requests */
 	unsigned n_again; /* further requests */
+	/* Of the job's first request: when its cancel was sent; zero: never. */
+	int64_t cancel_sent_at;
+	int64_t cancel_acked_at; /* zero: not acknowledged */
+	unsigned cancels_refused; /* answered without an acknowledgement */
 };
 
 struct fsim_event;
@@ -173,6 +179,8 @@
 	uint64_t next_id;
 	/* failed checks */
 	unsigned n_double_runs; /* two runs of a task at one time */
+	/* Later than FSIM_CANCEL_MS after a cancel was acknowledged. */
+	unsigned n_cancelled_starts;
 	/*
 	 * The same, as a new life carried out an order to an earlier one before
 	 * any call that fences it. No driver can prevent that. Not a failure.
@@ -215,6 +223,10 @@
 		      uint32_t run_ms);
 /* Submits the same job in one more request; returns the number of that. */
 size_t fsim_submit_again(struct fsim *s, size_t job, int instance);
+/* Cancels the job by its id at the instance. */
+void fsim_cancel_id(struct fsim *s, size_t job, int instance);
+/* The job's runs on all workers. */
+size_t fsim_count_runs(const struct fsim *s, size_t job);
 /* The request's caller disconnects, and does not submit it again. */
 void fsim_disconnect(struct fsim *s, size_t job);
 /* Returns an instance that runs and does not stand still, or -1. */
--- a/test/sim/fleet_sim_callers.c
+++ b/test/sim/fleet_sim_callers.c
@@ -255,6 +255,19 @@
 	return (size_t)(j - s->jobs);
 }
 
+void fsim_cancel_id(struct fsim *s, size_t job, int instance)
+{
+	struct fsim_job *first = first_of(s, &s->jobs[job]);
+	struct fsim_instance *i = &s->instances[instance];
+
+	first->cancel_sent_at = s->now;
+	log_context_set(i->instance.name);
+	if (cells_cancel_id(i->cells, s->now, first->id))
+		first->cancel_acked_at = s->now;
+	else
+		first->cancels_refused++;
+}
+
 void fsim_disconnect(struct fsim *s, size_t job)
 {
 	struct fsim_job *j = &s->jobs[job];
--- a/test/sim/fleet_sim_worker.c
+++ b/test/sim/fleet_sim_worker.c
@@ -161,6 +161,17 @@
 	return NULL;
 }
 
+size_t fsim_count_runs(const struct fsim *s, size_t job)
+{
+	size_t i, k, n = 0;
+
+	for (i = 0; i < FSIM_WORKERS; i++)
+		for (k = 0; s->workers[i].up && k < s->workers[i].n_runs; k++)
+			n += !strcmp(s->workers[i].runs[k].task.job,
+				     s->jobs[job].id);
+	return n;
+}
+
 void fsim_count_crash(struct fsim *s, const struct fsim_worker *w)
 {
 	struct fsim_job *j;
@@ -184,6 +195,18 @@
 			 (long long)s->now, j->id, j->crashes[0]);
 }
 
+static void check_cancelled(struct fsim *s, const struct fsim_job *j)
+{
+	if (!j->cancel_acked_at ||
+	    s->now <= j->cancel_acked_at + FSIM_CANCEL_MS)
+		return;
+	if (!s->n_cancelled_starts++ && !*s->message)
+		snprintf(s->message, sizeof(s->message),
+			 "at %lld ms: %.20s started, cancelled at %lld ms",
+			 (long long)s->now, j->id,
+			 (long long)j->cancel_acked_at);
+}
+
 enum drive_call_result fsim_worker_start(struct fsim *s, struct fsim_worker *w,
 					 const struct drive_task *task,
 					 uint32_t run, uint64_t fence,
@@ -219,6 +242,7 @@
 		return DRIVE_CALL_NO_CAPACITY;
 	check_double_run(s, w, task, run, unfenced);
 	invariant(j && w->n_runs < FSIM_RUNS);
+	check_cancelled(s, j);
 	j->started = true;
 	r = &w->runs[w->n_runs++];
 	memset(r, 0, sizeof(*r));
--- /dev/null
+++ b/test/unit/cells_cancel_test.c
@@ -0,0 +1,178 @@
+/*
+ * Tests of jobs that a caller cancels by their id, at any instance. A cancel
+ * that is acknowledged ends the job wherever it is, and for good.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "sim/fleet_sim.h"
+#include "unit.h"
+#include "util/log.h"
+
+enum {
+	SEED = 17,
+	DOMAINS = FSIM_DOMAINS,
+	MEMBERS = 6, /* of a cell, which elects a driver if two are lost */
+	CALM_MS = 12000, /* by then unused links to drivers are closed */
+	RUN_MS = 20000,
+	BEGUN_MS = 500, /* after its submission a job runs */
+	DEADLINE_MS = 40000,
+	ANSWER_MS = 2000, /* a caller of a cancel waits no longer */
+	STOP_MS = 50, /* a stop takes no longer */
+	COPY_MS = 3500 /* from the acknowledgement to a late copy */
+};
+
+static struct fsim *start(bool divided)
+{
+	struct fsim *s;
+
+	log_level_set(getenv("FLEET_LOG") ? LOG_INFO : LOG_ERROR);
+	s = divided ? fsim_new_large(SEED, MEMBERS * DOMAINS) : fsim_new(SEED);
+	fsim_run(s, CALM_MS);
+	s->deadline_ms = DEADLINE_MS;
+	return s;
+}
+
+static int find_driver(const struct fsim *s, int domain)
+{
+	return s->divided ? fsim_find_driver_of(s, domain)
+			  : fsim_find_driver(s);
+}
+
+/*
+ * One of the instances of the domain that do not drive. An undivided fleet has
+ * few of each domain, so others are taken there.
+ */
+static int find_other(const struct fsim *s, int domain, int skip)
+{
+	int driver = find_driver(s, domain);
+	int k, step = s->divided ? DOMAINS : 1;
+
+	if (!s->divided)
+		skip += 2 * domain;
+	for (k = s->divided ? domain : 0; k < s->n_instances; k += step)
+		if (k != driver && !skip--)
+			return k;
+	return -1;
+}
+
+static size_t submit(struct fsim *s)
+{
+	size_t job = fsim_submit_at(s, find_other(s, 0, 0), 2, RUN_MS);
+
+	fsim_run(s, BEGUN_MS);
+	CU_ASSERT_EQUAL(fsim_count_runs(s, job), 2);
+	return job;
+}
+
+/* Callers send a cancel again that is not acknowledged. */
+static void cancel_until_acked(struct fsim *s, size_t job, int instance)
+{
+	const struct fsim_job *j = &s->jobs[job];
+	unsigned i, refused;
+
+	for (i = 0; i < 3 && !j->cancel_acked_at; i++) {
+		refused = j->cancels_refused;
+		fsim_cancel_id(s, job, instance);
+		while (!j->cancel_acked_at && j->cancels_refused == refused &&
+		       s->now < j->cancel_sent_at + ANSWER_MS)
+			fsim_run(s, 1);
+	}
+	CU_ASSERT(j->cancel_acked_at);
+}
+
+/* From 3 s after the acknowledgement on, nothing of the job is there. */
+static void check_gone(struct fsim *s, size_t job)
+{
+	const struct fsim_job *j = &s->jobs[job];
+	int64_t gone_by = j->cancel_acked_at + FSIM_CANCEL_MS + STOP_MS;
+	int i;
+
+	if (s->now < gone_by)
+		fsim_run(s, gone_by - s->now);
+	for (i = 0; i < 8; i++) {
+		CU_ASSERT_EQUAL(fsim_count_runs(s, job), 0);
+		fsim_run(s, 500);
+	}
+	CU_ASSERT_EQUAL(s->n_cancelled_starts, 0);
+	CU_ASSERT_EQUAL(s->n_double_runs, 0);
+	CU_ASSERT_EQUAL(s->n_false_refusals, 0);
+}
+
+static void check_end(struct fsim *s, size_t job)
+{
+	check_gone(s, job);
+	if (*s->message)
+		printf("\n%s\n", s->message);
+	fsim_free(s);
+}
+
+static bool is_cancelled(const struct fsim *s, size_t job)
+{
+	return s->jobs[job].answered && s->jobs[job].outcome == FLEET_CANCELLED;
+}
+
+static void home_wakes_after_the_cancel(bool divided, int domain)
+{
+	struct fsim *s = start(divided);
+	size_t job = submit(s);
+
+	fsim_pause(s, s->jobs[job].home, 3500);
+	fsim_run(s, 1000);
+	cancel_until_acked(s, job, find_other(s, domain, 1));
+	fsim_run(s, 4000);
+	CU_ASSERT(is_cancelled(s, job));
+	check_end(s, job);
+}
+
+static void home_that_wakes_after_the_cancel_runs_nothing(void)
+{
+	home_wakes_after_the_cancel(false, 1);
+	home_wakes_after_the_cancel(true, 0);
+}
+
+static void send_late_copy(bool divided, int domain)
+{
+	struct fsim *s = start(divided);
+	size_t job = submit(s), copy;
+
+	cancel_until_acked(s, job, find_other(s, 0, 1));
+	fsim_run(s, COPY_MS);
+	copy = fsim_submit_again(s, job, find_other(s, domain, 0));
+	check_gone(s, job);
+	CU_ASSERT(is_cancelled(s, copy));
+	check_end(s, job);
+}
+
+static void late_copy_of_a_cancelled_job_runs_nothing(void)
+{
+	send_late_copy(false, 0);
+	send_late_copy(false, 1);
+	send_late_copy(true, 0);
+}
+
+static void cancel_a_job_that_has_ended(bool divided)
+{
+	struct fsim *s = start(divided);
+	size_t job = fsim_submit_at(s, find_other(s, 0, 0), 2, 100);
+
+	fsim_run(s, 1000);
+	CU_ASSERT(s->jobs[job].answered);
+	CU_ASSERT_EQUAL(s->jobs[job].outcome, FLEET_COMPLETED);
+	cancel_until_acked(s, job, find_other(s, 1, 1));
+	CU_ASSERT(s->now - s->jobs[job].cancel_sent_at < 100);
+	check_end(s, job);
+}
+
+static void cancel_of_an_id_that_nobody_has_is_answered_soon(void)
+{
+	cancel_a_job_that_has_ended(false);
+	cancel_a_job_that_has_ended(true);
+}
+
+SUITE(cells_cancel)
+{
+	TEST(home_that_wakes_after_the_cancel_runs_nothing);
+	TEST(late_copy_of_a_cancelled_job_runs_nothing);
+	TEST(cancel_of_an_id_that_nobody_has_is_answered_soon);
+}
