Send a cancel by id until the driver of each cell has acknowledged it

DELETE was answered 200 once the cancel was in the buffer of any link. Nothing sent it again.

The instance that takes a cancel now keeps it for 10 s, sends it to the drivers of all cells (which it dials), or to the one of an undivided fleet, every 100 ms until each has acknowledged it, and then to their successors. A driver tells its members, so the next one knows too. The caller is answered 200 when all drivers have it; a cell that has been silent for longer than its leases last does not count. After 1.5 s without that it is answered 503 with Retry-After, as 200 would promise what is not known; the cancel is still sent on. A caller that leaves meanwhile changes nothing.

The messages are the old JOB_CANCEL, whose tag was zero with an id, and a new acknowledgement that is sent only for a tag. An earlier driver carries out the cancel but does not acknowledge it, so its fleet's cancels are answered 503 until it is updated.

Without telling the members next_driver_knows_what_was_cancelled fails.

--- a/include/sycamoreshore/peer_type.h
+++ b/include/sycamoreshore/peer_type.h
@@ -45,6 +45,7 @@
 	SYC_PEER_OPEN_JOBS, /* the jobs that a cell has */
 	SYC_PEER_JOB_QUERY, /* asks whether another cell has a job */
 	SYC_PEER_JOB_LOCATED, /* whether it has */
+	SYC_PEER_JOB_CANCELLED, /* acknowledges a SYC_PEER_JOB_CANCEL */
 	/* a value in the store; it is never sent to a peer */
 	SYC_STORED_FLEET_MAP = 96,
 	SYC_STORED_LOSSES /* the same */
--- a/src/cmd/fleet_components.c
+++ b/src/cmd/fleet_components.c
@@ -50,6 +50,14 @@
 	mailbox_post(&d->to_jobs, MAIL_ANSWER, tag, head, no_bytes);
 }
 
+static void fleet_cancelled_cb(void *ctx, uint64_t tag, bool is_done)
+{
+	struct fleet_daemon *d = ctx;
+	struct syc_bytes head = {&is_done, sizeof(is_done)};
+
+	mailbox_post(&d->to_jobs, MAIL_CANCELLED, tag, head, no_bytes);
+}
+
 static uint64_t fleet_config_cb(void *ctx, struct syc_bytes text,
 				const char *from)
 {
@@ -114,6 +122,7 @@
 		.hang_up = fleet_hang_up_cb,
 		.send = fleet_send_cb,
 		.answer = fleet_answer_cb,
+		.cancelled = fleet_cancelled_cb,
 		.config = fleet_config_cb,
 		.read_workers = fleet_read_workers_cb,
 		.start = fleet_start_cb,
@@ -222,11 +231,11 @@
 	cells_cancel(d->fleet, fleet_daemon_now(), tag);
 }
 
-static bool cancel_cb(void *ctx, const char *id)
+static void cancel_cb(void *ctx, uint64_t tag, const char *id)
 {
 	struct fleet_daemon *d = ctx;
 
-	return cells_cancel_id(d->fleet, fleet_daemon_now(), id);
+	cells_cancel_id(d->fleet, fleet_daemon_now(), tag, id);
 }
 
 static bool open_jobs(struct fleet_daemon *d, char *err, size_t errlen)
@@ -358,7 +367,13 @@
 {
 	struct fleet_daemon *d = ctx;
 	struct fleet_answer answer;
+	bool is_done;
 
+	if (m->type == MAIL_CANCELLED) {
+		memcpy(&is_done, m->payload, sizeof(is_done));
+		job_server_cancelled(d->jobs, m->id, is_done);
+		return;
+	}
 	memcpy(&answer, m->payload, sizeof(answer));
 	histogram_add(answer.outcome <= FLEET_FAILED ? &d->served_ms
 						     : &d->refused_ms,
--- a/src/cmd/mailbox.h
+++ b/src/cmd/mailbox.h
@@ -22,6 +22,8 @@
 	 * payload: job_answer_pack, or struct fleet_answer in the fleet.
 	 */
 	MAIL_ANSWER,
+	/* To the job server of the fleet. id: tag; payload: a bool, done. */
+	MAIL_CANCELLED,
 	/* to the target client */
 	MAIL_START, /* id: start; payload: struct start_mail, body */
 	MAIL_STOP /* id: start */
--- a/src/fleet/cell_fleet.c
+++ b/src/fleet/cell_fleet.c
@@ -143,6 +143,13 @@
 	return !is_whole(cell) && job_query_ask(cell, id, is_fresh);
 }
 
+static void on_cancel_acked(void *ctx, uint64_t driver, uint64_t tag)
+{
+	struct cell *cell = ctx;
+
+	cancels_acked(cell, driver, tag);
+}
+
 void cell_create_fleet(struct cell *cell, const char *domain,
 		       uint64_t epoch_floor, int64_t now)
 {
@@ -163,6 +170,7 @@
 	opt.get_late_ms = on_get_late_ms;
 	opt.find_told = on_find_told;
 	opt.ask_cells = on_ask_cells;
+	opt.cancel_acked = on_cancel_acked;
 	cell->fleet = fleet_new(&opt, now);
 }
 
--- a/src/fleet/cell_jobs.c
+++ b/src/fleet/cell_jobs.c
@@ -209,18 +209,6 @@
 	drop_job(c, j);
 }
 
-bool cells_cancel_id(struct cells *c, int64_t now, const char *id)
-{
-	bool sent = false;
-	size_t i;
-
-	if (!c->n)
-		return fleet_cancel_id(c->whole.fleet, now, id);
-	for (i = 0; i < c->n; i++)
-		sent |= fleet_cancel_id(c->cells[i].fleet, now, id);
-	return sent;
-}
-
 void cell_jobs_free(struct cells *c)
 {
 	table_free(&c->jobs);
--- a/src/fleet/cells.c
+++ b/src/fleet/cells.c
@@ -18,6 +18,7 @@
 	table_init(&c->jobs, sizeof(struct cell_job));
 	open_jobs_init(&c->open_jobs, open_jobs_hold_ms(c));
 	job_queries_init(c);
+	cancels_init(c);
 	c->whole.cells = c;
 	c->whole.number = FLEET_CELLS_MAX;
 	cell_create_fleet(&c->whole, "", 0, now);
@@ -36,6 +37,7 @@
 	cell_jobs_free(c);
 	open_jobs_free(&c->open_jobs);
 	job_queries_free(c);
+	cancels_free(c);
 	losses_free(c->opt.losses);
 	free(c);
 }
@@ -136,6 +138,7 @@
 	for (i = 0; i < c->n; i++)
 		fleet_tick(c->cells[i].fleet, now);
 	tick_open_jobs(c, now);
+	cancels_tick(c, now);
 	/* Heartbeats carry the room too, which these changes may have changed. */
 	announce_changes(c, now);
 }
--- a/src/fleet/cells.h
+++ b/src/fleet/cells.h
@@ -36,8 +36,13 @@
 void cells_submit(struct cells *c, int64_t now, uint64_t tag,
 		  const struct drive_job *job);
 void cells_cancel(struct cells *c, int64_t now, uint64_t tag);
-/* Cancels the job of that id in any cell; false: no link to a driver. */
-bool cells_cancel_id(struct cells *c, int64_t now, const char *id);
+/*
+ * Cancels the job of that id in all cells; the callback `cancelled` is called
+ * with `tag`, perhaps before this returns. An id that no cell has is cancelled
+ * too: for a while, no job of that id begins.
+ */
+void cells_cancel_id(struct cells *c, int64_t now, uint64_t tag,
+		     const char *id);
 
 void cells_set_workers(struct cells *c, int64_t now,
 		       const struct drive_worker *list, size_t n);
--- a/src/fleet/cells_state.h
+++ b/src/fleet/cells_state.h
@@ -44,6 +44,8 @@
 	int64_t next_reports_at;
 	struct open_jobs open_jobs; /* what other drivers have told */
 	struct table queries; /* of struct job_query, see job_query.c */
+	struct table cancels; /* of struct cancel, see cancels.c */
+	struct list cancels_by_age; /* the oldest is the first */
 	int64_t ticked_at;
 	bool drives; /* at the last tick */
 	/* This instance drives, without a pause, since then. */
@@ -99,6 +101,14 @@
 		       struct wire_in *w);
 bool job_located_receive(struct cells *c, int64_t now, struct wire_in *w);
 
+/* cancels.c */
+void cancels_init(struct cells *c);
+void cancels_free(struct cells *c);
+/* Sends cancels that not all drivers have, and answers callers. */
+void cancels_tick(struct cells *c, int64_t now);
+/* The cell's driver has the cancel of that handle. */
+void cancels_acked(struct cell *cell, uint64_t driver, uint64_t handle);
+
 /* cell_jobs.c */
 /* Handles a cell's answer to a job: the caller's, or another cell is tried. */
 void cell_jobs_answered(struct cell *cell, uint64_t tag,
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -82,6 +82,11 @@
 	/* Gives the final answer to the job with this tag; called once. */
 	void (*answer)(void *ctx, uint64_t tag,
 		       const struct fleet_answer *answer);
+	/*
+	 * Answers cells_cancel_id, once: whether the job is cancelled for good,
+	 * or whether that is not known and the caller is to try again.
+	 */
+	void (*cancelled)(void *ctx, uint64_t tag, bool is_done);
 	/*
 	 * Puts a configuration in force, as it stands in the store, and returns
 	 * its version; zero: it is not newer, or cannot be read. `from` is its
@@ -99,6 +104,8 @@
 	/* About jobs that other drivers have; see drive.h. Set by cells.h. */
 	bool (*find_told)(void *ctx, const char *id, uint32_t *cell);
 	bool (*ask_cells)(void *ctx, const char *id, bool is_fresh);
+	/* The driver has the cancel; see fleet_cancel_id. Set by cells.h. */
+	void (*cancel_acked)(void *ctx, uint64_t driver, uint64_t tag);
 };
 
 struct fleet;
@@ -123,8 +130,12 @@
 /* Cancels the job of a caller that has disconnected; there is no answer. */
 void fleet_cancel(struct fleet *f, int64_t now, uint64_t tag);
 
-/* Cancels the job of that id of any caller; false: no link to a driver. */
-bool fleet_cancel_id(struct fleet *f, int64_t now, const char *id);
+/*
+ * Sends the driver a cancel of the job of that id, of any caller. `cancel_acked`
+ * is called with `tag` when the driver has it. False: no link to a driver.
+ */
+bool fleet_cancel_id(struct fleet *f, int64_t now, uint64_t tag,
+		     const char *id);
 
 /* Sets the platform's list of workers; NULL: it could not be read. */
 void fleet_set_workers(struct fleet *f, int64_t now,
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -348,6 +348,12 @@
 void home_end_all(struct fleet *f, int64_t now, const char *reason);
 void home_free(struct fleet *f);
 
+/* job_cancel.c */
+bool job_cancel_receive(struct fleet *f, int64_t now, uint64_t from,
+			struct syc_bytes msg);
+bool job_cancelled_receive(struct fleet *f, uint64_t from,
+			   struct syc_bytes msg);
+
 /* workers.c */
 void workers_tick(struct fleet *f, int64_t now);
 /* Sends a peer the list of workers that this instance drives. */
--- a/src/fleet/home.c
+++ b/src/fleet/home.c
@@ -162,15 +162,14 @@
 	submit_job(f, j, now);
 }
 
-/* `id` is empty if `tag` names the job. */
-static bool send_cancel(struct fleet *f, uint64_t tag, const char *id)
+static void send_cancel(struct fleet *f, uint64_t tag)
 {
 	auto_wire_out struct wire_out w = {0};
 
 	wire_begin(&w, SYC_PEER_JOB_CANCEL, 2);
 	wire_put_u64(&w, tag);
-	wire_put_str(&w, id);
-	return f->opt.send(f->opt.ctx, election_get_driver(f), wire_bytes(&w));
+	wire_put_str(&w, ""); /* the tag names the job */
+	f->opt.send(f->opt.ctx, election_get_driver(f), wire_bytes(&w));
 }
 
 static void cancel_at_driver(struct fleet *f, const struct home_job *j,
@@ -179,7 +178,7 @@
 	if (election_get_driver(f) == f->opt.self.id)
 		drive_cancel(f->drive, now, f->opt.self.id, j->handle);
 	else
-		send_cancel(f, j->handle, "");
+		send_cancel(f, j->handle);
 }
 
 void home_submit_all(struct fleet *f, int64_t now)
@@ -236,15 +235,6 @@
 		drop_job(f, j);
 }
 
-bool fleet_cancel_id(struct fleet *f, int64_t now, const char *id)
-{
-	if (election_get_driver(f) == f->opt.self.id) {
-		drive_cancel_id(f->drive, now, id);
-		return true;
-	}
-	return election_get_driver(f) && send_cancel(f, 0, id);
-}
-
 static enum fleet_outcome fleet_outcome_of(const struct home_job *j,
 					   enum drive_outcome outcome)
 {
--- a/src/fleet/receive.c
+++ b/src/fleet/receive.c
@@ -76,25 +76,6 @@
 	return true;
 }
 
-static bool receive_cancel(struct fleet *f, int64_t now, uint64_t from,
-			   struct syc_bytes msg)
-{
-	char id[DRIVE_JOB_ID_MAX];
-	struct wire_in w;
-	uint64_t tag;
-
-	wire_open(&w, msg);
-	tag = wire_u64(&w);
-	wire_str(&w, id, sizeof(id));
-	if (!wire_close(&w))
-		return false;
-	if (*id)
-		drive_cancel_id(f->drive, now, id);
-	else
-		drive_cancel(f->drive, now, from, tag);
-	return true;
-}
-
 bool fleet_receive(struct fleet *f, int64_t now, uint64_t from,
 		   struct syc_bytes msg)
 {
@@ -112,7 +93,9 @@
 	case SYC_PEER_JOB_DONE:
 		return receive_job_done(f, now, msg);
 	case SYC_PEER_JOB_CANCEL:
-		return receive_cancel(f, now, from, msg);
+		return job_cancel_receive(f, now, from, msg);
+	case SYC_PEER_JOB_CANCELLED:
+		return job_cancelled_receive(f, from, msg);
 	case SYC_PEER_CONFIG:
 		return config_sync_receive(f, now, msg);
 	case SYC_PEER_WORKERS_REQUEST:
--- a/test/sim/fleet_sim.c
+++ b/test/sim/fleet_sim.c
@@ -325,6 +325,7 @@
 		.hang_up = on_hang_up,
 		.send = on_send,
 		.answer = fsim_on_answer,
+		.cancelled = fsim_on_cancelled,
 		.config = fsim_on_config,
 		.read_workers = on_read_workers,
 		.start = fsim_on_start,
--- a/test/sim/fleet_sim_callers.c
+++ b/test/sim/fleet_sim_callers.c
@@ -262,10 +262,19 @@
 
 	first->cancel_sent_at = s->now;
 	log_context_set(i->instance.name);
-	if (cells_cancel_id(i->cells, s->now, first->id))
-		first->cancel_acked_at = s->now;
-	else
-		first->cancels_refused++;
+	cells_cancel_id(i->cells, s->now, first->first + 1, first->id);
+}
+
+void fsim_on_cancelled(void *ctx, uint64_t tag, bool is_done)
+{
+	struct fsim_instance *i = ctx;
+	struct fsim *s = i->sim;
+	struct fsim_job *j = &s->jobs[tag - 1];
+
+	if (!is_done)
+		j->cancels_refused++;
+	else if (!j->cancel_acked_at)
+		j->cancel_acked_at = s->now;
 }
 
 void fsim_disconnect(struct fsim *s, size_t job)
--- a/test/sim/fleet_sim_internal.h
+++ b/test/sim/fleet_sim_internal.h
@@ -88,6 +88,8 @@
 
 /* fleet_sim_callers.c */
 void fsim_on_answer(void *ctx, uint64_t tag, const struct fleet_answer *answer);
+/* The tag is the number of the job's first request, plus one. */
+void fsim_on_cancelled(void *ctx, uint64_t tag, bool is_done);
 void fsim_tick_caller(struct fsim *s, struct fsim_job *j);
 
 /* fleet_sim_config.c */
--- a/test/unit/cells_cancel_test.c
+++ b/test/unit/cells_cancel_test.c
@@ -112,6 +112,122 @@
 	return s->jobs[job].answered && s->jobs[job].outcome == FLEET_CANCELLED;
 }
 
+static void cancel_at_another_domain(int skip)
+{
+	struct fsim *s = start(true);
+	size_t job = submit(s);
+
+	cancel_until_acked(s, job, find_other(s, 1, skip));
+	fsim_run(s, 100);
+	CU_ASSERT(is_cancelled(s, job));
+	check_end(s, job);
+}
+
+static void cancel_at_another_domain_ends_the_job(void)
+{
+	cancel_at_another_domain(0);
+	cancel_at_another_domain(1);
+}
+
+static void cancel_at_the_driver_ends_the_job(void)
+{
+	struct fsim *s = start(true);
+	size_t job = submit(s);
+
+	cancel_until_acked(s, job, find_driver(s, 0));
+	check_end(s, job);
+	s = start(true);
+	job = submit(s);
+	cancel_until_acked(s, job, find_driver(s, 1));
+	check_end(s, job);
+	s = start(false);
+	job = submit(s);
+	cancel_until_acked(s, job, find_driver(s, 0));
+	check_end(s, job);
+}
+
+/* The driver of the job's cell is lost that long before the cancel. */
+static void lose_driver(bool divided, int domain, int64_t before_ms,
+			int64_t pause_ms)
+{
+	struct fsim *s = start(divided);
+	size_t job = submit(s);
+	int at = find_other(s, domain, 1);
+
+	if (pause_ms)
+		fsim_pause(s, find_driver(s, 0), pause_ms);
+	else
+		fsim_kill(s, find_driver(s, 0));
+	fsim_run(s, before_ms);
+	cancel_until_acked(s, job, at);
+	check_end(s, job);
+}
+
+static void cancel_before_the_driver_stands_still(bool divided, int domain)
+{
+	struct fsim *s = start(divided);
+	size_t job = submit(s);
+	int driver = find_driver(s, 0);
+
+	fsim_cancel_id(s, job, find_other(s, domain, 1));
+	fsim_pause(s, driver, 3500);
+	fsim_run(s, ANSWER_MS);
+	if (!s->jobs[job].cancel_acked_at)
+		cancel_until_acked(s, job, find_other(s, domain, 1));
+	check_end(s, job);
+}
+
+static void driver_that_stands_still_loses_no_cancel(void)
+{
+	lose_driver(false, 1, 0, 3500);
+	lose_driver(false, 1, 200, 3500);
+	lose_driver(true, 0, 0, 3500);
+	lose_driver(true, 0, 200, 3500);
+	lose_driver(true, 1, 0, 3500);
+	lose_driver(true, 1, 200, 3500);
+	lose_driver(false, 1, 0, 250);
+	cancel_before_the_driver_stands_still(false, 1);
+	cancel_before_the_driver_stands_still(true, 0);
+	cancel_before_the_driver_stands_still(true, 1);
+}
+
+static void driver_that_is_killed_loses_no_cancel(void)
+{
+	lose_driver(false, 1, 0, 0);
+	lose_driver(false, 1, 200, 0);
+	lose_driver(true, 0, 0, 0);
+	lose_driver(true, 0, 200, 0);
+	lose_driver(true, 1, 0, 0);
+	lose_driver(true, 1, 200, 0);
+}
+
+/*
+ * The driver and the instance that took the cancel are killed after it, so none
+ * but the members that the driver told know of it when the home wakes. In the
+ * undivided fleet the second one is a member, without which none could drive.
+ */
+static void next_driver_knows_the_cancel(bool divided)
+{
+	struct fsim *s = start(divided);
+	size_t job = submit(s);
+	int at = find_other(s, 1, 0);
+
+	fsim_pause(s, s->jobs[job].home, 4000);
+	fsim_run(s, 300);
+	cancel_until_acked(s, job, at);
+	fsim_run(s, 100);
+	fsim_kill(s, find_driver(s, 0));
+	if (divided)
+		fsim_kill(s, at);
+	check_end(s, job);
+}
+
+static void next_driver_knows_what_was_cancelled(void)
+{
+	next_driver_knows_the_cancel(false);
+	next_driver_knows_the_cancel(true);
+}
+
 static void home_wakes_after_the_cancel(bool divided, int domain)
 {
 	struct fsim *s = start(divided);
@@ -129,6 +245,7 @@
 {
 	home_wakes_after_the_cancel(false, 1);
 	home_wakes_after_the_cancel(true, 0);
+	home_wakes_after_the_cancel(true, 1);
 }
 
 static void send_late_copy(bool divided, int domain)
@@ -149,6 +266,7 @@
 	send_late_copy(false, 0);
 	send_late_copy(false, 1);
 	send_late_copy(true, 0);
+	send_late_copy(true, 1);
 }
 
 static void cancel_a_job_that_has_ended(bool divided)
@@ -170,9 +288,61 @@
 	cancel_a_job_that_has_ended(true);
 }
 
+static void other_jobs_run_beside_a_cancelled_one(void)
+{
+	struct fsim *s = start(true);
+	size_t other = fsim_submit_at(s, find_other(s, 0, 0), 2, 3000);
+	size_t job = submit(s);
+
+	cancel_until_acked(s, job, find_other(s, 1, 0));
+	check_gone(s, job);
+	CU_ASSERT(s->jobs[other].answered);
+	CU_ASSERT_EQUAL(s->jobs[other].outcome, FLEET_COMPLETED);
+	fsim_free(s);
+}
+
+/* The cell's instances are all killed, and their leases have lapsed. */
+static void cell_that_is_gone_holds_up_no_cancel(void)
+{
+	struct fsim *s = start(true);
+	size_t job = submit(s);
+	int k;
+
+	for (k = 2; k < s->n_instances; k += DOMAINS)
+		fsim_kill(s, k);
+	fsim_run(s, 5000);
+	cancel_until_acked(s, job, find_other(s, 1, 1));
+	CU_ASSERT(s->now - s->jobs[job].cancel_sent_at < 200);
+	check_end(s, job);
+}
+
+/* No driver can be reached, so the cancel is not acknowledged. */
+static void cancel_without_a_driver_is_refused(void)
+{
+	struct fsim *s = start(false);
+	size_t job = submit(s);
+	int at = find_other(s, 1, 1);
+
+	fsim_cut_instance(s, at, true);
+	fsim_run(s, 10);
+	fsim_cancel_id(s, job, at);
+	fsim_run(s, ANSWER_MS);
+	CU_ASSERT_EQUAL(s->jobs[job].cancel_acked_at, 0);
+	CU_ASSERT_EQUAL(s->jobs[job].cancels_refused, 1);
+	fsim_free(s);
+}
+
 SUITE(cells_cancel)
 {
+	TEST(cancel_at_another_domain_ends_the_job);
+	TEST(cancel_at_the_driver_ends_the_job);
+	TEST(driver_that_stands_still_loses_no_cancel);
+	TEST(driver_that_is_killed_loses_no_cancel);
+	TEST(next_driver_knows_what_was_cancelled);
 	TEST(home_that_wakes_after_the_cancel_runs_nothing);
 	TEST(late_copy_of_a_cancelled_job_runs_nothing);
 	TEST(cancel_of_an_id_that_nobody_has_is_answered_soon);
+	TEST(other_jobs_run_beside_a_cancelled_one);
+	TEST(cell_that_is_gone_holds_up_no_cancel);
+	TEST(cancel_without_a_driver_is_refused);
 }
