--- a/test/unit/cells_cancel_test.c
+++ b/test/unit/cells_cancel_test.c
@@ -332,6 +332,25 @@
 	fsim_free(s);
 }
 
+/* An instance keeps no more than that; the oldest is answered at once. */
+static void too_many_cancels_drop_the_oldest(void)
+{
+	enum { KEPT = 1024 };
+	struct fsim *s = start(false);
+	size_t job = submit(s);
+	int i, at = find_other(s, 1, 1);
+
+	fsim_cut_instance(s, at, true);
+	fsim_run(s, 10);
+	log_level_set(LOG_ERROR);
+	for (i = 0; i <= KEPT; i++)
+		fsim_cancel_id(s, job, at);
+	CU_ASSERT_EQUAL(s->jobs[job].cancels_refused, 1);
+	fsim_run(s, ANSWER_MS);
+	CU_ASSERT_EQUAL(s->jobs[job].cancels_refused, KEPT + 1);
+	fsim_free(s);
+}
+
 SUITE(cells_cancel)
 {
 	TEST(cancel_at_another_domain_ends_the_job);
@@ -345,4 +364,5 @@
 	TEST(other_jobs_run_beside_a_cancelled_one);
 	TEST(cell_that_is_gone_holds_up_no_cancel);
 	TEST(cancel_without_a_driver_is_refused);
+	TEST(too_many_cancels_drop_the_oldest);
 }
