Answer the jobs of a stopping instance before it ends

Cause: at stop_ms the daemon ended its loop and freed the fleet with its open jobs. Nothing told the driver that the home could not wait any longer, and home_end_all is called only when the fleet is divided.

The fleet now gets the time when its jobs have to be answered, 100 ms before the stop ends, so that the answers are written. The home tells the driver how long it can wait for each job (SYC_PEER_JOB_END_BY). The driver refuses a job of that home alone of which no task was started and which can't end by then: at once if its run takes longer or the plan of the room has it begin later, else when it is too late to begin. The job is dropped before it is said, so "not run" (503, Retry-After) is true; if an earlier driver or another cell may have runs of it, it is aborted, so unknown. A job that can still end is waited for, and one that has begun goes on. What is open at the end is cancelled at its driver and answered as unknown (502) by the home of each cell; what was sent to no driver, as not run.

A driver that stops refuses its own jobs before it hands over. A driver of an earlier version logs the new message as bad and goes on; its jobs are answered as unknown at the end.

In the simulation, fsim_leave is as before, and fsim_stop ends the process too.

--- a/include/sycamoreshore/peer_type.h
+++ b/include/sycamoreshore/peer_type.h
@@ -45,6 +45,8 @@
 	SYC_PEER_OPEN_JOBS, /* the jobs that a cell has */
 	SYC_PEER_JOB_QUERY, /* asks whether another cell has a job */
 	SYC_PEER_JOB_LOCATED, /* whether it has */
+	/* When a job's home stops; an earlier version takes no note of it. */
+	SYC_PEER_JOB_END_BY,
 	/* a value in the store; it is never sent to a peer */
 	SYC_STORED_FLEET_MAP = 96,
 	SYC_STORED_LOSSES /* the same */
--- a/src/cmd/fleet_daemon.c
+++ b/src/cmd/fleet_daemon.c
@@ -14,6 +14,8 @@
 	TICK_MS = 10,
 	LATE_TURN_MS = 40, /* a turn of the loop that is worth a log line */
 	LATE_LOG_MS = 1000, /* between two of these lines */
+	/* The last answers of a planned stop are written in this time. */
+	ANSWERS_MS = 100,
 	MESSAGE_MAX = 512 /* bytes of an error message */
 };
 
@@ -83,11 +85,18 @@
 	ev_break(d->loop, EVBREAK_ALL);
 }
 
+/* When the jobs that are still open are answered in a planned stop. */
+static int64_t jobs_end_at(const struct fleet_daemon *d)
+{
+	return d->stop_began_at + d->settings.stop_ms - ANSWERS_MS;
+}
+
 static void advance_stop(struct fleet_daemon *d, int64_t now)
 {
 	int64_t elapsed_ms = now - d->stop_began_at;
 
-	if (!d->quiesced && elapsed_ms >= d->settings.drain_ms) {
+	if (!d->quiesced &&
+	    (elapsed_ms >= d->settings.drain_ms || now >= jobs_end_at(d))) {
 		d->quiesced = true;
 		job_server_quiesce(d->jobs);
 	}
@@ -138,7 +147,7 @@
 	}
 	d->stop_began_at = fleet_daemon_now();
 	job_server_drain(d->jobs, true);
-	cells_leave(d->fleet, d->stop_began_at);
+	cells_leave(d->fleet, d->stop_began_at, jobs_end_at(d));
 }
 
 static void on_dump(struct ev_loop *loop, struct ev_signal *w, int revents)
--- a/src/drive/admit.c
+++ b/src/drive/admit.c
@@ -144,6 +144,8 @@
 	}
 	if (deadline_at > j->deadline_at)
 		j->deadline_at = deadline_at;
+	if (j->begin_by) /* for a home that stops; this one may go on */
+		job_clear_begin_by(j);
 	log_info("job_joined", LOG_S("job", j->id), LOG_U("home", home),
 		 LOG_U("generation", spec->generation),
 		 LOG_U("active", j->n_active));
--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -373,6 +373,14 @@
 /* Stops and drops a job whose caller has disconnected, without `job_done`. */
 void drive_cancel(struct drive *d, int64_t now, uint64_t home, uint64_t tag);
 
+/*
+ * The home answers its caller in `left_ms` whatever comes, as it stops. A job
+ * of no other home that can't end by then ends at once, without a start of a
+ * task, and so does one that waits until it can't.
+ */
+void drive_end_by(struct drive *d, int64_t now, uint64_t home, uint64_t tag,
+		  uint32_t left_ms);
+
 /* Cancels the job of that id; calls `job_done` for each home and tag. */
 void drive_cancel_id(struct drive *d, int64_t now, const char *id);
 
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -183,6 +183,7 @@
 	int64_t submitted_at; /* to this driver */
 	int64_t settled_at; /* runs of an earlier driver have ended by then */
 	int64_t deadline_at;
+	int64_t begin_by; /* to end before its home does; zero: no limit */
 	struct task *tasks;
 	uint32_t n_tasks, n_done, n_active;
 	uint32_t n_suspects; /* waiting tasks that need a worker of their own */
@@ -405,6 +406,8 @@
 /* Ends a job that cannot be served in time: refused, if no task was started. */
 void job_end_unserved(struct drive *d, struct job *j, const char *reason,
 		      int64_t now);
+/* Takes back what drive_end_by did. */
+void job_clear_begin_by(struct job *j);
 void job_tick(struct drive *d, struct job *j, int64_t now);
 void job_drop(struct drive *d, struct job *j);
 /* The expected run time of its tasks on a worker of usual speed, in ms. */
--- a/src/drive/job.c
+++ b/src/drive/job.c
@@ -128,6 +128,22 @@
 	return i != n;
 }
 
+/* The job that `home` alone waits for, under that tag, or NULL. */
+static struct job *find_only_of(struct drive *d, uint64_t home, uint64_t tag)
+{
+	struct list *pos, *after;
+
+	LIST_EACH(pos, after, &d->all_jobs)
+	{
+		struct job *j = LIST_ITEM(pos, struct job, all_link);
+
+		if (j->n_waiters == 1 && j->waiters[0].home == home &&
+		    j->waiters[0].tag == tag)
+			return j;
+	}
+	return NULL;
+}
+
 static void cancel_waiters(struct drive *d, uint64_t home, const uint64_t *tag,
 			   const char *why, int64_t now)
 {
@@ -148,6 +164,47 @@
 	cancel_waiters(d, home, &tag, "caller_gone", now);
 }
 
+/* As earlier drivers or other cells may have runs of it, it may be unknown. */
+static void end_before_begin(struct drive *d, struct job *j, int64_t now)
+{
+	if (job_is_settled(d, j, now))
+		job_end_unserved(d, j, "home_stops", now);
+	else
+		job_end(d, j, DRIVE_ABORTED, 0, "home_stops", now);
+}
+
+static bool begins_too_late(const struct job *j, int64_t now)
+{
+	return j->begin_by && !j->has_begun && now > j->begin_by;
+}
+
+void drive_end_by(struct drive *d, int64_t now, uint64_t home, uint64_t tag,
+		  uint32_t left_ms)
+{
+	struct job *j = find_only_of(d, home, tag);
+
+	if (!j || j->has_begun)
+		return;
+	j->begin_by = now + left_ms - (int64_t)job_expected_ms(j);
+	/* Plans then find out early whether it has to wait for longer. */
+	if (j->latest_start_at > j->begin_by)
+		j->latest_start_at = j->begin_by;
+	log_info("job_to_end_by", LOG_S("job", j->id),
+		 LOG_U("left_ms", left_ms),
+		 LOG_I("to_begin_ms", j->begin_by - now));
+	if (begins_too_late(j, now)) {
+		end_before_begin(d, j, now);
+		d->capacity_changed = true;
+		queue_run(d, now);
+	}
+}
+
+void job_clear_begin_by(struct job *j)
+{
+	j->begin_by = 0;
+	j->latest_start_at = j->objective_at - (int64_t)job_expected_ms(j);
+}
+
 void drive_cancel_id(struct drive *d, int64_t now, const char *id)
 {
 	char padded[DRIVE_JOB_ID_MAX] = "";
@@ -209,4 +266,6 @@
 {
 	if (now >= j->deadline_at)
 		job_end_unserved(d, j, "deadline", now);
+	else if (begins_too_late(j, now))
+		end_before_begin(d, j, now);
 }
--- a/src/fleet/cells.c
+++ b/src/fleet/cells.c
@@ -56,7 +56,7 @@
 			fleet_peer_up(cell->fleet, now,
 				      &whole->peers[i].instance);
 	if (whole->leaving)
-		fleet_leave(cell->fleet, now);
+		fleet_leave(cell->fleet, now, whole->ends_at);
 }
 
 static void open_cells(struct cells *c, int64_t now)
@@ -269,13 +269,13 @@
 	return false;
 }
 
-void cells_leave(struct cells *c, int64_t now)
+void cells_leave(struct cells *c, int64_t now, int64_t ends_at)
 {
 	size_t i;
 
-	fleet_leave(c->whole.fleet, now);
+	fleet_leave(c->whole.fleet, now, ends_at);
 	for (i = 0; i < c->n; i++)
-		fleet_leave(c->cells[i].fleet, now);
+		fleet_leave(c->cells[i].fleet, now, ends_at);
 }
 
 bool cells_has_left(const struct cells *c)
--- a/src/fleet/cells.h
+++ b/src/fleet/cells.h
@@ -52,7 +52,7 @@
 			 const struct drive_hold_answer *lists);
 
 bool cells_is_ready(const struct cells *c, const char **why);
-void cells_leave(struct cells *c, int64_t now);
+void cells_leave(struct cells *c, int64_t now, int64_t ends_at);
 bool cells_has_left(const struct cells *c);
 /* The number of callers' jobs that have no answer. */
 size_t cells_open_jobs(const struct cells *c);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -287,11 +287,14 @@
 	return false;
 }
 
-void fleet_leave(struct fleet *f, int64_t now)
+void fleet_leave(struct fleet *f, int64_t now, int64_t ends_at)
 {
 	f->leaving = true;
+	f->ends_at = ends_at;
 	log_info("leaving", LOG_U("drives", fleet_is_driver(f)),
 		 LOG_U("open", fleet_open_jobs(f)));
+	/* Before another instance takes over, if this one drives. */
+	home_tell_end(f, now);
 	heartbeat_send_all(f, now);
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -158,8 +158,12 @@
 /* Whether jobs can be served; if not, `why` gets the reason. */
 bool fleet_is_ready(const struct fleet *f, const char **why);
 
-/* Begins a planned stop; if this instance drives, another takes over. */
-void fleet_leave(struct fleet *f, int64_t now);
+/*
+ * Begins a planned stop; if this instance drives, another takes over. Jobs of
+ * its callers that have not ended at `ends_at` get an answer then, and earlier
+ * if it is known that they can't end by then; zero: no limit.
+ */
+void fleet_leave(struct fleet *f, int64_t now, int64_t ends_at);
 /* Whether the planned stop is complete and the process may end. */
 bool fleet_has_left(const struct fleet *f);
 
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -173,6 +173,7 @@
 	bool lost_cells; /* the map in the store lacks them */
 	enum key_watch_role role; /* in reading the store; set at each tick */
 	bool leaving; /* a planned stop has begun */
+	int64_t ends_at; /* its jobs have an answer by then; zero: no limit */
 	struct losses_store losses_store;
 	bool takeover_in_flight; /* the map's change has no answer yet */
 	bool has_probe_answer; /* a worker of another domain was reached */
@@ -346,6 +347,8 @@
  * these end with their leases before a caller submits its job again.
  */
 void home_end_all(struct fleet *f, int64_t now, const char *reason);
+/* Tells the driver until when this instance can wait for its jobs. */
+void home_tell_end(struct fleet *f, int64_t now);
 void home_free(struct fleet *f);
 
 /* workers.c */
--- a/src/fleet/home.c
+++ b/src/fleet/home.c
@@ -22,7 +22,8 @@
 	NOT_TAKEN_RETRY_MS = 50,
 	/* What callers sent during a pause of this process is read by then. */
 	BACKLOG_READ_MS = 200,
-	DEADLINE_SLACK_MS = 50 /* for the driver's answer at the deadline */
+	DEADLINE_SLACK_MS = 50, /* for the driver's answer at the deadline */
+	STOP_SLACK_MS = 100 /* the same before this instance stops */
 };
 
 static void drop_job(struct fleet *f, struct home_job *j)
@@ -115,8 +116,41 @@
 	j->submitted = true;
 }
 
+/* Tells the driver until when this instance, which stops, can wait. */
+static void tell_end(struct fleet *f, uint64_t handle, int64_t now)
+{
+	const struct home_job *j = table_get(&f->jobs, handle);
+	int64_t left_ms = f->ends_at - STOP_SLACK_MS - now;
+	auto_wire_out struct wire_out w = {0};
+
+	if (!f->ends_at || !j || !j->submitted || j->is_cancelled)
+		return;
+	if (left_ms < 0)
+		left_ms = 0;
+	if (election_get_driver(f) == f->opt.self.id) {
+		drive_end_by(f->drive, now, f->opt.self.id, handle,
+			     (uint32_t)left_ms);
+		return;
+	}
+	wire_begin(&w, SYC_PEER_JOB_END_BY, 2);
+	wire_put_u64(&w, handle);
+	wire_put_u64(&w, (uint64_t)left_ms);
+	f->opt.send(f->opt.ctx, election_get_driver(f), wire_bytes(&w));
+}
+
+void home_tell_end(struct fleet *f, int64_t now)
+{
+	uint64_t handle;
+	uint32_t pos = 0;
+
+	while (table_next(&f->jobs, &pos, &handle))
+		tell_end(f, handle, now);
+}
+
 static void submit_job(struct fleet *f, struct home_job *j, int64_t now)
 {
+	uint64_t handle = j->handle;
+
 	if (!election_is_driver_reachable(f, now) || now >= j->deadline_at)
 		return;
 	j->resubmit_at = 0;
@@ -126,10 +160,11 @@
 	j->spec.generation = j->generation;
 	if (election_get_driver(f) != f->opt.self.id) {
 		send_job(f, j, now);
-		return;
+	} else {
+		j->submitted = true;
+		drive_submit(f->drive, now, f->opt.self.id, handle, &j->spec);
 	}
-	j->submitted = true;
-	drive_submit(f->drive, now, f->opt.self.id, j->handle, &j->spec);
+	tell_end(f, handle, now); /* if it has no answer yet */
 }
 
 void fleet_submit(struct fleet *f, int64_t now, uint64_t tag,
@@ -342,12 +377,29 @@
 	}
 }
 
+/* What may run is cancelled, as this instance can't wait for it. */
+static void end_at_stop(struct fleet *f, int64_t now)
+{
+	struct home_job *j;
+	uint64_t handle;
+	uint32_t pos = 0;
+
+	while ((j = table_next(&f->jobs, &pos, &handle)))
+		if (!j->is_cancelled && j->submitted)
+			cancel_at_driver(f, j, now);
+	home_end_all(f, now, "stopping");
+}
+
 void home_tick(struct fleet *f, int64_t now)
 {
 	struct home_job *j;
 	uint64_t handle;
 	uint32_t pos = 0;
 
+	if (f->ends_at && now >= f->ends_at) {
+		end_at_stop(f, now);
+		return;
+	}
 	while ((j = table_next(&f->jobs, &pos, &handle)))
 		tick_job(f, j, now);
 }
--- a/src/fleet/receive.c
+++ b/src/fleet/receive.c
@@ -95,6 +95,21 @@
 	return true;
 }
 
+static bool receive_end_by(struct fleet *f, int64_t now, uint64_t from,
+			   struct syc_bytes msg)
+{
+	struct wire_in w;
+	uint64_t tag, left_ms;
+
+	wire_open(&w, msg);
+	tag = wire_u64(&w);
+	left_ms = wire_u64(&w);
+	if (!wire_close(&w) || left_ms > UINT32_MAX)
+		return false;
+	drive_end_by(f->drive, now, from, tag, (uint32_t)left_ms);
+	return true;
+}
+
 bool fleet_receive(struct fleet *f, int64_t now, uint64_t from,
 		   struct syc_bytes msg)
 {
@@ -113,6 +128,8 @@
 		return receive_job_done(f, now, msg);
 	case SYC_PEER_JOB_CANCEL:
 		return receive_cancel(f, now, from, msg);
+	case SYC_PEER_JOB_END_BY:
+		return receive_end_by(f, now, from, msg);
 	case SYC_PEER_CONFIG:
 		return config_sync_receive(f, now, msg);
 	case SYC_PEER_WORKERS_REQUEST:
--- a/test/sim/fleet_sim.c
+++ b/test/sim/fleet_sim.c
@@ -333,6 +333,7 @@
 		.get_late_ms = on_get_late_ms,
 	};
 	i->paused_until = 0;
+	i->stops_at = 0;
 	i->busy_until_us = 0;
 	i->next_tick_at = 0;
 	i->config_version = 0;
@@ -378,7 +379,15 @@
 void fsim_leave(struct fsim *s, int instance)
 {
 	if (s->instances[instance].fleet)
-		cells_leave(s->instances[instance].cells, s->now);
+		cells_leave(s->instances[instance].cells, s->now, 0);
+}
+
+void fsim_stop(struct fsim *s, int instance)
+{
+	struct fsim_instance *i = &s->instances[instance];
+
+	i->stops_at = s->now + FSIM_STOP_MS;
+	cells_leave(i->cells, s->now, i->stops_at - FSIM_ANSWERS_MS);
 }
 
 static void note_cut(const struct fsim *s, struct fsim_contact *c, bool cut)
@@ -554,6 +563,8 @@
 			log_context_set(in->instance.name);
 			cells_tick(in->cells, s->now);
 		}
+		if (in->fleet && in->stops_at && s->now >= in->stops_at)
+			fsim_kill(s, k);
 	}
 	for (i = 0; i < s->n_jobs; i++)
 		fsim_tick_caller(s, &s->jobs[i]);
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -25,6 +25,8 @@
 	FSIM_CONFIG_APPLY_MS = 2000, /* also the bound of evacuations */
 	/* After a cut links are opened, and drivers tell and are told. */
 	FSIM_TELL_AGAIN_MS = 700,
+	FSIM_STOP_MS = 5500, /* of a planned stop, at most */
+	FSIM_ANSWERS_MS = 100 /* before its end */
 };
 
 struct fsim;
@@ -43,6 +45,7 @@
 	struct syc_instance instance;
 	int domain;
 	int64_t paused_until;
+	int64_t stops_at; /* the end of a planned stop; zero: none */
 	bool cut; /* cut off from all other instances */
 	struct fsim_contact contact; /* with the others */
 	int64_t busy_until_us; /* it handles no event before */
@@ -224,6 +227,8 @@
 void fsim_start(struct fsim *s, int instance);
 void fsim_pause(struct fsim *s, int instance, int64_t ms);
 void fsim_leave(struct fsim *s, int instance);
+/* The same, but the process ends after FSIM_STOP_MS. */
+void fsim_stop(struct fsim *s, int instance);
 void fsim_cut_domain(struct fsim *s, int domain, bool cut);
 void fsim_cut_instance(struct fsim *s, int instance, bool cut);
 /* Ends the worker's runs and starts a new incarnation of it. */
--- a/test/unit/cells_test.c
+++ b/test/unit/cells_test.c
@@ -194,6 +194,36 @@
 	check_and_free(s);
 }
 
+/*
+ * Jobs run in all cells when their instance stops. No cell's are left without an
+ * answer, and what was not started anywhere is said not to have run.
+ */
+static void stopping_instance_answers_the_jobs_of_all_cells(void)
+{
+	struct fsim *s = start_fleet();
+	int home = fsim_find_driver_of(s, 1), k;
+	struct cells *cells;
+	size_t i;
+
+	s->deadline_ms = 60000;
+	s->objective_add_ms = 30000;
+	for (k = 0; k < 6 * DOMAINS; k++)
+		fsim_submit_at(s, home, 8, 9000);
+	fsim_run(s, 500);
+	cells = s->instances[home].cells;
+	CU_ASSERT(cells_open_jobs(cells) > 0);
+	fsim_stop(s, home);
+	fsim_run(s, 500);
+	CU_ASSERT(fsim_count_outcomes(s, FLEET_NOT_RUN) > 0);
+	CU_ASSERT(cells_open_jobs(cells) > 0);
+	/* One ms before it is killed. */
+	fsim_run(s, FSIM_STOP_MS - 500 - 1);
+	CU_ASSERT_EQUAL(cells_open_jobs(cells), 0);
+	for (i = 0; i < s->n_jobs; i++)
+		CU_ASSERT(s->jobs[i].answered || s->jobs[i].may_have_run);
+	check_and_free(s);
+}
+
 static void restarted_fleet_stays_divided(void)
 {
 	struct fsim *s = start_fleet();
@@ -384,6 +414,7 @@
 	TEST(callers_of_a_cell_that_cannot_elect_are_served);
 	TEST(cut_off_domain_keeps_its_driver);
 	TEST(leaving_driver_of_a_cell_hands_over_its_runs);
+	TEST(stopping_instance_answers_the_jobs_of_all_cells);
 	TEST(restarted_fleet_stays_divided);
 	TEST(instance_that_missed_the_division_drives_nothing);
 	TEST(job_of_an_instance_that_starts_is_refused_as_not_run);
--- a/test/unit/drive_test.c
+++ b/test/unit/drive_test.c
@@ -258,6 +258,115 @@
 	drive_fake_free(&f);
 }
 
+/* A worker's two places are taken, and a job of `ms` waits for both. */
+static void begin_and_wait(struct drive_fake *f, uint32_t ms)
+{
+	struct drive_job waiting = drive_fake_job("b", 2);
+
+	waiting.estimate_ms = ms;
+	waiting.deadline_ms = 60000;
+	waiting.objective_percent = 1000;
+	drive_fake_init(f, 1);
+	submit(f, 1, "a", 2, 0);
+	drive_fake_answer_start(f, 0, DRIVE_CALL_DONE);
+	drive_fake_answer_start(f, 1, DRIVE_CALL_DONE);
+	drive_fake_submit(f, 2, &waiting);
+	CU_ASSERT_EQUAL(f->n_starts, 2);
+	CU_ASSERT_EQUAL(f->n_jobs_done, 0);
+}
+
+static void check_refused(struct drive_fake *f, uint64_t tag)
+{
+	CU_ASSERT_EQUAL(f->n_jobs_done, 1);
+	CU_ASSERT_EQUAL(f->jobs_done[0].tag, tag);
+	CU_ASSERT_EQUAL(f->jobs_done[0].outcome, DRIVE_REFUSED);
+	CU_ASSERT(f->jobs_done[0].retry_after_ms > 0);
+	CU_ASSERT_EQUAL(f->n_starts, 2);
+	CU_ASSERT_EQUAL(drive_open_jobs(f->drive), 1);
+}
+
+static void waiting_job_that_outlasts_its_home_is_refused_at_once(void)
+{
+	struct drive_fake f;
+
+	begin_and_wait(&f, 5000);
+	drive_end_by(f.drive, f.now, FAKE_HOME, 2, 4000);
+	check_refused(&f, 2);
+	drive_fake_free(&f);
+}
+
+static void waiting_job_is_refused_once_it_would_outlast_its_home(void)
+{
+	struct drive_fake f;
+
+	begin_and_wait(&f, 500);
+	drive_end_by(f.drive, f.now, FAKE_HOME, 2, 600);
+	CU_ASSERT_EQUAL(f.n_jobs_done, 0);
+	drive_fake_advance(&f, 120, false);
+	check_refused(&f, 2);
+	drive_fake_free(&f);
+}
+
+static void job_that_can_end_before_its_home_is_begun(void)
+{
+	struct drive_fake f;
+
+	begin_and_wait(&f, 100);
+	drive_end_by(f.drive, f.now, FAKE_HOME, 2, 2000);
+	drive_fake_end_run(&f, 0, 1, DRIVE_RUN_DONE);
+	drive_fake_end_run(&f, 1, 2, DRIVE_RUN_DONE);
+	CU_ASSERT_EQUAL(f.n_starts, 4);
+	CU_ASSERT_EQUAL(f.n_jobs_done, 1);
+	CU_ASSERT_EQUAL(f.jobs_done[0].outcome, DRIVE_COMPLETED);
+	drive_fake_free(&f);
+}
+
+/* What was begun goes on until its home ends it. */
+static void begun_job_is_not_ended_before_its_home(void)
+{
+	struct drive_fake f;
+
+	begin_and_wait(&f, 5000);
+	drive_end_by(f.drive, f.now, FAKE_HOME, 1, 0);
+	drive_fake_advance(&f, 50, false);
+	CU_ASSERT_EQUAL(f.n_jobs_done, 0);
+	CU_ASSERT_EQUAL(f.n_stops, 0);
+	drive_fake_free(&f);
+}
+
+static void job_of_another_home_is_not_ended(void)
+{
+	struct drive_job again = drive_fake_job("b", 2);
+	struct drive_fake f;
+
+	begin_and_wait(&f, 500);
+	drive_end_by(f.drive, f.now, FAKE_HOME, 2, 600);
+	drive_submit(f.drive, f.now, FAKE_HOME + 1, 3, &again);
+	drive_end_by(f.drive, f.now, FAKE_HOME, 2, 0);
+	drive_fake_advance(&f, 300, false);
+	CU_ASSERT_EQUAL(f.n_jobs_done, 0);
+	drive_fake_free(&f);
+}
+
+/* An earlier driver may have runs of it, so it is not known not to have run. */
+static void job_that_may_have_runs_is_not_refused(void)
+{
+	struct drive_job moved = drive_fake_job("m", 1);
+	struct drive_fake f;
+
+	drive_fake_init(&f, 1);
+	drive_fake_silence(&f, 0);
+	moved.generation = 1;
+	moved.may_be_old = true;
+	drive_fake_submit(&f, 1, &moved);
+	CU_ASSERT_EQUAL(f.n_jobs_done, 0);
+	drive_end_by(f.drive, f.now, FAKE_HOME, 1, 0);
+	CU_ASSERT_EQUAL(f.n_jobs_done, 1);
+	CU_ASSERT_EQUAL(f.jobs_done[0].outcome, DRIVE_ABORTED);
+	CU_ASSERT_EQUAL(f.n_starts, 0);
+	drive_fake_free(&f);
+}
+
 static void worker_that_fails_twice_in_a_row_is_ejected(void)
 {
 	struct drive_fake f;
@@ -890,6 +999,12 @@
 	TEST(new_driver_refuses_nothing_before_its_first_lists);
 	TEST(job_ends_with_its_last_task);
 	TEST(failed_task_is_retried_up_to_its_attempts);
+	TEST(waiting_job_that_outlasts_its_home_is_refused_at_once);
+	TEST(waiting_job_is_refused_once_it_would_outlast_its_home);
+	TEST(job_that_can_end_before_its_home_is_begun);
+	TEST(begun_job_is_not_ended_before_its_home);
+	TEST(job_of_another_home_is_not_ended);
+	TEST(job_that_may_have_runs_is_not_refused);
 	TEST(worker_that_fails_twice_in_a_row_is_ejected);
 	TEST(unanswered_start_is_retried_after_a_raised_fence);
 	TEST(unanswered_start_that_is_listed_is_kept);
