Keep labels of any length, and refuse a job whose label is no text

Cause: read_text fails for what does not fit SYC_NAME_MAX, its result was ignored, and an empty label stands for "no requirement". Of a worker's entry such labels were dropped, so the label could not have been found either.

A short name that looks like a digest is replaced by its own, so no worker can pass for another.

--- a/test/unit/platform_reader_test.c
+++ b/test/unit/platform_reader_test.c
@@ -10,6 +10,7 @@
 #include "platform/worker_call.h"
 #include "platform/worker_entry.h"
 #include "unit.h"
+#include "util/alloc.h"
 #include "util/log.h"
 #include "util/rng.h"
 
@@ -372,6 +373,90 @@
 			PLATFORM_JOB_UNSUPPORTED);
 }
 
+/* Two names of 39 bytes that differ in the last one. */
+static const char long_name[] = "gpu.product=print-raster-a100-80gb-sxm4";
+static const char like_long_name[] = "gpu.product=print-raster-a100-80gb-sxm5";
+
+static enum platform_job_status read_label(const char *label, char *kept)
+{
+	enum platform_job_status status;
+	struct platform_job job;
+	char text[TEXT_MAX];
+	const char *why;
+
+	snprintf(text, sizeof(text),
+		 "{\"taskSpec\":\"\",\"bestEffort\":true,\"steps\":[{"
+		 "\"count\":1,\"requirements\":%s}]}",
+		 label);
+	status = platform_job_read(bytes_of(text), &job, &why);
+	if (!status)
+		copy_text(kept, SYC_NAME_MAX, job.spec.label);
+	platform_job_free(&job);
+	return status;
+}
+
+static void read_label_of_worker(const char *label, char *kept)
+{
+	struct drive_worker w;
+	char text[TEXT_MAX];
+
+	snprintf(text, sizeof(text),
+		 "{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+		 "\"zone\":\"z\",\"state\":\"ready\",\"labels\":[\"%s\"],"
+		 "\"capacity\":{\"cpu\":1,\"memMb\":1}}",
+		 label);
+	CU_ASSERT(read_worker(text, &w));
+	CU_ASSERT_EQUAL(w.n_labels, 1);
+	CU_ASSERT_STRING_EQUAL(w.kind, w.labels[0]);
+	copy_text(kept, SYC_NAME_MAX, w.labels[0]);
+}
+
+static void long_label_is_that_of_its_workers_alone(void)
+{
+	char of_job[SYC_NAME_MAX] = "", same[SYC_NAME_MAX] = "";
+	char other[SYC_NAME_MAX] = "", named_so[SYC_NAME_MAX] = "";
+	char quoted[TEXT_MAX];
+
+	snprintf(quoted, sizeof(quoted), "\"%s\"", long_name);
+	CU_ASSERT_EQUAL(read_label(quoted, of_job), PLATFORM_JOB_OK);
+	CU_ASSERT_NOT_EQUAL(strlen(of_job), 0);
+	read_label_of_worker(long_name, same);
+	CU_ASSERT_STRING_EQUAL(of_job, same);
+	read_label_of_worker(like_long_name, other);
+	CU_ASSERT_STRING_NOT_EQUAL(of_job, other);
+	/* A worker can't pass for one with the long label by a short one. */
+	read_label_of_worker(of_job, named_so);
+	CU_ASSERT_STRING_NOT_EQUAL(of_job, named_so);
+}
+
+static void short_label_is_kept_as_it_is(void)
+{
+	static const char longest[] = "a234567890123456789012345678901";
+	char kept[SYC_NAME_MAX] = "", quoted[TEXT_MAX];
+
+	CU_ASSERT_EQUAL(strlen(longest), SYC_NAME_MAX - 1);
+	snprintf(quoted, sizeof(quoted), "\"%s\"", longest);
+	CU_ASSERT_EQUAL(read_label(quoted, kept), PLATFORM_JOB_OK);
+	CU_ASSERT_STRING_EQUAL(kept, longest);
+	CU_ASSERT_EQUAL(read_label("\"\"", kept), PLATFORM_JOB_OK);
+	CU_ASSERT_STRING_EQUAL(kept, "");
+	CU_ASSERT_EQUAL(read_label("null", kept), PLATFORM_JOB_OK);
+	CU_ASSERT_STRING_EQUAL(kept, "");
+}
+
+/* Such a job must not run just anywhere. */
+static void job_whose_label_is_no_text_is_invalid(void)
+{
+	static const char *const labels[] = {"7", "true", "[\"a\"]",
+					     "{\"a\":1}"};
+	char kept[SYC_NAME_MAX];
+	size_t i;
+
+	for (i = 0; i < sizeof(labels) / sizeof(*labels); i++)
+		CU_ASSERT_EQUAL(read_label(labels[i], kept),
+				PLATFORM_JOB_INVALID);
+}
+
 static void lists_of_a_hold_are_read(void)
 {
 	struct platform_held lists;
@@ -647,6 +732,9 @@
 	TEST(config_is_read_and_routes_are_found);
 	TEST(invalid_route_is_skipped_and_the_others_are_kept);
 	TEST(invalid_and_unsupported_jobs_are_distinguished);
+	TEST(long_label_is_that_of_its_workers_alone);
+	TEST(short_label_is_kept_as_it_is);
+	TEST(job_whose_label_is_no_text_is_invalid);
 	TEST(lists_of_a_hold_are_read);
 	TEST(progress_over_one_hundred_percent_is_one_hundred);
 	TEST(clock_that_cannot_be_added_to_is_not_taken);
