--- a/test/unit/platform_reader_test.c
+++ b/test/unit/platform_reader_test.c
@@ -429,6 +429,45 @@
 	CU_ASSERT_STRING_NOT_EQUAL(of_job, named_so);
 }
 
+static void read_service_of_worker(const char *service, char *kept)
+{
+	struct drive_worker w;
+	char text[TEXT_MAX];
+
+	snprintf(text, sizeof(text),
+		 "{\"service\":\"%s\",\"address\":\"10.0.0.1:80\","
+		 "\"zone\":\"z\",\"state\":\"ready\",\"labels\":[],"
+		 "\"capacity\":{\"cpu\":1,\"memMb\":1}}",
+		 service);
+	memset(&w, 0, sizeof(w));
+	CU_ASSERT(read_worker(text, &w));
+	copy_text(kept, SYC_NAME_MAX, w.service);
+}
+
+static void route_to_a_service_of_a_long_name_leads_to_its_workers(void)
+{
+	char same[SYC_NAME_MAX] = "", other[SYC_NAME_MAX] = "";
+	struct fleet_routes routes;
+	char text[TEXT_MAX];
+	const char *why;
+	size_t skipped;
+
+	snprintf(text, sizeof(text),
+		 "{\"version\":3,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+		 "\"prefix\":\"/\",\"service\":\"%s\"}]}",
+		 long_name);
+	CU_ASSERT(
+		platform_config_read(bytes_of(text), &routes, &skipped, &why));
+	CU_ASSERT_EQUAL(skipped, 0);
+	CU_ASSERT_EQUAL_FATAL(routes.n, 1);
+	read_service_of_worker(long_name, same);
+	CU_ASSERT_NOT_EQUAL(strlen(same), 0);
+	CU_ASSERT_STRING_EQUAL(routes.list[0].service, same);
+	read_service_of_worker(like_long_name, other);
+	CU_ASSERT_STRING_NOT_EQUAL(routes.list[0].service, other);
+	fleet_routes_free(&routes);
+}
+
 static void short_label_is_kept_as_it_is(void)
 {
 	static const char longest[] = "a234567890123456789012345678901";
@@ -733,6 +772,7 @@
 	TEST(invalid_route_is_skipped_and_the_others_are_kept);
 	TEST(invalid_and_unsupported_jobs_are_distinguished);
 	TEST(long_label_is_that_of_its_workers_alone);
+	TEST(route_to_a_service_of_a_long_name_leads_to_its_workers);
 	TEST(short_label_is_kept_as_it_is);
 	TEST(job_whose_label_is_no_text_is_invalid);
 	TEST(lists_of_a_hold_are_read);
