--- a/test/sim/fleet_sim.c
+++ b/test/sim/fleet_sim.c
@@ -334,6 +334,7 @@
 		.get_late_ms = on_get_late_ms,
 	};
 	i->paused_until = 0;
+	i->stops_at = 0;
 	i->busy_until_us = 0;
 	i->next_tick_at = 0;
 	i->config_version = 0;
@@ -370,6 +371,20 @@
 	}
 }
 
+void fsim_leave(struct fsim *s, int instance)
+{
+	if (s->instances[instance].fleet)
+		cells_leave(s->instances[instance].cells, s->now, 0);
+}
+
+void fsim_stop(struct fsim *s, int instance)
+{
+	struct fsim_instance *i = &s->instances[instance];
+
+	i->stops_at = s->now + FSIM_STOP_MS;
+	cells_leave(i->cells, s->now, i->stops_at - FSIM_ANSWERS_MS);
+}
+
 static void note_cut(const struct fsim *s, struct fsim_contact *c, bool cut)
 {
 	if (!cut)
@@ -389,12 +404,6 @@
 	i->contact.since = i->paused_until;
 }
 
-void fsim_leave(struct fsim *s, int instance)
-{
-	if (s->instances[instance].fleet)
-		cells_leave(s->instances[instance].cells, s->now);
-}
-
 void fsim_cut_domain(struct fsim *s, int domain, bool cut)
 {
 	if (s->domain_cut[domain] == cut)
@@ -560,6 +569,8 @@
 			log_context_set(in->instance.name);
 			cells_tick(in->cells, s->now);
 		}
+		if (in->fleet && in->stops_at && s->now >= in->stops_at)
+			fsim_kill(s, k);
 	}
 	for (i = 0; i < s->n_jobs; i++)
 		fsim_tick_caller(s, &s->jobs[i]);
