Believe a list of a driver that does not answer yet

A driver that had just begun asked another cell for a job. That cell's driver had just begun too, listed the job, and did not answer, as one worker had not listed its runs yet. After 1.3 s the first driver took the silence for an answer and began the job beside the run that the list named.

When the time for answers has passed, what was listed meanwhile decides. A job that itself only waits for answers is not listed any more, so that two drivers never send each other a job that neither runs.

fleet_random seed 77, divided evacuating, at 1005916 ms: fails without the change, passes with it, and is played in each run.

--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -357,8 +357,9 @@
 bool drive_knows_runs(const struct drive *d, int64_t now);
 
 /*
- * Calls `each` for the jobs that are open and at least `min_age_ms` old, and for
- * those that have ended and have a run that may last, perhaps more than once.
+ * Calls `each` for the jobs that are open and at least `min_age_ms` old, but for
+ * those that only wait for other cells' answers, and for those that have ended and
+ * have a run that may last, perhaps more than once.
  */
 void drive_list_jobs(const struct drive *d, int64_t now, int64_t min_age_ms,
 		     void (*each)(void *ctx, const char *id), void *ctx);
--- a/src/drive/elsewhere.c
+++ b/src/drive/elsewhere.c
@@ -67,7 +67,8 @@
 	uint32_t pos = 0;
 
 	while ((j = table_next(&d->jobs, &pos, &handle)))
-		if (now - j->arrived_at >= min_age_ms)
+		if (now - j->arrived_at >= min_age_ms &&
+		    (!j->awaits_cells || j->n_active))
 			each(ctx, j->id);
 	for (pos = 0; (r = table_next(&d->runs, &pos, &handle));)
 		if (!r->job && r->state != RUN_ENDED)
--- a/src/fleet/job_query.c
+++ b/src/fleet/job_query.c
@@ -128,6 +128,20 @@
 	return true;
 }
 
+/* A cell that has listed the job while it was asked, even if it did not answer. */
+static size_t find_listed(const struct cells *c, const struct cell *own,
+			  const char *id, int64_t now)
+{
+	uint64_t hash = open_jobs_hash(id);
+	size_t i;
+
+	for (i = 0; i < c->n; i++)
+		if (&c->cells[i] != own &&
+		    open_jobs_is_listed(&c->open_jobs, hash, (uint32_t)i, now))
+			return i;
+	return NO_CELL;
+}
+
 /* `cell`: the number of the one that has the job, or NO_CELL. */
 static void end_query(struct cells *c, const struct cell *own, uint64_t handle,
 		      size_t cell, int64_t now)
@@ -138,6 +152,8 @@
 
 	copy_text(id, sizeof(id), q->id);
 	table_del(&c->queries, handle);
+	if (cell == NO_CELL)
+		cell = find_listed(c, own, id, now);
 	if (cell == NO_CELL)
 		drive_job_not_elsewhere(d, now, id);
 	else
--- a/src/fleet/open_jobs.c
+++ b/src/fleet/open_jobs.c
@@ -82,6 +82,14 @@
 	return j && now - j->noted_at < o->hold_ms;
 }
 
+bool open_jobs_is_listed(const struct open_jobs *o, uint64_t hash,
+			 uint32_t cell, int64_t now)
+{
+	const struct open_job *j = find(o, hash, cell);
+
+	return j && !j->was_asked && now - j->noted_at < o->hold_ms;
+}
+
 static void drop(struct open_jobs *o, uint64_t handle)
 {
 	const struct open_job *j = table_get(&o->items, handle);
--- a/src/fleet/open_jobs.h
+++ b/src/fleet/open_jobs.h
@@ -26,6 +26,9 @@
 /* Whether the cell is known to have the job. */
 bool open_jobs_find(const struct open_jobs *o, uint64_t hash, uint32_t cell,
 		    int64_t now);
+/* The same, but only if the cell has listed it: it does not merely ask for it. */
+bool open_jobs_is_listed(const struct open_jobs *o, uint64_t hash,
+			 uint32_t cell, int64_t now);
 /* Drops the entries of the cell that its last list lacks. */
 void open_jobs_drop_older(struct open_jobs *o, uint32_t cell, int64_t now);
 /* Drops the entries that do not hold any more. */
--- a/test/unit/fleet_random_test.c
+++ b/test/unit/fleet_random_test.c
@@ -72,6 +72,7 @@
 		run_seed(reborn[i], FSIM_DIVIDED_REBORN_STAYING);
 	for (i = 0; i < sizeof(divided) / sizeof(*divided); i++)
 		run_seed(divided[i], FSIM_DIVIDED);
+	run_seed(77, FSIM_DIVIDED_EVACUATING);
 }
 
 static bool is_divided(enum fsim_mode mode)
