--- a/src/fleet/open_jobs_tell.c
+++ b/src/fleet/open_jobs_tell.c
@@ -192,9 +192,8 @@
 
 	for (i = 0; i < c->n; i++) {
 		cell = &c->cells[i];
-		if (election_is_driver_reachable(cell->fleet, now))
-			cell->heard_at = now;
-		else if (!cell->heard_at)
+		if (election_is_driver_reachable(cell->fleet, now) ||
+		    !cell->heard_at)
 			cell->heard_at = now;
 		else if (pause_ms > USUAL_TICK_MS)
 			cell->heard_at += pause_ms;
