List jobs that wait for other cells' answers, and mark them

A job that waited for the answers of the other cells for more than 0.35 s was known to none of them: it is no longer listed since, and what a query leaves behind is forgotten by then. A copy of it that came to another cell just before it started ran beside it.

Such jobs are listed with a mark. Copies are sent to them, but they give way to a job that may have runs; and one that an earlier driver of its cell had counts as one that may have runs.

--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -196,7 +196,7 @@
 struct drive_job_query {
 	const char *id;
 	bool is_fresh; /* its caller has just submitted it for the first time */
-	bool has_runs; /* in the cell that asks */
+	bool may_have_runs; /* in the cell that asks */
 };
 
 struct drive_options {
@@ -344,7 +344,8 @@
 /* What a driver has of a job. */
 enum drive_presence {
 	DRIVE_ABSENT, /* nothing, and no run of it lasts */
-	DRIVE_AWAITS_CELLS, /* it is open, and starts if no other cell has it */
+	/* It is open without runs, and starts if no other cell has it. */
+	DRIVE_AWAITS_CELLS,
 	DRIVE_PRESENT /* it is open, or a run of it may last */
 };
 
@@ -357,12 +358,13 @@
 bool drive_knows_runs(const struct drive *d, int64_t now);
 
 /*
- * Calls `each` for the jobs that are open and at least `min_age_ms` old, but for
- * those that only wait for other cells' answers, and for those that have ended and
- * have a run that may last, perhaps more than once.
+ * Calls `each` for the jobs that are open and at least `min_age_ms` old, and for
+ * those that have ended and have a run that may last, perhaps more than once.
  */
 void drive_list_jobs(const struct drive *d, int64_t now, int64_t min_age_ms,
-		     void (*each)(void *ctx, const char *id), void *ctx);
+		     void (*each)(void *ctx, const char *id,
+				  enum drive_presence presence),
+		     void *ctx);
 
 /*
  * Asks the other cells again for all open jobs, which start no further task until
--- a/src/drive/elsewhere.c
+++ b/src/drive/elsewhere.c
@@ -27,6 +27,13 @@
 	return false;
 }
 
+static enum drive_presence presence_of(const struct job *j)
+{
+	if (j->awaits_cells && !j->n_active && !j->may_have_runs)
+		return DRIVE_AWAITS_CELLS;
+	return DRIVE_PRESENT;
+}
+
 enum drive_presence drive_find_job(const struct drive *d, const char *id)
 {
 	char padded[DRIVE_JOB_ID_MAX] = "";
@@ -35,8 +42,7 @@
 	copy_text(padded, sizeof(padded), id);
 	j = job_find(d, padded);
 	if (j)
-		return j->awaits_cells && !j->n_active ? DRIVE_AWAITS_CELLS
-						       : DRIVE_PRESENT;
+		return presence_of(j);
 	return has_run_of(d, padded) ? DRIVE_PRESENT : DRIVE_ABSENT;
 }
 
@@ -59,7 +65,9 @@
 }
 
 void drive_list_jobs(const struct drive *d, int64_t now, int64_t min_age_ms,
-		     void (*each)(void *ctx, const char *id), void *ctx)
+		     void (*each)(void *ctx, const char *id,
+				  enum drive_presence presence),
+		     void *ctx)
 {
 	const struct run *r;
 	const struct job *j;
@@ -67,12 +75,11 @@
 	uint32_t pos = 0;
 
 	while ((j = table_next(&d->jobs, &pos, &handle)))
-		if (now - j->arrived_at >= min_age_ms &&
-		    (!j->awaits_cells || j->n_active))
-			each(ctx, j->id);
+		if (now - j->arrived_at >= min_age_ms)
+			each(ctx, j->id, presence_of(j));
 	for (pos = 0; (r = table_next(&d->runs, &pos, &handle));)
 		if (!r->job && r->state != RUN_ENDED)
-			each(ctx, r->task.job);
+			each(ctx, r->task.job, DRIVE_PRESENT);
 }
 
 bool elsewhere_redirect(struct drive *d, uint64_t home, uint64_t tag,
@@ -109,7 +116,7 @@
 	const struct drive_job_query q = {
 		.id = j->id,
 		.is_fresh = fresh,
-		.has_runs = j->n_active > 0,
+		.may_have_runs = j->n_active || j->may_have_runs,
 	};
 
 	if (!d->opt.ask_cells || !d->opt.ask_cells(d->opt.ctx, &q))
@@ -190,7 +197,7 @@
 
 	if (!j)
 		return;
-	if (!j->n_active || yields) {
+	if (yields || (!j->n_active && !j->may_have_runs)) {
 		d->counts.redirected++;
 		j->cell = cell;
 		job_end(d, j, DRIVE_ELSEWHERE, 0, "elsewhere", now);
--- a/src/fleet/job_query.c
+++ b/src/fleet/job_query.c
@@ -17,7 +17,7 @@
 struct job_query {
 	char id[DRIVE_JOB_ID_MAX];
 	uint64_t number; /* of the query, which its answers repeat */
-	bool has_runs; /* here */
+	bool may_have_runs; /* here */
 	uint32_t awaited; /* a bit for each cell that has not answered */
 	int64_t next_at; /* when they are asked again */
 };
@@ -86,7 +86,7 @@
 	wire_put_u64(&w, own->fleet->epoch);
 	wire_put_u64(&w, q->number);
 	wire_put_str(&w, q->id);
-	wire_put_bool(&w, q->has_runs);
+	wire_put_bool(&w, q->may_have_runs);
 	for (i = 0; i < c->n; i++)
 		if (q->awaited >> i & 1)
 			cells_send_to_driver(&c->cells[i], &w);
@@ -122,21 +122,25 @@
 		copy_text(q->id, sizeof(q->id), asked->id);
 	}
 	q->number = ++c->n_queries;
-	q->has_runs = asked->has_runs;
+	q->may_have_runs = asked->may_have_runs;
 	q->awaited = awaited;
 	send_query(c, own, q, now);
 	return true;
 }
 
-/* A cell that has listed the job while it was asked, even if it did not answer. */
+/*
+ * A cell that has listed the job while it was asked, even if it did not answer. Of
+ * two cells that may have runs, that of higher number gives way.
+ */
 static size_t find_listed(const struct cells *c, const struct cell *own,
-			  const char *id, int64_t now)
+			  const struct job_query *q, int64_t now)
 {
-	uint64_t hash = open_jobs_hash(id);
+	uint64_t hash = open_jobs_hash(q->id);
 	size_t i;
 
 	for (i = 0; i < c->n; i++)
 		if (&c->cells[i] != own &&
+		    (!q->may_have_runs || i < own->number) &&
 		    open_jobs_is_listed(&c->open_jobs, hash, (uint32_t)i, now))
 			return i;
 	return NO_CELL;
@@ -151,9 +155,9 @@
 	char id[DRIVE_JOB_ID_MAX];
 
 	copy_text(id, sizeof(id), q->id);
-	table_del(&c->queries, handle);
 	if (cell == NO_CELL)
-		cell = find_listed(c, own, id, now);
+		cell = find_listed(c, own, q, now);
+	table_del(&c->queries, handle);
 	if (cell == NO_CELL)
 		drive_job_not_elsewhere(d, now, id);
 	else
@@ -217,13 +221,13 @@
  * else to that of lower number.
  */
 static bool has_job(const struct cell *own, const struct query_msg *m,
-		    bool has_runs)
+		    bool may_have_runs)
 {
 	enum drive_presence p = drive_find_job(fleet_get_drive(own->fleet),
 					       m->id);
 
-	return p == DRIVE_PRESENT ||
-	       (p == DRIVE_AWAITS_CELLS && !has_runs && own->number < m->cell);
+	return p == DRIVE_PRESENT || (p == DRIVE_AWAITS_CELLS &&
+				      !may_have_runs && own->number < m->cell);
 }
 
 bool job_query_receive(struct cells *c, int64_t now, uint64_t from,
@@ -231,11 +235,11 @@
 {
 	const struct cell *own = cells_driven(c);
 	struct query_msg m;
-	bool has_runs, is_here, was_there;
+	bool may_have_runs, is_here, was_there;
 	uint64_t hash;
 
 	read_query_msg(w, &m);
-	has_runs = wire_bool(w);
+	may_have_runs = wire_bool(w);
 	if (w->failed)
 		return false;
 	/* The asking driver repeats what gets no answer. */
@@ -243,7 +247,7 @@
 	    !cells_is_current_driver(c, m.cell, m.epoch) ||
 	    !drive_knows_runs(fleet_get_drive(own->fleet), now))
 		return true;
-	is_here = has_job(own, &m, has_runs);
+	is_here = has_job(own, &m, may_have_runs);
 	hash = open_jobs_hash(m.id);
 	was_there = open_jobs_find(&c->open_jobs, hash, (uint32_t)m.cell, now);
 	if (!is_here)
--- a/src/fleet/open_jobs.c
+++ b/src/fleet/open_jobs.c
@@ -12,7 +12,7 @@
 struct open_job {
 	uint64_t hash;
 	uint32_t cell;
-	bool was_asked; /* noted as the cell asked for it */
+	bool is_waiting; /* the cell asks others for it */
 	int64_t noted_at;
 };
 
@@ -64,13 +64,13 @@
 }
 
 void open_jobs_note(struct open_jobs *o, uint64_t hash, uint32_t cell,
-		    bool was_asked, int64_t now)
+		    bool is_waiting, int64_t now)
 {
 	struct open_job *j = find(o, hash, cell);
 
 	if (!j)
 		j = add(o, hash, cell);
-	j->was_asked = was_asked;
+	j->is_waiting = is_waiting;
 	j->noted_at = now;
 }
 
@@ -87,7 +87,7 @@
 {
 	const struct open_job *j = find(o, hash, cell);
 
-	return j && !j->was_asked && now - j->noted_at < o->hold_ms;
+	return j && !j->is_waiting && now - j->noted_at < o->hold_ms;
 }
 
 static void drop(struct open_jobs *o, uint64_t handle)
@@ -107,7 +107,7 @@
 	while ((j = table_next(&o->items, &pos, &handle)))
 		if (j->cell == cell &&
 		    now - j->noted_at >=
-			    (j->was_asked ? ASKED_MS : ONE_LIST_MS))
+			    (j->is_waiting ? ASKED_MS : ONE_LIST_MS))
 			drop(o, handle);
 }
 
--- a/src/fleet/open_jobs.h
+++ b/src/fleet/open_jobs.h
@@ -20,13 +20,16 @@
 void open_jobs_free(struct open_jobs *o);
 
 uint64_t open_jobs_hash(const char *id);
-/* Notes that the cell has the job: it is in its list, or it asked for it. */
+/*
+ * Notes that the cell has the job. `is_waiting`: it has no runs of it, and starts
+ * it if the others do not have it.
+ */
 void open_jobs_note(struct open_jobs *o, uint64_t hash, uint32_t cell,
-		    bool was_asked, int64_t now);
+		    bool is_waiting, int64_t now);
 /* Whether the cell is known to have the job. */
 bool open_jobs_find(const struct open_jobs *o, uint64_t hash, uint32_t cell,
 		    int64_t now);
-/* The same, but only if the cell has listed it: it does not merely ask for it. */
+/* The same, but the job does not merely wait there. */
 bool open_jobs_is_listed(const struct open_jobs *o, uint64_t hash,
 			 uint32_t cell, int64_t now);
 /* Drops the entries of the cell that its last list lacks. */
--- a/src/fleet/open_jobs_tell.c
+++ b/src/fleet/open_jobs_tell.c
@@ -17,7 +17,7 @@
 	 * caller is back after 1300 ms.
 	 */
 	TELL_AGE_MS = 80,
-	HASHES_MAX = 2048, /* in one message */
+	JOBS_MAX = 2048, /* in one message */
 	/* Added to the lease: two intervals and the way of a list. */
 	HOLD_SLACK_MS = 300,
 	/*
@@ -75,7 +75,10 @@
 	const struct cell *own;
 	int64_t now;
 	size_t n;
-	uint64_t hashes[HASHES_MAX];
+	struct told_job {
+		uint64_t hash;
+		bool is_waiting; /* for the answers of other cells */
+	} jobs[JOBS_MAX];
 };
 
 static void send_to_members(const struct fleet *f, const struct wire_out *w)
@@ -103,9 +106,11 @@
 	wire_put_u64(&w, t->own->number);
 	wire_put_u64(&w, t->own->fleet->epoch);
 	wire_put_bool(&w, is_complete);
-	wire_put_array(&w, t->n);
-	for (i = 0; i < t->n; i++)
-		wire_put_u64(&w, t->hashes[i]);
+	wire_put_array(&w, 2 * t->n);
+	for (i = 0; i < t->n; i++) {
+		wire_put_u64(&w, t->jobs[i].hash);
+		wire_put_bool(&w, t->jobs[i].is_waiting);
+	}
 	send_to_members(t->own->fleet, &w);
 	for (i = 0; i < c->n; i++)
 		if (&c->cells[i] != t->own)
@@ -125,15 +130,16 @@
 	return false;
 }
 
-static void add_job(void *ctx, const char *id)
+static void add_job(void *ctx, const char *id, enum drive_presence presence)
 {
 	struct told_jobs *t = ctx;
 	uint64_t hash = open_jobs_hash(id);
 
 	if (is_open_twice(t, hash))
 		drive_ask_for_job(fleet_get_drive(t->own->fleet), id);
-	t->hashes[t->n++] = hash;
-	if (t->n == HASHES_MAX)
+	t->jobs[t->n++] = (struct told_job){hash,
+					    presence == DRIVE_AWAITS_CELLS};
+	if (t->n == JOBS_MAX)
 		send_told(t, false);
 }
 
@@ -224,16 +230,18 @@
 	uint64_t number = wire_u64(w);
 	uint64_t epoch = wire_u64(w);
 	bool is_complete = wire_bool(w);
-	uint32_t i, n = wire_enter(w, HASHES_MAX);
+	uint32_t i, n = wire_enter(w, 2 * JOBS_MAX);
 	uint64_t hash;
+	bool is_waiting;
 
 	if (w->failed || !is_current(c, number, epoch))
 		return !w->failed;
-	for (i = 0; i < n; i++) {
+	for (i = 0; i + 1 < n; i += 2) {
 		hash = wire_u64(w);
+		is_waiting = wire_bool(w);
 		if (!w->failed)
 			open_jobs_note(&c->open_jobs, hash, (uint32_t)number,
-				       false, now);
+				       is_waiting, now);
 	}
 	wire_leave(w);
 	if (w->failed)
--- a/test/unit/fleet_random_test.c
+++ b/test/unit/fleet_random_test.c
@@ -73,6 +73,7 @@
 	for (i = 0; i < sizeof(divided) / sizeof(*divided); i++)
 		run_seed(divided[i], FSIM_DIVIDED);
 	run_seed(77, FSIM_DIVIDED_EVACUATING);
+	run_seed(140, FSIM_DIVIDED_REBORN);
 }
 
 static bool is_divided(enum fsim_mode mode)
