Let a waiting job give way to one that runs, whatever it had before

It gives way to every job that is not waiting; of two that wait, that which may have runs stays, or else that of the cell with the lower number.

--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -346,6 +346,8 @@
 	DRIVE_ABSENT, /* nothing, and no run of it lasts */
 	/* It is open without runs, and starts if no other cell has it. */
 	DRIVE_AWAITS_CELLS,
+	/* The same, but an earlier driver of this cell may have left runs. */
+	DRIVE_MAY_HAVE_RUNS,
 	DRIVE_PRESENT /* it is open, or a run of it may last */
 };
 
--- a/src/drive/elsewhere.c
+++ b/src/drive/elsewhere.c
@@ -29,9 +29,9 @@
 
 static enum drive_presence presence_of(const struct job *j)
 {
-	if (j->awaits_cells && !j->n_active && !j->may_have_runs)
-		return DRIVE_AWAITS_CELLS;
-	return DRIVE_PRESENT;
+	if (!j->awaits_cells || j->n_active)
+		return DRIVE_PRESENT;
+	return j->may_have_runs ? DRIVE_MAY_HAVE_RUNS : DRIVE_AWAITS_CELLS;
 }
 
 enum drive_presence drive_find_job(const struct drive *d, const char *id)
@@ -197,7 +197,7 @@
 
 	if (!j)
 		return;
-	if (yields || (!j->n_active && !j->may_have_runs)) {
+	if (yields || !j->n_active) {
 		d->counts.redirected++;
 		j->cell = cell;
 		job_end(d, j, DRIVE_ELSEWHERE, 0, "elsewhere", now);
--- a/src/fleet/job_query.c
+++ b/src/fleet/job_query.c
@@ -217,17 +217,24 @@
 }
 
 /*
- * If two drivers ask each other, the job goes to the cell that has runs of it, or
- * else to that of lower number.
+ * If two drivers ask each other, the job goes to the cell that may have runs of it,
+ * or else to that of lower number.
  */
 static bool has_job(const struct cell *own, const struct query_msg *m,
 		    bool may_have_runs)
 {
-	enum drive_presence p = drive_find_job(fleet_get_drive(own->fleet),
-					       m->id);
+	bool is_lower = own->number < m->cell;
 
-	return p == DRIVE_PRESENT || (p == DRIVE_AWAITS_CELLS &&
-				      !may_have_runs && own->number < m->cell);
+	switch (drive_find_job(fleet_get_drive(own->fleet), m->id)) {
+	case DRIVE_PRESENT:
+		return true;
+	case DRIVE_MAY_HAVE_RUNS:
+		return !may_have_runs || is_lower;
+	case DRIVE_AWAITS_CELLS:
+		return !may_have_runs && is_lower;
+	default:
+		return false;
+	}
 }
 
 bool job_query_receive(struct cells *c, int64_t now, uint64_t from,
