--- a/test/unit/fleet_random_test.c
+++ b/test/unit/fleet_random_test.c
@@ -60,7 +60,7 @@
 	static const unsigned long seeds[] = {5353, 9849};
 	static const unsigned long mixed[] = {624, 840, 2420};
 	static const unsigned long reborn[] = {13, 29};
-	static const unsigned long divided[] = {660, 766};
+	static const unsigned long divided[] = {60, 660, 766};
 	size_t i;
 
 	init_log();
@@ -72,6 +72,7 @@
 		run_seed(reborn[i], FSIM_DIVIDED_REBORN_STAYING);
 	for (i = 0; i < sizeof(divided) / sizeof(*divided); i++)
 		run_seed(divided[i], FSIM_DIVIDED);
+	run_seed(40, FSIM_DIVIDED_EVACUATING);
 	run_seed(77, FSIM_DIVIDED_EVACUATING);
 	run_seed(140, FSIM_DIVIDED_REBORN);
 }
