Wait for the newer of two drivers before a job is taken for a first one

A job ran twice when the drivers of two cells were both new, the other one newer by 179 ms: a driver that has not been told what the other cell has stopped waiting a lease and 300 ms after it began itself. By then the leases of that cell's runs should have ended, but its new driver had renewed them, and did not know them all yet (fleet_random, seed 295, divided evacuating, at 1009771 ms, the same at; all waiting jobs of the cell were begun in that millisecond).

It waits from when the newer of the two began. Seed 295 failed before and passes, and is kept.

--- a/src/fleet/cells_state.h
+++ b/src/fleet/cells_state.h
@@ -19,6 +19,8 @@
 	int64_t told_at; /* when its driver last told which jobs it has */
 	/* When its driver was last heard; pauses of this process are added. */
 	int64_t heard_at;
+	uint64_t epoch; /* of its driver, at the last tick */
+	int64_t epoch_since; /* when that driver was first known here */
 	/* The driver that was last described to the members, and when. */
 	uint64_t described_driver;
 	int64_t described_at;
--- a/src/fleet/job_query.c
+++ b/src/fleet/job_query.c
@@ -44,14 +44,17 @@
 /*
  * Whether the cell may have runs that this driver has not been told of. When it
  * has had no driver for long, they have ended with their leases; when it only
- * does not reach this instance, that is cut off from them.
+ * does not reach this instance, that is cut off from them. A new driver of that
+ * cell keeps them, and tells of them when it knows them.
  */
 static bool may_hide_runs(const struct cell *cell, int64_t now)
 {
 	const struct cells *c = cell->cells;
+	int64_t since = c->drives_since;
 
-	return !has_told(cell, now) &&
-	       now - c->drives_since < open_jobs_hold_ms(c) &&
+	if (since < cell->epoch_since)
+		since = cell->epoch_since;
+	return !has_told(cell, now) && now - since < open_jobs_hold_ms(c) &&
 	       now - cell->heard_at < open_jobs_hold_ms(c);
 }
 
--- a/src/fleet/open_jobs_tell.c
+++ b/src/fleet/open_jobs_tell.c
@@ -190,6 +190,14 @@
 	c->next_reports_at = 0;
 }
 
+static void note_epoch(struct cell *cell, int64_t now)
+{
+	if (cell->epoch == cell->fleet->epoch)
+		return;
+	cell->epoch = cell->fleet->epoch;
+	cell->epoch_since = now;
+}
+
 /* A cell that had a driver before a pause may have one still. */
 static void note_heard(struct cells *c, int64_t pause_ms, int64_t now)
 {
@@ -198,6 +206,7 @@
 
 	for (i = 0; i < c->n; i++) {
 		cell = &c->cells[i];
+		note_epoch(cell, now);
 		if (election_is_driver_reachable(cell->fleet, now) ||
 		    !cell->heard_at)
 			cell->heard_at = now;
--- a/test/unit/fleet_random_test.c
+++ b/test/unit/fleet_random_test.c
@@ -74,6 +74,7 @@
 		run_seed(divided[i], FSIM_DIVIDED);
 	run_seed(40, FSIM_DIVIDED_EVACUATING);
 	run_seed(77, FSIM_DIVIDED_EVACUATING);
+	run_seed(295, FSIM_DIVIDED_EVACUATING);
 	run_seed(140, FSIM_DIVIDED_REBORN);
 }
 
