--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -343,7 +343,7 @@
 
 /* What a driver has of a job. */
 enum drive_presence {
-	DRIVE_ABSENT, /* nothing, and no run of it lasts */
+	DRIVE_ABSENT, /* not here, and no run of it is left */
 	/* It is open without runs, and starts if no other cell has it. */
 	DRIVE_AWAITS_CELLS,
 	/* The same, but an earlier driver of this cell may have left runs. */
--- a/src/drive/elsewhere.c
+++ b/src/drive/elsewhere.c
@@ -11,7 +11,7 @@
 #include "util/alloc.h"
 
 enum {
-	/* A caller that submits a job again does so much later. */
+	/* A caller that submits again waits longer than that before it does. */
 	FRESH_MS = 300
 };
 
--- a/test/unit/platform_reader_test.c
+++ b/test/unit/platform_reader_test.c
@@ -236,7 +236,7 @@
 		buf_puts(out, i % 2 ? "}" : "]");
 }
 
-/* In a field, alone and cut off; none may use up the stack. */
+/* Deep nesting, in a field, alone or cut off, may not use up the stack. */
 static void entry_that_is_nested_very_deeply_is_rejected(void)
 {
 	static const size_t depths[] = {2047, 2049, 10000, 1000000};
