--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,75 +1,101 @@
 #!/bin/sh
-# UNASKED: a job whose cancel was acknowledged is started again, as the fleet has
-# forgotten the cancel: all processes were killed meanwhile.
+# Fault: the driver never hands back the processor. While all workers are full, it
+# plans for a job whose tasks request nothing, and the plan never ends.
 HERE=$(cd "$(dirname "$0")" && pwd)
 cd "$HERE/../.." || exit 2
 . review/lib-2.sh
 
-ID=5c0e7a21d94b36f8
-ALL="a b c d e f g h"
+ALL="a b c d"
+USUAL_GAP=0.25 # s between two usual jobs: three quarters of the capacity
+BURST_GAP=0.132 # the same in the burst, 1.9 times as many
+n_sent=0
 
-domain_of() {
-	case $1 in
-	a | e) echo d0 ;;
-	b | f) echo d1 ;;
-	c | g) echo d2 ;;
-	*) echo d3 ;;
-	esac
+route() {
+	printf '{"name":"%s","host":"127.0.0.1","prefix":"/%s/","service":"s","priority":%d,"maxAttempts":3,"slackFactor":1.6,"targetLatencyMs":3000,"timeoutMs":5000}' \
+		"$1" "$1" "$2"
 }
 
-# All machines start within 0.3 s of each other.
-start_all() {
-	for i in $ALL
-	do
-		launch_instance $i "$(domain_of $i)"
-	done
-	for i in $ALL
+# send QUEUE REQUEST: submits a job of two tasks, each with that request, to one of
+# the instances in turn, in the background.
+send() {
+	queue=$1
+	request=$2
+	n_sent=$((n_sent + 1))
+	id=$(printf '%016x' $n_sent)
+	set -- $ALL
+	shift $((n_sent % 4))
+	at=$1
+	(
+		answer=$(ask POST "$(cat "$DIR/$at.callers")" "/$queue/$id" \
+			-H 'Deadline-Remaining-Ms: 5000' \
+			--body "{\"taskSpec\":\"run 1500\",\"bestEffort\":true,\"steps\":[{\"count\":2,$request\"estimatedMs\":1500}]}" |
+			tr '\n' ' ')
+		note "job $id of /$queue/ at $at: $answer"
+	) &
+}
+
+# Two tasks fill a worker.
+proof() {
+	send proof '"cpu":8000,"memMb":32768,'
+}
+
+# Its tasks request nothing: members that are zero are left out.
+mail() {
+	send mail ''
+}
+
+# traffic MS GAP: proofs, and with every fourth a mail.
+traffic() {
+	end=$(($(now_ms) + $1))
+	while [ "$(now_ms)" -lt $end ]
 	do
-		learn_addresses $i || finish 2 "$i did not start"
+		proof
+		[ $((n_sent % 5)) -ne 4 ] || mail
+		sleep "$2"
 	done
-	wait_ready $ALL
 }
 
-start_platform --workers 12 --domains 4
-start_all
-wait_served a b c
-
-post a $ID 4 20000 >"$DIR/first" &
-left=100
-until [ "$(starts $ID)" -ge 4 ]
+start_platform --workers 8 --domains 4
+printf '{"version":9,"routes":[%s,%s]}' "$(route proof 0)" "$(route mail 1)" \
+	>"$DIR/config"
+ask PUT "$STORE" '/standin/entry?key=op/config' --file "$DIR/config" >/dev/null
+k=0
+for i in $ALL
 do
-	left=$((left - 1))
-	[ $left -gt 0 ] || finish 2 "the job was not started"
-	sleep 0.05
+	start_instance $i d$k || finish 2 "$i did not start"
+	k=$((k + 1))
 done
-note "the job has $(starts $ID) starts"
-note "DELETE /quick/$ID to b"
-acked=$(ask DELETE "$(cat "$DIR/b.callers")" /quick/$ID | head -1)
-acked_at=$(now_ms)
-note "answer to DELETE: $acked"
-[ "$acked" = 200 ] || finish 2 "the cancel was not acknowledged: $acked"
-sleep 0.3
-before=$(starts $ID)
-note "the job has $before starts after its cancel"
-
+wait_ready $ALL
+note "usual traffic"
+traffic 8000 $USUAL_GAP
 if [ "$TROUBLE" = 1 ]
 then
-	note "SIGKILL to all instances"
-	for i in $ALL
+	note "burst: 1.9 times the usual traffic for 3.5 s"
+	traffic 3500 $BURST_GAP
+	note "the burst is over"
+fi
+traffic 8000 $USUAL_GAP
+sleep 6
+
+# Each instance has to answer the platform's question for its readiness.
+hung=
+for i in $ALL
+do
+	(is_ready $i && note "$i is ready" || note "$i is not ready") &
+	asked=$!
+	PIDS="$PIDS $asked"
+	left=100
+	while is_running $asked && [ $left -gt 0 ]
 	do
-		kill -KILL "$(pid_of $i)"
+		left=$((left - 1))
+		sleep 0.1
 	done
-	sleep 0.5
-	start_all
-	note "all instances are up again"
-fi
-# The machines are in touch then, and cancel_ms (3 s) is over.
-sleep 3.3
-note "$(($(now_ms) - acked_at)) ms after the cancel was acknowledged"
-post c $ID 4 20000 >"$DIR/copy" &
-sleep 3
-after=$(starts $ID)
-note "the job has $after starts"
-[ "$after" -eq "$before" ] ||
-	finish 1 "$((after - before)) tasks of the cancelled job were started"
-finish 0 "no task of the cancelled job was started"
+	is_running $asked || continue
+	before=$(awk '{print $14 + $15}' "/proc/$(pid_of $i)/stat")
+	sleep 2
+	used=$(($(awk '{print $14 + $15}' "/proc/$(pid_of $i)/stat") - before))
+	note "$i has not answered GET /readyz in 10 s; it used $used ticks of the processor in the next 2 s"
+	hung="$hung $i"
+done
+[ -z "$hung" ] || finish 1 "these instances hang:$hung"
+finish 0 "all instances answer"
--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -166,13 +166,20 @@
 }
 
 # post NAME ID TASKS RUN_MS: submits a job and prints the answer's status and body.
+# With SAYS_DEADLINE=no the request does not say how long its caller waits.
 post() {
 	note "POST /quick/$2 to $1"
-	ask POST "$(cat "$DIR/$1.callers")" "/quick/$2" \
-		-H "Deadline-Remaining-Ms: ${DEADLINE_MS:-30000}" \
-		--body "$(the_job "$3" "$4")" | tr '\n' ' ' >"$DIR/answer.$2"
-	note "answer to POST /quick/$2 at $1: $(cat "$DIR/answer.$2")"
-	cat "$DIR/answer.$2"
+	if [ "$SAYS_DEADLINE" = no ]
+	then
+		ask POST "$(cat "$DIR/$1.callers")" "/quick/$2" \
+			--body "$(the_job "$3" "$4")"
+	else
+		ask POST "$(cat "$DIR/$1.callers")" "/quick/$2" \
+			-H 'Deadline-Remaining-Ms: 30000' \
+			--body "$(the_job "$3" "$4")"
+	fi | tr '\n' ' ' >"$DIR/answer.$1.$2"
+	note "answer to POST /quick/$2 at $1: $(cat "$DIR/answer.$1.$2")"
+	cat "$DIR/answer.$1.$2"
 }
 
 # wait_served NAME...: until a job is served at each.
