--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -2,6 +2,7 @@
 # Fault: the driver never hands back the processor. While all workers are full, it
 # plans for a job whose tasks request nothing, and the plan never ends.
 HERE=$(cd "$(dirname "$0")" && pwd)
+RECORD=$HERE/record.txt
 cd "$HERE/../.." || exit 2
 . review/lib-2.sh
 
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -2,6 +2,7 @@
 # DRAIN: a new driver starts tasks on a worker that has been draining for long, as it
 # uses the list of workers of the driver before it, which was cut off from the store.
 HERE=$(cd "$(dirname "$0")" && pwd)
+RECORD=$HERE/record.txt
 cd "$HERE/../.." || exit 2
 . review/lib-2.sh
 
--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -1,12 +1,11 @@
 # Functions for the scripts of this review: a small fleet of real processes on
-# loopback, on the project's stand-in of the platform. A script sets HERE to its
-# folder and sources this file. Exit: 1 the rule was broken, 0 it held, 2 the
+# loopback, on the project's stand-in of the platform. A script sets RECORD, its
+# record.txt, and sources this file. Exit: 1 the rule was broken, 0 it held, 2 the
 # case could not run.
 
 TROUBLE=${TROUBLE:-1}
 SHORE=target/sycamoreshore
 STANDIN=build/standin
-RECORD=$HERE/record.txt
 DIR=$(mktemp -d "${TMPDIR:-/tmp}/review.XXXXXX") || exit 2
 PIDS=
 : >"$RECORD"
