Bound a plan by its workers, not by the sizes of tasks

Cause: room_plan_expect() took places until their processor capacity was what the job and the urgent starts to come need. A task without a request adds nothing to that and takes nothing from a worker, so there was always one more place. A task of 1/1000 core makes the same loop long.

Change: the plan counts tasks and takes at each place as many as fit there at once, so each turn uses up a worker's room at one time. A task takes a slot of its worker, in the plan and when it is placed; the lists between instances carry the slots in a part that earlier versions skip. Sums of sizes are capped, an estimate of 0 no longer makes run times 0 in a plan, and the count of free places, which could overflow, is a yes or no.

--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -32,6 +32,7 @@
 	uint32_t cpu_milli; /* thousandths of a core */
 	uint32_t memory_mb;
 	uint32_t accelerators;
+	uint32_t slots; /* tasks that it runs at a time; zero: not limited */
 	bool leaving; /* it stops soon and takes no further task */
 	/* Start of this life on its wall clock, in ms; zero: not known. */
 	int64_t born_ms;
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -269,6 +269,8 @@
 		      int64_t now);
 /* Whether the workers of its failure domain get no further task. */
 bool worker_is_evacuated(const struct drive *d, const struct worker *w);
+/* How many further tasks its slots allow; UINT32_MAX: any number. */
+uint32_t worker_free_slots(const struct worker *w);
 /* The expected run time of a task of `j` on this worker, in ms. */
 double worker_expected_ms(const struct drive *d, const struct worker *w,
 			  const struct job *j);
--- a/src/drive/place.c
+++ b/src/drive/place.c
@@ -21,7 +21,7 @@
 /* The free capacity of a worker while a job is being placed. */
 struct free_worker {
 	struct worker *worker;
-	uint32_t free_memory_mb, free_accelerators;
+	uint32_t free_memory_mb, free_accelerators, free_slots;
 	uint32_t n_tasks_placed; /* of this job */
 	struct placement_worker placement;
 };
@@ -51,7 +51,7 @@
 		return false;
 	return fw->placement.free_cpu_milli >= j->cpu_milli &&
 	       fw->free_memory_mb >= j->memory_mb &&
-	       fw->free_accelerators >= j->accelerators;
+	       fw->free_accelerators >= j->accelerators && fw->free_slots;
 }
 
 static uint32_t remaining(uint32_t total, uint32_t used)
@@ -115,6 +115,7 @@
 					       w->used_memory_mb);
 		fw->free_accelerators = remaining(w->info.accelerators,
 						  w->used_accelerators);
+		fw->free_slots = worker_free_slots(w);
 		fw->n_tasks_placed = count_runs_of_job(d, w, j);
 		fw->placement.expected_ms = worker_expected_ms(d, w, j);
 		fw->placement.factor = w->factor;
@@ -154,6 +155,7 @@
 	fw->placement.free_cpu_milli -= j->cpu_milli;
 	fw->free_memory_mb -= j->memory_mb;
 	fw->free_accelerators -= j->accelerators;
+	fw->free_slots--;
 	fw->n_tasks_placed++;
 }
 
--- a/src/drive/queue.c
+++ b/src/drive/queue.c
@@ -59,23 +59,21 @@
 	return j->n_tasks - j->n_done - j->n_active - j->n_suspects;
 }
 
-/* How many further tasks of this job's size fit on all usable workers. */
-static uint32_t count_free_slots(const struct drive *d, const struct job *j,
-				 int64_t now)
+/* Whether a usable worker has the processor capacity for a task of the job. */
+static bool has_free_place(const struct drive *d, const struct job *j,
+			   int64_t now)
 {
 	const struct worker *w;
 	uint64_t handle;
-	uint32_t pos = 0, n = 0;
+	uint32_t pos = 0;
 
-	if (!j->cpu_milli)
-		return UINT32_MAX;
 	while ((w = table_next(&d->workers, &pos, &handle)))
-		if (worker_is_usable(d, w, now) &&
+		if (worker_is_usable(d, w, now) && worker_free_slots(w) &&
 		    place_is_in_time(d, w, j, now) &&
-		    w->info.cpu_milli > w->used_cpu_milli)
-			n += (w->info.cpu_milli - w->used_cpu_milli) /
-			     j->cpu_milli;
-	return n;
+		    w->info.cpu_milli >=
+			    (uint64_t)w->used_cpu_milli + j->cpu_milli)
+			return true;
+	return false;
 }
 
 /*
@@ -151,12 +149,9 @@
 static bool may_begin_partially(struct drive *d, const struct job *j,
 				int64_t now)
 {
-	uint32_t free_slots;
-
 	if (j->has_begun)
 		return true;
-	free_slots = count_free_slots(d, j, now);
-	return free_slots && room_take_plan(d) &&
+	return has_free_place(d, j, now) && room_take_plan(d) &&
 	       room_expected_start(d, j, now) < j->latest_start_at;
 }
 
--- a/src/drive/room.c
+++ b/src/drive/room.c
@@ -22,7 +22,8 @@
 	 * the answers of workers. A plan looks at each for each job of the queue.
 	 */
 	LOOKS_PER_TICK = 60000,
-	REFUSALS_PER_REVIEW = 4 /* each takes a plan */
+	REFUSALS_PER_REVIEW = 4, /* each takes a plan */
+	SLOTS_PER_TASK = 1
 };
 
 /*
@@ -121,16 +122,14 @@
 		remaining(w->info.cpu_milli, w->used_cpu_milli),
 		remaining(w->info.memory_mb, w->used_memory_mb),
 		remaining(w->info.accelerators, w->used_accelerators),
+		worker_free_slots(w),
 	};
-	const struct job *j = pools->first[0];
 	uint32_t served = pools_served(pools, w);
 	struct list *pos, *after;
 
 	if (from == INT64_MAX || !served)
 		return;
-	room_plan_add_worker(p, served, &size, from,
-			     worker_expected_ms(d, w, j) /
-				     (job_expected_ms(j) + 1e-9));
+	room_plan_add_worker(p, served, &size, from, w->factor);
 	LIST_EACH(pos, after, &w->runs)
 	{
 		const struct run *r = LIST_ITEM(pos, struct run, worker_link);
@@ -138,6 +137,7 @@
 		size.cpu_milli = r->cpu_milli;
 		size.memory_mb = r->memory_mb;
 		size.accelerators = r->accelerators;
+		size.slots = SLOTS_PER_TASK;
 		end_at = run_expected_end(d, w, r, now);
 		room_plan_add_run(p, &size, end_at > from ? end_at : from);
 	}
@@ -162,12 +162,13 @@
 		.pool = pool_of(pools, j),
 		.n_tasks = queue_count_waiting(j),
 		.per_worker_max = j->per_worker_max,
-		.size = {j->cpu_milli, j->memory_mb, j->accelerators},
+		.size = {j->cpu_milli, j->memory_mb, j->accelerators,
+			 SLOTS_PER_TASK},
 		.run_ms = job_expected_ms(j),
 	};
 }
 
-/* `first` is planned for; it gives the workers' factors of run times. */
+/* `first` is planned for. */
 static void collect_pools(struct pools *pools, const struct drive *d,
 			  const struct job *first)
 {
--- a/src/drive/worker.c
+++ b/src/drive/worker.c
@@ -106,6 +106,13 @@
 	return false;
 }
 
+uint32_t worker_free_slots(const struct worker *w)
+{
+	if (!w->info.slots)
+		return UINT32_MAX;
+	return w->info.slots > w->n_runs ? w->info.slots - w->n_runs : 0;
+}
+
 double worker_expected_ms(const struct drive *d, const struct worker *w,
 			  const struct job *j)
 {
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -381,6 +381,11 @@
 			size_t n);
 void workers_unpack_lives(struct wire_in *w, struct drive_worker *list,
 			  uint32_t n);
+/* The same of their slots, which a message of an earlier version lacks too. */
+void workers_pack_slots(struct wire_out *w, const struct drive_worker *list,
+			size_t n);
+void workers_unpack_slots(struct wire_in *w, struct drive_worker *list,
+			  uint32_t n);
 
 /* workers_reader.c */
 /* Asks another member to read the list; false: this instance must read. */
--- a/src/fleet/workers.c
+++ b/src/fleet/workers.c
@@ -86,11 +86,13 @@
 	n = drive_get_unlisted_workers(f->drive, syc_now(&f->opt.clock),
 				       unlisted, n);
 
-	wire_begin(&w, SYC_PEER_WORKERS, 4);
+	wire_begin(&w, SYC_PEER_WORKERS, 6);
 	workers_pack_list(&w, f->workers, f->n_workers);
 	workers_pack_list(&w, unlisted, n);
 	workers_pack_lives(&w, f->workers, f->n_workers);
 	workers_pack_lives(&w, unlisted, n);
+	workers_pack_slots(&w, f->workers, f->n_workers);
+	workers_pack_slots(&w, unlisted, n);
 	f->opt.send(f->opt.ctx, to, wire_bytes(&w));
 }
 
@@ -126,8 +128,8 @@
 	       !strcmp(a->addr.ip, b->addr.ip) &&
 	       a->addr.port == b->addr.port && a->cpu_milli == b->cpu_milli &&
 	       a->memory_mb == b->memory_mb &&
-	       a->accelerators == b->accelerators && a->leaving == b->leaving &&
-	       has_same_labels(a, b);
+	       a->accelerators == b->accelerators && a->slots == b->slots &&
+	       a->leaving == b->leaving && has_same_labels(a, b);
 }
 
 /*
@@ -193,6 +195,8 @@
 	unlisted = workers_unpack_list(&w, &n_unlisted);
 	workers_unpack_lives(&w, listed, n);
 	workers_unpack_lives(&w, unlisted, n_unlisted);
+	workers_unpack_slots(&w, listed, n);
+	workers_unpack_slots(&w, unlisted, n_unlisted);
 	if (!wire_close(&w))
 		return false;
 	if (fleet_is_driver(f))
--- a/src/fleet/workers_msgs.c
+++ b/src/fleet/workers_msgs.c
@@ -89,6 +89,30 @@
 	wire_leave(w);
 }
 
+void workers_pack_slots(struct wire_out *w, const struct drive_worker *list,
+			size_t n)
+{
+	size_t i;
+
+	wire_put_array(w, n);
+	for (i = 0; i < n; i++)
+		wire_put_u64(w, list[i].slots);
+}
+
+void workers_unpack_slots(struct wire_in *w, struct drive_worker *list,
+			  uint32_t n)
+{
+	uint32_t i;
+
+	if (!wire_has_more(w))
+		return;
+	if (wire_enter(w, LIST_MAX) != n)
+		w->failed = true;
+	for (i = 0; i < n && !w->failed; i++)
+		list[i].slots = (uint32_t)wire_u64(w);
+	wire_leave(w);
+}
+
 struct drive_worker *workers_unpack_list(struct wire_in *w, uint32_t *n)
 {
 	struct drive_worker *list;
--- a/src/fleet/workers_reader.c
+++ b/src/fleet/workers_reader.c
@@ -109,11 +109,12 @@
 		return;
 	own = xcalloc(n + 1, sizeof(*own));
 	n = list ? workers_copy_own(f, own, list, n) : 0;
-	wire_begin(&w, SYC_PEER_WORKERS_READ, 4);
+	wire_begin(&w, SYC_PEER_WORKERS_READ, 5);
 	wire_put_u64(&w, f->read_for_number);
 	wire_put_bool(&w, list != NULL);
 	workers_pack_list(&w, own, n);
 	workers_pack_lives(&w, own, n);
+	workers_pack_slots(&w, own, n);
 	f->opt.send(f->opt.ctx, f->read_for, wire_bytes(&w));
 	f->read_for = 0;
 }
@@ -131,6 +132,7 @@
 	ok = wire_bool(&w);
 	list = workers_unpack_list(&w, &n);
 	workers_unpack_lives(&w, list, n);
+	workers_unpack_slots(&w, list, n);
 	if (!wire_close(&w))
 		return false;
 	if (number != f->read_number || !f->reader_answer_due_at)
--- a/src/policy/room_plan.c
+++ b/src/policy/room_plan.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -57,11 +58,18 @@
 	free(p);
 }
 
+/* UINT32_MAX: at least as much. */
+static uint32_t add_capped(uint32_t a, uint32_t b)
+{
+	return a < UINT32_MAX - b ? a + b : UINT32_MAX;
+}
+
 static void add_size(struct room_size *sum, const struct room_size *size)
 {
-	sum->cpu_milli += size->cpu_milli;
-	sum->memory_mb += size->memory_mb;
-	sum->accelerators += size->accelerators;
+	sum->cpu_milli = add_capped(sum->cpu_milli, size->cpu_milli);
+	sum->memory_mb = add_capped(sum->memory_mb, size->memory_mb);
+	sum->accelerators = add_capped(sum->accelerators, size->accelerators);
+	sum->slots = add_capped(sum->slots, size->slots);
 }
 
 static bool is_enough(const struct room_size *have,
@@ -69,12 +77,14 @@
 {
 	return have->cpu_milli >= need->cpu_milli &&
 	       have->memory_mb >= need->memory_mb &&
-	       have->accelerators >= need->accelerators;
+	       have->accelerators >= need->accelerators &&
+	       have->slots >= need->slots;
 }
 
 static bool is_nothing(const struct room_size *size)
 {
-	return !size->cpu_milli && !size->memory_mb && !size->accelerators;
+	return !size->cpu_milli && !size->memory_mb && !size->accelerators &&
+	       !size->slots;
 }
 
 static void remove_piece(struct plan_worker *w, size_t i)
@@ -180,6 +190,7 @@
 		need.memory_mb = take_part(&have->memory_mb, need.memory_mb);
 		need.accelerators = take_part(&have->accelerators,
 					      need.accelerators);
+		need.slots = take_part(&have->slots, need.slots);
 		if (is_nothing(have))
 			remove_piece(w, i);
 	}
@@ -221,20 +232,26 @@
 		sift_down(p, i);
 }
 
+/* After tasks have taken it, the earliest place is another one. */
+static void renew_earliest(struct room_plan *p, const struct room_job *j)
+{
+	if (!find_place(p->places[0].worker, j, &p->places[0]))
+		p->places[0] = p->places[--p->n_places];
+	if (p->n_places)
+		sift_down(p, 0);
+}
+
 /* Takes the earliest place and returns its time; INT64_MAX: there is none. */
 static int64_t take_earliest(struct room_plan *p, const struct room_job *j)
 {
-	struct place earliest;
+	int64_t at;
 
 	if (!p->n_places)
 		return INT64_MAX;
-	earliest = p->places[0];
-	take_place(&earliest, j);
-	if (!find_place(earliest.worker, j, &p->places[0]))
-		p->places[0] = p->places[--p->n_places];
-	if (p->n_places)
-		sift_down(p, 0);
-	return earliest.at;
+	at = p->places[0].at;
+	take_place(&p->places[0], j);
+	renew_earliest(p, j);
+	return at;
 }
 
 int64_t room_plan_place(struct room_plan *p, const struct room_job *j)
@@ -265,24 +282,97 @@
 	return sum;
 }
 
+/* How often `need` is contained in `have`. */
+static uint32_t count_in(uint32_t have, uint32_t need)
+{
+	return need ? have / need : UINT32_MAX;
+}
+
+static uint32_t min_u32(uint32_t a, uint32_t b)
+{
+	return a < b ? a : b;
+}
+
+/* How many tasks of the job fit at a place at once, one at least. */
+static uint32_t count_fitting(const struct place *place,
+			      const struct room_job *j)
+{
+	const struct plan_worker *w = place->worker;
+	struct room_size sum = {0};
+	uint32_t n;
+	size_t i;
+
+	for (i = 0; i <= place->last_piece; i++)
+		add_size(&sum, &w->pieces[i].size);
+	n = count_in(sum.cpu_milli, j->size.cpu_milli);
+	n = min_u32(n, count_in(sum.memory_mb, j->size.memory_mb));
+	n = min_u32(n, count_in(sum.accelerators, j->size.accelerators));
+	n = min_u32(n, count_in(sum.slots, j->size.slots));
+	if (j->per_worker_max)
+		n = min_u32(n, j->per_worker_max - w->n_placed);
+	return n;
+}
+
+/*
+ * Takes the earliest place for as many tasks as fit there, `n_max` at most, and
+ * returns how many these are; zero: there is no place.
+ */
+static uint32_t take_earliest_many(struct room_plan *p,
+				   const struct room_job *j, uint32_t n_max)
+{
+	struct room_job many = *j;
+	uint32_t n;
+
+	if (!p->n_places)
+		return 0;
+	n = min_u32(n_max, count_fitting(&p->places[0], j));
+	many.size.cpu_milli *= n;
+	many.size.memory_mb *= n;
+	many.size.accelerators *= n;
+	many.size.slots *= n;
+	take_place(&p->places[0], &many);
+	p->places[0].worker->n_placed += n - 1;
+	renew_earliest(p, j);
+	return n;
+}
+
+/*
+ * How many tasks of the job's size the processor capacity of the surges is worth
+ * at `at`. Where the tasks request none, the surges take nothing from them.
+ */
+static uint32_t count_surge_tasks(const struct room_job *j,
+				  const struct room_surge *surges, size_t n,
+				  int64_t at)
+{
+	double n_tasks;
+
+	if (!j->size.cpu_milli)
+		return 0;
+	n_tasks = ceil(surge_cpu_milli(surges, n, at) / j->size.cpu_milli);
+	return n_tasks < UINT32_MAX ? (uint32_t)n_tasks : UINT32_MAX;
+}
+
 int64_t room_plan_expect(struct room_plan *p, const struct room_job *j,
 			 const struct room_surge *surges, size_t n_surges,
 			 int64_t until)
 {
-	double need_cpu_milli, had_cpu_milli = 0;
 	struct room_job task = *j;
+	uint32_t n_needed, n_had = 0;
 	int64_t at;
 
 	/* What these tasks free again is contained in the surges. */
 	task.run_ms = endless_ms;
 	collect_places(p, &task);
+	/* Each turn uses up what a worker has by `at`, or is the last one. */
 	do {
-		at = take_earliest(p, &task);
+		if (!p->n_places)
+			return INT64_MAX;
+		at = p->places[0].at;
 		if (at > until)
 			return at;
-		had_cpu_milli += j->size.cpu_milli;
-		need_cpu_milli = (double)j->n_tasks * j->size.cpu_milli +
-				 surge_cpu_milli(surges, n_surges, at);
-	} while (had_cpu_milli < need_cpu_milli);
+		n_needed = add_capped(
+			j->n_tasks, count_surge_tasks(j, surges, n_surges, at));
+		n_had += take_earliest_many(p, &task, n_needed - n_had);
+	} while (n_had < n_needed);
 	return at;
 }
--- a/src/policy/room_plan.h
+++ b/src/policy/room_plan.h
@@ -15,6 +15,7 @@
 /* Resources of a worker, of a run or of a task. */
 struct room_size {
 	uint32_t cpu_milli, memory_mb, accelerators;
+	uint32_t slots; /* places for tasks; a task needs one */
 };
 
 /* A job whose tasks wait. */
@@ -57,7 +58,7 @@
 /*
  * Returns when the last task of `j` starts if the tasks of `surges` go before
  * it. It stops at `until`: a later time is a lower bound. The plan can't be
- * used after that.
+ * used after that. The work is bounded by the plan's workers, whatever the sizes.
  */
 int64_t room_plan_expect(struct room_plan *p, const struct room_job *j,
 			 const struct room_surge *surges, size_t n_surges,
--- a/test/unit/drive_room_test.c
+++ b/test/unit/drive_room_test.c
@@ -1,12 +1,14 @@
 /* Tests of the driver with more jobs than it has room for. */
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "drive_fake.h"
 #include "unit.h"
 
 enum {
 	RUN_MS = 100,
+	HANG_S = 20, /* the alarm ends a driver that hangs */
 	JOBS_MAX = 1024,
 	RUNS_MAX = 8, /* on one worker */
 	WORKERS = 4 /* places for eight tasks */
@@ -278,6 +280,64 @@
 	drive_fake_free(&f);
 }
 
+/* Guards against review/7: the driver hung on a job that requests nothing. */
+static void job_that_requests_nothing_is_planned_for(void)
+{
+	struct drive_job j;
+	struct drive_fake f;
+	uint64_t tag;
+
+	drive_fake_init(&f, 2);
+	for (tag = 1; tag <= 3; tag++) {
+		char id[] = {'j', (char)('0' + tag), '\0'};
+
+		j = waiting_job(id);
+		j.memory_mb = f.workers[0].memory_mb / 2;
+		drive_fake_submit(&f, tag, &j);
+	}
+	j = waiting_job("small");
+	j.cpu_milli = j.memory_mb = 0;
+	j.priority = 1; /* behind a more urgent one that waits */
+	alarm(HANG_S);
+	drive_fake_submit(&f, 4, &j);
+	alarm(0);
+	CU_ASSERT_EQUAL(f.n_jobs_done, 0);
+	drive_fake_advance(&f, 20, false);
+	drive_fake_free(&f);
+}
+
+/* Tasks of no size run, as many on a worker as it has slots. */
+static void slots_limit_tasks_of_no_size(void)
+{
+	struct drive_job j = drive_fake_job("many", 4);
+	struct drive_fake f;
+	size_t i, n[2] = {0};
+
+	drive_fake_init(&f, 2);
+	for (i = 0; i < 2; i++)
+		f.workers[i].slots = 2;
+	drive_set_workers(f.drive, f.now, f.workers, f.n_workers);
+	j.cpu_milli = 0;
+	drive_fake_submit(&f, 1, &j);
+	for (i = 0; i < f.n_starts; i++) {
+		n[f.starts[i].worker]++;
+		drive_fake_answer_start(&f, i, DRIVE_CALL_DONE);
+	}
+	CU_ASSERT_EQUAL(n[0], 2);
+	CU_ASSERT_EQUAL(n[1], 2);
+	j = waiting_job("behind");
+	j.n_tasks = 1;
+	j.cpu_milli = 0;
+	drive_fake_submit(&f, 2, &j);
+	drive_fake_advance(&f, 40, false);
+	CU_ASSERT_EQUAL(f.n_starts, 4);
+	CU_ASSERT_EQUAL(f.n_jobs_done, 0);
+	drive_fake_end_run(&f, 0, 1, DRIVE_RUN_DONE);
+	drive_fake_advance(&f, 20, false);
+	CU_ASSERT_EQUAL(f.n_starts, 5);
+	drive_fake_free(&f);
+}
+
 SUITE(drive_room)
 {
 	TEST(overload_is_refused_at_once_and_who_waits_is_served);
@@ -286,4 +346,6 @@
 	TEST(burst_of_one_domain_is_not_paid_by_the_other);
 	TEST(waiting_job_is_refused_when_its_worker_is_lost);
 	TEST(waiting_job_is_refused_when_runs_are_slow);
+	TEST(job_that_requests_nothing_is_planned_for);
+	TEST(slots_limit_tasks_of_no_size);
 }
--- a/test/unit/platform_reader_test.c
+++ b/test/unit/platform_reader_test.c
@@ -68,6 +68,7 @@
 	CU_ASSERT_EQUAL(w.cpu_milli, 16000);
 	CU_ASSERT_EQUAL(w.memory_mb, 32768);
 	CU_ASSERT_EQUAL(w.accelerators, 1);
+	CU_ASSERT_EQUAL(w.slots, 8);
 	CU_ASSERT_FALSE(w.leaving);
 	CU_ASSERT_STRING_EQUAL(w.kind, "a");
 	CU_ASSERT_EQUAL(w.n_labels, 2);
--- a/test/unit/policy_room_test.c
+++ b/test/unit/policy_room_test.c
@@ -1,7 +1,10 @@
 /* Tests of the plan of the room: when can waiting tasks start. */
+#include <unistd.h>
+
 #include "policy/room_plan.h"
 #include "policy/start_rate.h"
 #include "unit.h"
+#include "util/rng.h"
 
 enum { NOW = 1000 };
 
@@ -74,7 +77,7 @@
 
 static void memory_accelerators_and_limits_count(void)
 {
-	const struct room_size free = {16000, 100, 1};
+	const struct room_size free = {16000, 100, 1, 0};
 	struct room_plan *p = room_plan_new(1);
 	struct room_job j = job_of(2, half);
 
@@ -131,6 +134,128 @@
 	CU_ASSERT_EQUAL(expect_with_surge(160, 100), 1150);
 }
 
+/* How long a plan may take; an endless one is ended by the alarm. */
+enum { PLAN_MAX_S = 20 };
+
+/*
+ * Guards against review/7: a plan for tasks that request nothing never ended,
+ * as it counted the processor capacity that it had found.
+ */
+static void plan_for_tasks_of_no_size_ends(void)
+{
+	const int64_t ends[] = {1050, 1100, 1150, 1200};
+	struct room_plan *p = plan_of_busy_workers(2, ends);
+	struct room_job j = job_of(2, nothing);
+	struct room_surge surge = {NOW, 80, 1000};
+
+	alarm(PLAN_MAX_S);
+	CU_ASSERT_EQUAL(room_plan_expect(p, &j, &surge, 1, 1200), 1050);
+	room_plan_free(p);
+	p = plan_of_busy_workers(2, ends);
+	j.size.memory_mb = 1;
+	CU_ASSERT_EQUAL(room_plan_expect(p, &j, &surge, 1, 1200), INT64_MAX);
+	room_plan_free(p);
+	alarm(0);
+}
+
+static const uint32_t odd_sizes[] = {0,	   1,	  2,	     7,
+				     8000, 65535, INT32_MAX, UINT32_MAX};
+
+static uint32_t odd_size(struct rng *rng)
+{
+	return odd_sizes[rng_below(rng,
+				   sizeof(odd_sizes) / sizeof(*odd_sizes))];
+}
+
+static struct room_size odd_room(struct rng *rng)
+{
+	return (struct room_size){odd_size(rng), odd_size(rng), odd_size(rng),
+				  odd_size(rng)};
+}
+
+static struct room_plan *odd_plan(struct rng *rng)
+{
+	struct room_plan *p = room_plan_new(8);
+	struct room_size size;
+	uint64_t i, k, n = rng_below(rng, 9);
+
+	for (i = 0; i < n; i++) {
+		size = odd_room(rng);
+		room_plan_add_worker(p, 1, &size, NOW,
+				     (double)rng_below(rng, 3));
+		for (k = rng_below(rng, 24); k > 0; k--) {
+			size = odd_room(rng);
+			room_plan_add_run(p, &size,
+					  NOW + (int64_t)rng_below(rng, 500));
+		}
+	}
+	return p;
+}
+
+/*
+ * Guards against the class of review/7: work that is bounded by a size in a
+ * message or an entry, and not by the tables. Each plan takes microseconds.
+ */
+static void plans_of_odd_sizes_end(void)
+{
+	enum { PLANS = 20000, TASKS_MAX = 1600 };
+	struct rng rng = {.state = 7};
+	struct room_surge surge = {.now = NOW};
+	struct room_plan *p;
+	struct room_job j;
+	int i;
+
+	alarm(PLAN_MAX_S);
+	for (i = 0; i < PLANS; i++) {
+		p = odd_plan(&rng);
+		j = job_of(1 + (uint32_t)rng_below(&rng, TASKS_MAX),
+			   odd_room(&rng));
+		j.per_worker_max = odd_size(&rng);
+		j.run_ms = odd_size(&rng);
+		surge.cpu_milli_per_ms = odd_size(&rng);
+		surge.run_ms = odd_size(&rng);
+		if (i % 8 == 0)
+			room_plan_place(p, &j);
+		CU_ASSERT(room_plan_expect(p, &j, &surge, 1, NOW + 400) >= NOW);
+		room_plan_free(p);
+	}
+	alarm(0);
+}
+
+/* Without surges both plans find the same time, though one takes many at once. */
+static void expected_start_is_that_of_the_last_place(void)
+{
+	struct room_plan *p, *q;
+	struct rng rng;
+	struct room_job j;
+	uint64_t seed;
+
+	for (seed = 1; seed <= 2000; seed++) {
+		rng.state = seed;
+		p = odd_plan(&rng);
+		rng.state = seed;
+		q = odd_plan(&rng);
+		j = job_of(1 + (uint32_t)rng_below(&rng, 40), odd_room(&rng));
+		j.run_ms = 2e12;
+		CU_ASSERT_EQUAL(room_plan_expect(p, &j, NULL, 0, INT64_MAX),
+				room_plan_place(q, &j));
+		room_plan_free(p);
+		room_plan_free(q);
+	}
+}
+
+static void tasks_need_a_slot_each(void)
+{
+	const struct room_size free = {.cpu_milli = 16000, .slots = 2};
+	struct room_plan *p = room_plan_new(1);
+	struct room_job j = job_of(2, (struct room_size){.slots = 1});
+
+	room_plan_add_worker(p, 1, &free, NOW, 1);
+	CU_ASSERT_EQUAL(room_plan_place(p, &j), NOW);
+	CU_ASSERT_EQUAL(room_plan_place(p, &j), NOW + 100);
+	room_plan_free(p);
+}
+
 static void rate_of_starts_follows_the_load(void)
 {
 	struct start_rate r = {0};
@@ -154,5 +279,9 @@
 	TEST(memory_accelerators_and_limits_count);
 	TEST(many_small_runs_are_merged_to_the_later_time);
 	TEST(urgent_starts_to_come_go_first);
+	TEST(plan_for_tasks_of_no_size_ends);
+	TEST(plans_of_odd_sizes_end);
+	TEST(expected_start_is_that_of_the_last_place);
+	TEST(tasks_need_a_slot_each);
 	TEST(rate_of_starts_follows_the_load);
 }
