Give the list of workers an age, and let the next driver read it early

Cause: members had the list from the driver's messages alone while they heard it, and nothing said how old the driver's own list was. A driver that the store did not answer handed its old list on to the next one, which placed the waiting jobs by it before its first read was answered.

Change: the driver's heartbeats tell the age and a hash of its list; a member with the same list takes the age over, counted from its own echoed heartbeat. The member that would take over reads the list itself while it is older than 1 s. A driver that begins or wakes with a list older than 1.5 s starts nothing until it has read one, for 300 ms at most. An older list does not replace a newer one, and what only the older one has counts as used by the other driver.

--- a/src/drive/admit.c
+++ b/src/drive/admit.c
@@ -329,7 +329,7 @@
 		return;
 	if (!job_is_settled(d, j, now))
 		return;
-	if (d->awaits_evacuated || is_awaiting_lists(d))
+	if (d->awaits_list || d->awaits_evacuated || is_awaiting_lists(d))
 		return;
 	if (!place_has_open_worker(d, j)) {
 		job_end(d, j, DRIVE_REFUSED, REFUSED_RETRY_MS, "evacuated",
--- a/src/drive/drive.c
+++ b/src/drive/drive.c
@@ -97,6 +97,8 @@
 	d->epoch = epoch;
 	d->began_at = now;
 	d->is_list_fresh = false;
+	d->awaits_list = false;
+	drive_end_others_use(d, now);
 	while ((w = table_next(&d->workers, &pos, &handle))) {
 		reset_worker(w, now);
 		hold_tick(d, w, now);
@@ -180,6 +182,13 @@
 		room_review(d, now);
 }
 
+void drive_await_list(struct drive *d, int64_t now, bool awaits)
+{
+	d->awaits_list = awaits;
+	d->capacity_changed = true;
+	queue_run(d, now);
+}
+
 void drive_set_evacuated(struct drive *d, int64_t now,
 			 const struct drive_domains *domains)
 {
--- a/src/drive/drive.h
+++ b/src/drive/drive.h
@@ -300,6 +300,21 @@
 void drive_set_workers(struct drive *d, int64_t now,
 		       const struct drive_worker *list, size_t n);
 
+/*
+ * Another driver may start tasks on these workers. Those that the list lacks
+ * count as just gone from it when this one begins to drive.
+ */
+void drive_note_others_use(struct drive *d, int64_t now,
+			   const struct drive_worker *list, size_t n);
+/* The other driver lists these workers no more. */
+void drive_end_others_use(struct drive *d, int64_t now);
+
+/*
+ * Whether no task is started, as the list of workers is too old. A term begins
+ * without that.
+ */
+void drive_await_list(struct drive *d, int64_t now, bool awaits);
+
 /*
  * Sets the failure domains whose workers get no further task, until this is
  * called again. Runs that are active there go on. NULL: it is not known which
--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -93,6 +93,7 @@
 	int64_t asked_born_ms; /* listed, and the worker was asked about it */
 	int64_t unlisted_at;
 	bool listed;
+	bool others_use; /* not listed, but another driver may list it */
 	bool has_left; /* the earlier incarnation was leaving */
 	bool is_replaced; /* another incarnation answered at its address */
 	bool is_slow; /* it has turned slow, see progress.c */
@@ -245,6 +246,7 @@
 	struct table cancelled; /* of struct cancelled_job */
 	struct index cancelled_ids;
 	struct list cancelled_by_age; /* the oldest is the first */
+	bool awaits_list; /* the list of workers is too old to start a task */
 	bool awaits_evacuated; /* which domains are evacuated is not known */
 	struct drive_domains evacuated;
 };
--- a/src/drive/worker.c
+++ b/src/drive/worker.c
@@ -123,7 +123,7 @@
 bool worker_is_available(const struct drive *d, const struct worker *w,
 			 int64_t now)
 {
-	if (worker_is_evacuated(d, w))
+	if (d->awaits_list || worker_is_evacuated(d, w))
 		return false;
 	if (!w->listed || w->info.leaving || !worker_is_driven(d, w) ||
 	    !worker_is_confirmed(d, w))
@@ -306,6 +306,7 @@
 		log_info("worker_leaving", LOG_S("worker", info->name),
 			 LOG_U("runs", w->n_runs));
 	w->listed = true;
+	w->others_use = false;
 	incarnation_note_listed(d, w, info, now);
 	is_new_life = w->info.born_ms != old_born_ms ||
 		      strcmp(w->info.kind, old_kind) != 0;
@@ -343,6 +344,38 @@
 	d->capacity_changed = true;
 }
 
+void drive_note_others_use(struct drive *d, int64_t now,
+			   const struct drive_worker *list, size_t n)
+{
+	struct worker *w;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		w = find_worker(d, list[i].name);
+		if (!w) {
+			w = add_worker(d, now, &list[i]);
+			w->listed = false;
+		}
+		if (w->listed)
+			continue;
+		w->unlisted_at = now;
+		w->others_use = true;
+	}
+}
+
+void drive_end_others_use(struct drive *d, int64_t now)
+{
+	struct worker *w;
+	uint64_t handle;
+	uint32_t pos = 0;
+
+	while ((w = table_next(&d->workers, &pos, &handle))) {
+		if (w->others_use)
+			w->unlisted_at = now;
+		w->others_use = false;
+	}
+}
+
 void worker_remove_unlisted(struct drive *d, struct worker *w, int64_t now)
 {
 	if (w->listed || w->n_runs || now - w->unlisted_at < UNLISTED_KEPT_MS)
--- a/src/fleet/cell_fleet.c
+++ b/src/fleet/cell_fleet.c
@@ -69,9 +69,13 @@
 	const struct cell *cell = ctx;
 	struct cells *c = cell->cells;
 
-	if (c->workers_read_in_flight)
-		return; /* its answer is passed to all that wait */
+	/* The answer is passed to all that wait, and is as old as its read. */
+	if (c->workers_read_in_flight) {
+		cell->fleet->workers_read_at = c->workers_read_at;
+		return;
+	}
 	c->workers_read_in_flight = true;
+	c->workers_read_at = cell->fleet->workers_read_at;
 	c->opt.read_workers(c->opt.ctx);
 }
 
--- a/src/fleet/cells_state.h
+++ b/src/fleet/cells_state.h
@@ -45,6 +45,7 @@
 	struct index tags;
 	struct rng rng;
 	bool workers_read_in_flight;
+	int64_t workers_read_at; /* when it was sent */
 	int64_t next_reports_at;
 	struct open_jobs open_jobs; /* what other drivers have told */
 	struct table queries; /* of struct job_query, see job_query.c */
--- a/src/fleet/election.c
+++ b/src/fleet/election.c
@@ -252,6 +252,7 @@
 	drive_end(f->drive, now);
 	if (!fleet_is_divided(f))
 		drive_begin(f->drive, now, epoch);
+	workers_await_if_old(f, now);
 	heartbeat_send_all(f, now);
 	home_submit_all(f, now);
 }
--- a/src/fleet/evacuation.c
+++ b/src/fleet/evacuation.c
@@ -7,8 +7,6 @@
 #include "util/alloc.h"
 #include "util/buf.h"
 
-enum { N_FIELDS = 3 /* of a heartbeat: revision, age, names */ };
-
 static bool is_in_use(const struct fleet *f)
 {
 	return f->opt.evacuation_apply_ms > 0;
@@ -245,21 +243,14 @@
 	return find(&f->evacuations, domain) != NULL;
 }
 
-size_t evacuation_count_fields(const struct fleet *f)
-{
-	return is_in_use(f) ? N_FIELDS : 0;
-}
-
 void evacuation_put_fields(const struct fleet *f, int64_t now,
 			   struct wire_out *w)
 {
 	const struct evacuations *e = &f->whole->evacuations;
 	auto_buf struct buf names = {0};
-	size_t i;
+	size_t i, n = is_in_use(f) ? e->n : 0;
 
-	if (!is_in_use(f))
-		return;
-	for (i = 0; i < e->n; i++)
+	for (i = 0; i < n; i++)
 		buf_printf(&names, "%s\n", e->list[i].domain);
 	wire_put_u64(w, e->n_changes ? e->watch.index : 0);
 	wire_put_u64(w, heartbeat_get_age_ms(&e->watch, now));
--- a/src/fleet/evacuation.h
+++ b/src/fleet/evacuation.h
@@ -36,8 +36,8 @@
 /* Whether the domain is evacuated, as far as the whole fleet `f` knows. */
 bool evacuation_has(const struct fleet *f, const char *domain);
 
-/* The fields that a heartbeat has more if evacuations are in use. */
-size_t evacuation_count_fields(const struct fleet *f);
+/* The fields of a heartbeat: revision, age and names. */
+enum { EVACUATION_FIELDS = 3 };
 void evacuation_put_fields(const struct fleet *f, int64_t now,
 			   struct wire_out *w);
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -146,6 +146,7 @@
 	log_warn("stood_still", LOG_I("for_ms", paused_ms),
 		 LOG_U("drives", fleet_is_driver(f)));
 	heartbeat_check_timeouts(f, now);
+	workers_await_if_old(f, now);
 }
 
 static bool on_find_told(void *ctx, const char *id, uint32_t *cell)
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -142,6 +142,12 @@
 	int64_t workers_listed_at; /* when the present list was taken over */
 	uint64_t workers_sent_epoch; /* in which all peers got the list */
 
+	/* workers_age.c */
+	/* The list holds all that the store had then; zero: not known. */
+	int64_t workers_confirmed_at;
+	uint64_t workers_hash; /* of the list */
+	int64_t workers_awaited_until; /* by the drive; zero: it awaits none */
+
 	/* workers_reader.c, at the driver */
 	uint64_t read_number; /* of the last request to a reader */
 	int64_t reader_answer_due_at; /* zero: no request is open */
@@ -247,11 +253,13 @@
 /* The age of a key's value for peers; zero: it was never confirmed. */
 uint64_t heartbeat_get_age_ms(const struct key_watch *w, int64_t now);
 /*
- * Accepts the peer's word for the age of what this instance knows too. The
- * heartbeat may have been held back on its way, so the age counts from when this
+ * When what the peer tells was true, by its word for the age; zero: not known. The
+ * message may have been held back on its way, so the age counts from when this
  * instance sent the heartbeat that the peer had received before, `echo_ms` after
  * its start.
  */
+int64_t heartbeat_dated(const struct fleet *f, int64_t echo_ms, int64_t age_ms);
+/* Accepts the peer's word for the age of what this instance knows too. */
 void heartbeat_accept_age(const struct fleet *f, struct key_watch *w,
 			  int64_t echo_ms, int64_t age_ms);
 /* Gives up the jobs of peers that sent no heartbeat for too long. */
@@ -367,6 +375,24 @@
 size_t workers_copy_own(const struct fleet *f, struct drive_worker *next,
 			const struct drive_worker *list, size_t n);
 
+/* workers_age.c */
+/* The list holds all that the store had at `at`. */
+void workers_confirm(struct fleet *f, int64_t at);
+/* The age of the list for a message; zero: not known. */
+uint64_t workers_told_age_ms(const struct fleet *f, int64_t now);
+/* The age and the hash of the driver's list, in its heartbeats. */
+void workers_put_age(const struct fleet *f, int64_t now, struct wire_out *w);
+/* `echo_ms`: see heartbeat_dated. */
+void workers_read_age(struct fleet *f, int64_t echo_ms, struct wire_in *w);
+/* Equal for lists of the same workers, in any order. */
+uint64_t workers_hash(const struct drive_worker *list, size_t n);
+/* Whether this member has to read the list, as it would drive next. */
+bool workers_is_standby_read_due(const struct fleet *f, int64_t now);
+/* The drive begins or wakes, and starts nothing by an old list. */
+void workers_await_if_old(struct fleet *f, int64_t now);
+/* Ends that if the list was read, or the store takes too long. */
+void workers_check_await(struct fleet *f, int64_t now);
+
 /* workers_msgs.c */
 void workers_pack_list(struct wire_out *w, const struct drive_worker *list,
 		       size_t n);
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -18,7 +18,7 @@
 	 * list of workers.
 	 */
 	DOMAIN_UNREACHABLE_MS = 5000,
-	HEARTBEAT_FIELDS = 19,
+	HEARTBEAT_FIELDS = 21 + EVACUATION_FIELDS,
 	/* Descriptors, two for each, run out before. */
 	PEERS_MAX = 8192
 };
@@ -82,8 +82,7 @@
 	if (drive_is_active(f->drive))
 		drive_get_room(f->drive, now, &room);
 
-	wire_begin(&w, SYC_PEER_FLEET_HEARTBEAT,
-		   HEARTBEAT_FIELDS + evacuation_count_fields(f));
+	wire_begin(&w, SYC_PEER_FLEET_HEARTBEAT, HEARTBEAT_FIELDS);
 	wire_put_u64(&w, (uint64_t)(now - f->started_at));
 	wire_put_u64(&w, f->epoch);
 	wire_put_u64(&w, f->driver);
@@ -104,6 +103,7 @@
 	wire_put_u64(&w, heartbeat_get_age_ms(&f->whole->map_watch, now));
 	wire_put_bool(&w, true); /* it reads reports of lost runs */
 	evacuation_put_fields(f, now, &w);
+	workers_put_age(f, now, &w);
 	if (f->opt.send(f->opt.ctx, to, wire_bytes(&w)) && p)
 		p->knows_division = fleet_is_divided(f);
 }
@@ -210,15 +210,23 @@
 	f->missed_division |= p->is_divided;
 }
 
-void heartbeat_accept_age(const struct fleet *f, struct key_watch *w,
-			  int64_t echo_ms, int64_t age_ms)
+int64_t heartbeat_dated(const struct fleet *f, int64_t echo_ms, int64_t age_ms)
 {
 	int64_t uptime_ms = syc_now(&f->opt.clock) - f->started_at;
 
 	/* No heartbeat of this instance was sent after now. */
 	if (echo_ms <= 0 || age_ms <= 0 || echo_ms > uptime_ms)
-		return;
-	key_watch_confirm(w, f->started_at + echo_ms - age_ms);
+		return 0;
+	return f->started_at + echo_ms - age_ms;
+}
+
+void heartbeat_accept_age(const struct fleet *f, struct key_watch *w,
+			  int64_t echo_ms, int64_t age_ms)
+{
+	int64_t at = heartbeat_dated(f, echo_ms, age_ms);
+
+	if (at)
+		key_watch_confirm(w, at);
 }
 
 /* The peer's word for the map of `g`, in a heartbeat of the fleet `f`. */
@@ -254,6 +262,8 @@
 		p->knows_losses = wire_bool(w);
 	if (wire_has_more(w))
 		evacuation_read_fields(f, echo_ms, w);
+	if (wire_has_more(w))
+		workers_read_age(f, echo_ms, w);
 }
 
 static void log_newer_config(const struct fleet *f, const struct fleet_peer *p,
--- a/src/fleet/isolated.c
+++ b/src/fleet/isolated.c
@@ -102,6 +102,7 @@
 	f->next_workers_read_at = now; /* the known list may be old */
 	drive_limit_to_domain(f->drive, f->opt.self.domain);
 	drive_begin(f->drive, now, epoch);
+	workers_await_if_old(f, now);
 	heartbeat_send_all(f, now);
 	home_submit_all(f, now);
 }
--- a/src/fleet/workers.c
+++ b/src/fleet/workers.c
@@ -36,13 +36,19 @@
 	return now - f->started_at < FIRST_READ_AFTER_MS;
 }
 
+static bool is_read_due(const struct fleet *f, int64_t now)
+{
+	if (workers_is_standby_read_due(f, now))
+		return true;
+	return now >= f->next_workers_read_at && !is_sent_by_driver(f, now);
+}
+
 void workers_tick(struct fleet *f, int64_t now)
 {
 	reader_tick(f, now);
-	if (f->workers_read_in_flight || now < f->next_workers_read_at)
-		return;
-	if (!fleet_is_eligible(f) || fleet_is_divided(f) ||
-	    is_sent_by_driver(f, now))
+	workers_check_await(f, now);
+	if (f->workers_read_in_flight || !fleet_is_eligible(f) ||
+	    fleet_is_divided(f) || !is_read_due(f, now))
 		return;
 	f->workers_read_in_flight = true;
 	f->workers_read_at = now;
@@ -80,19 +86,22 @@
 {
 	auto_wire_out struct wire_out w = {0};
 	auto_free struct drive_worker *unlisted = NULL;
+	const struct fleet_peer *p = heartbeat_find_peer(f, to);
 	size_t n = drive_count_workers(f->drive);
+	int64_t now = syc_now(&f->opt.clock);
 
 	unlisted = xcalloc(n + 1, sizeof(*unlisted));
-	n = drive_get_unlisted_workers(f->drive, syc_now(&f->opt.clock),
-				       unlisted, n);
+	n = drive_get_unlisted_workers(f->drive, now, unlisted, n);
 
-	wire_begin(&w, SYC_PEER_WORKERS, 6);
+	wire_begin(&w, SYC_PEER_WORKERS, 8);
 	workers_pack_list(&w, f->workers, f->n_workers);
 	workers_pack_list(&w, unlisted, n);
 	workers_pack_lives(&w, f->workers, f->n_workers);
 	workers_pack_lives(&w, unlisted, n);
 	workers_pack_slots(&w, f->workers, f->n_workers);
 	workers_pack_slots(&w, unlisted, n);
+	wire_put_u64(&w, p ? p->sent_at_ms : 0);
+	wire_put_u64(&w, workers_told_age_ms(f, now));
 	f->opt.send(f->opt.ctx, to, wire_bytes(&w));
 }
 
@@ -168,6 +177,7 @@
 	f->workers = next;
 	f->n_workers = n;
 	f->workers_known = true;
+	f->workers_hash = workers_hash(next, n);
 	f->workers_listed_at = now;
 	drive_set_workers(f->drive, now, next, n);
 }
@@ -183,11 +193,40 @@
 	return n_own;
 }
 
+/* When the store had what the message says; zero: not known. */
+static int64_t read_date(const struct fleet *f, struct wire_in *w)
+{
+	int64_t echo_ms, age_ms;
+
+	if (!wire_has_more(w))
+		return 0;
+	echo_ms = (int64_t)wire_u64(w);
+	age_ms = (int64_t)wire_u64(w);
+	return heartbeat_dated(f, echo_ms, age_ms);
+}
+
+/* Whether the list that this instance has is a newer one. */
+static bool is_outdated(const struct fleet *f, int64_t listed_at)
+{
+	return f->workers_known && listed_at &&
+	       listed_at < f->workers_confirmed_at;
+}
+
+/* Takes the list over, which the fleet then owns. */
+static void take_list(struct fleet *f, int64_t now, struct drive_worker *list,
+		      size_t n, int64_t listed_at)
+{
+	f->workers_confirmed_at = listed_at;
+	drive_end_others_use(f->drive, now);
+	replace_list(f, now, list, n);
+}
+
 bool workers_receive(struct fleet *f, int64_t now, struct syc_bytes msg)
 {
 	auto_free struct drive_worker *listed = NULL;
 	auto_free struct drive_worker *unlisted = NULL;
 	uint32_t n, n_unlisted;
+	int64_t listed_at;
 	struct wire_in w;
 
 	wire_open(&w, msg);
@@ -197,12 +236,16 @@
 	workers_unpack_lives(&w, unlisted, n_unlisted);
 	workers_unpack_slots(&w, listed, n);
 	workers_unpack_slots(&w, unlisted, n_unlisted);
+	listed_at = read_date(f, &w);
 	if (!wire_close(&w))
 		return false;
 	if (fleet_is_driver(f))
 		return true; /* the driver reads the list itself */
 	f->next_workers_read_at = now + OTHER_READ_INTERVAL_MS;
-	replace_list(f, now, take_ptr(listed), n);
+	if (is_outdated(f, listed_at))
+		drive_note_others_use(f->drive, now, listed, n);
+	else
+		take_list(f, now, take_ptr(listed), n, listed_at);
 	drive_add_unlisted_workers(f->drive, now, unlisted, n_unlisted);
 	return true;
 }
@@ -215,6 +258,19 @@
 	return at > now + LOST_READ_RETRY_MS ? at : now + LOST_READ_RETRY_MS;
 }
 
+/* A driver that this list did not come from may go on with the one before. */
+static void use_read_list(struct fleet *f, int64_t now,
+			  struct drive_worker *next, size_t n)
+{
+	auto_free struct drive_worker *before = f->workers;
+	size_t n_before = f->n_workers;
+
+	f->workers = NULL;
+	replace_list(f, now, next, n);
+	if (!fleet_is_driver(f))
+		drive_note_others_use(f->drive, now, before, n_before);
+}
+
 void fleet_set_workers(struct fleet *f, int64_t now,
 		       const struct drive_worker *list, size_t n)
 {
@@ -240,7 +296,9 @@
 	/* Instances that linked while there was no driver have no list. */
 	changed = !is_same_list(f, now, next, n) ||
 		  f->workers_sent_epoch != f->epoch;
-	replace_list(f, now, next, n);
+	workers_confirm(f, f->workers_read_at);
+	use_read_list(f, now, next, n);
+	workers_check_await(f, now);
 	/* A fleet that is about to be divided has no use for the list. */
 	if (!changed || !fleet_is_driver(f) || f->wanted_cells.n_cells)
 		return;
--- a/test/sim/fleet_random.c
+++ b/test/sim/fleet_random.c
@@ -11,6 +11,7 @@
 	LATE_REPLY_PERCENT = 50,
 	LONG_RUN_MS = 2000, /* and up to twice that */
 	LONG_DEADLINE_MS = 10000,
+	DRAINED_FOR_MS = 5000, /* from a worker's report to its end */
 	AGAIN_MS = 1300, /* from a request to the next one for its job */
 	AGAIN_AFTER_MS = 6000, /* from the answer, at most */
 	AGAIN_MAX = 3 /* further requests for one job */
@@ -30,6 +31,7 @@
 	unsigned pause_driver, cut_worker, lose_answers, reconnect_worker;
 	unsigned change_config;
 	unsigned evacuate, end_evacuation;
+	unsigned drain_worker;
 	unsigned silence, silence_one, deafen, be_busy, delay_replies;
 	unsigned cut_watches, end_store_fault;
 	unsigned late_percent;
@@ -180,6 +182,21 @@
 		fsim_end_evacuation(s, domain);
 }
 
+/* Each ends its process, and another starts, some time after its report. */
+static void drain_workers(struct fsim *s, const struct fault_rates *rates)
+{
+	int k = (int)rng_below(&s->rng, FSIM_WORKERS);
+	int64_t since;
+
+	if (happens(s, rates->drain_worker) && store_takes_changes(s))
+		fsim_drain_worker(s, k);
+	for (k = 0; k < FSIM_WORKERS; k++) {
+		since = s->workers[k].drains_since;
+		if (since && s->now - since > DRAINED_FOR_MS)
+			fsim_restart_worker(s, k);
+	}
+}
+
 /* Plain runs lack these faults, so that their old seeds stay reproducible. */
 static void inject_mixed_faults(struct fsim *s, const struct fault_rates *rates)
 {
@@ -203,6 +220,8 @@
 	inject_store_faults(s, rates);
 	if (s->evacuates)
 		change_evacuations(s, rates);
+	if (rates->drain_worker)
+		drain_workers(s, rates);
 }
 
 static void inject_faults(struct fsim *s, const struct fault_rates *rates)
@@ -373,7 +392,8 @@
 		return fsim_new_evacuating(seed,
 					   mode == FSIM_DIVIDED_EVACUATING);
 	if (mode == FSIM_DIVIDED || mode == FSIM_DIVIDED_CRASHING ||
-	    mode >= FSIM_DIVIDED_REBORN)
+	    mode == FSIM_DIVIDED_DRAINING ||
+	    (mode >= FSIM_DIVIDED_REBORN && mode < FSIM_DRAINING))
 		return fsim_new_divided(seed);
 	return fsim_new(seed);
 }
@@ -381,7 +401,8 @@
 static bool has_failed_check(const struct fsim *s)
 {
 	return s->n_double_runs || s->n_false_refusals || s->n_late_configs ||
-	       s->n_over_budget || s->n_false_failures || s->n_late_evacuations;
+	       s->n_over_budget || s->n_false_failures ||
+	       s->n_late_evacuations || s->n_late_drains;
 }
 
 bool fsim_run_random(uint64_t seed, int64_t ms, enum fsim_mode mode,
@@ -397,11 +418,13 @@
 	if (s->evacuates) {
 		rates.evacuate = 10;
 		rates.end_evacuation = 20;
+	} else if (mode >= FSIM_DRAINING) {
+		rates.drain_worker = 20;
 	} else if (mode >= FSIM_CRASHING) {
 		rates.crashing = 30;
 		rates.crash_worker = vary_rate(s, 8);
 	}
-	if (mode >= FSIM_REBORN) {
+	if (mode >= FSIM_REBORN && mode < FSIM_DRAINING) {
 		fsim_keep_names(s);
 		rates.restart_worker = 4 * plain_rates.restart_worker;
 	}
--- a/test/sim/fleet_sim.c
+++ b/test/sim/fleet_sim.c
@@ -177,6 +177,7 @@
 	struct fsim *s = i->sim;
 	struct fsim_event *e = fsim_event_new(EVENT_LIST, s->now + 5, i);
 
+	s->n_list_reads++;
 	if (s->store.silent || i->store->silent || s->lose_lists) {
 		s->lose_lists -= s->lose_lists > 0;
 		e->late = true;
--- a/test/sim/fleet_sim.h
+++ b/test/sim/fleet_sim.h
@@ -25,6 +25,10 @@
 	/* No task of a cancelled job starts later after the acknowledgement. */
 	FSIM_CANCEL_MS = 3000,
 	FSIM_CONFIG_APPLY_MS = 2000, /* also the bound of evacuations */
+	/* No task starts on a draining worker later, by an instance in touch. */
+	FSIM_DRAIN_MS = 2000,
+	/* An instance is in touch once the store has answered it for so long. */
+	FSIM_CONTACT_MS = 3000,
 	/* After a cut links are opened, and drivers tell and are told. */
 	FSIM_TELL_AGAIN_MS = 700,
 	FSIM_STOP_MS = 5500, /* of a planned stop, at most */
@@ -85,6 +89,8 @@
 	bool cut; /* cut off from all instances */
 	int64_t restarts_at; /* it has crashed and refuses calls; zero: not */
 	int64_t last_start_at; /* when a task began */
+	/* When the store accepted that it drains; zero: it does not. */
+	int64_t drains_since;
 	int64_t over_capacity_at; /* when a start last exceeded its capacity */
 	bool loses_answers; /* carries out calls, but its answers are lost */
 	bool loses_stops; /* but carries out and answers other calls */
@@ -159,6 +165,7 @@
 	int64_t links_due_at; /* those dialled last are opened then */
 	unsigned long n_messages; /* sent between instances */
 	unsigned long n_lists; /* lists of workers among them */
+	unsigned long n_list_reads; /* of that list, sent to the store */
 	bool domain_cut[FSIM_DOMAINS]; /* cut off from the others */
 	int starter; /* the instance whose call a worker carries out */
 	struct fsim_contact domain_contact[FSIM_DOMAINS][FSIM_DOMAINS];
@@ -198,6 +205,7 @@
 	unsigned n_false_refusals; /* answered as not run after a start */
 	unsigned n_late_configs; /* instances with too old a configuration */
 	unsigned n_late_evacuations; /* starts in evacuated domains */
+	unsigned n_late_drains; /* starts on draining workers */
 	unsigned n_over_budget; /* starts of tasks that crash workers */
 	unsigned n_false_failures; /* failed, though no task had crashed two */
 	char message[160]; /* describes the first failed check */
@@ -246,6 +254,8 @@
 void fsim_cut_instance(struct fsim *s, int instance, bool cut);
 /* Ends the worker's runs and starts a new incarnation of it. */
 void fsim_restart_worker(struct fsim *s, int worker);
+/* The store accepts that the worker drains. */
+void fsim_drain_worker(struct fsim *s, int worker);
 /* From now on workers start again under their names, and tell their births. */
 void fsim_keep_names(struct fsim *s);
 void fsim_set_listed(struct fsim *s, int worker, bool listed);
@@ -277,7 +287,9 @@
 	FSIM_REBORN,
 	FSIM_DIVIDED_REBORN,
 	/* The last one, with callers that stay in their domains. */
-	FSIM_DIVIDED_REBORN_STAYING
+	FSIM_DIVIDED_REBORN_STAYING,
+	FSIM_DRAINING, /* mixed, with workers that drain before they restart */
+	FSIM_DIVIDED_DRAINING
 };
 
 /*
--- a/test/sim/fleet_sim_calls.c
+++ b/test/sim/fleet_sim_calls.c
@@ -223,8 +223,10 @@
 	else
 		result = fsim_worker_hold(s, w, e->fence, e->cursor,
 					  e->lease_expires_at);
-	if (e->call_kind == CALL_START && result == DRIVE_CALL_DONE)
+	if (e->call_kind == CALL_START && result == DRIVE_CALL_DONE) {
 		fsim_check_evacuation(s, e);
+		fsim_check_drain(s, e);
+	}
 	if (e->late || w->loses_answers) {
 		fsim_event_free(e);
 		return;
--- a/test/sim/fleet_sim_internal.h
+++ b/test/sim/fleet_sim_internal.h
@@ -105,4 +105,8 @@
 /* Checks the start that a call has just made. */
 void fsim_check_evacuation(struct fsim *s, const struct fsim_event *e);
 
+/* fleet_sim_drain.c */
+/* A worker has carried out the call, a start. */
+void fsim_check_drain(struct fsim *s, const struct fsim_event *e);
+
 #endif
--- a/test/unit/fleet_random_test.c
+++ b/test/unit/fleet_random_test.c
@@ -4,8 +4,9 @@
  * the faults. FLEET_SEEDS="first last" selects the seeds, FLEET_MIXED leaves out
  * the plain runs, FLEET_DIVIDED the mixed runs of an undivided fleet,
  * FLEET_CRASHING those of a divided one without tasks that crash workers, and
- * FLEET_EVACUATING those with such tasks, which leaves the evacuations and the
- * workers that start again under their names; FLEET_REBORN the evacuations too.
+ * FLEET_EVACUATING those with such tasks, which leaves the evacuations, the
+ * workers that start again under their names and those that drain; FLEET_REBORN
+ * leaves only the second of these.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -41,6 +42,8 @@
 	{FSIM_REBORN, " reborn", NULL},
 	{FSIM_DIVIDED_REBORN, " divided reborn", NULL},
 	{FSIM_DIVIDED_REBORN_STAYING, " divided reborn staying", NULL},
+	{FSIM_DRAINING, " draining", "FLEET_REBORN"},
+	{FSIM_DIVIDED_DRAINING, " divided draining", "FLEET_REBORN"},
 };
 
 static void run_seed(unsigned long seed, enum fsim_mode mode)
@@ -61,6 +64,7 @@
 	static const unsigned long mixed[] = {624, 840, 2420};
 	static const unsigned long reborn[] = {13, 29};
 	static const unsigned long divided[] = {60, 660, 766};
+	static const unsigned long draining[] = {37, 150, 151, 262};
 	size_t i;
 
 	init_log();
@@ -72,16 +76,20 @@
 		run_seed(reborn[i], FSIM_DIVIDED_REBORN_STAYING);
 	for (i = 0; i < sizeof(divided) / sizeof(*divided); i++)
 		run_seed(divided[i], FSIM_DIVIDED);
+	for (i = 0; i < sizeof(draining) / sizeof(*draining); i++)
+		run_seed(draining[i], FSIM_DRAINING);
 	run_seed(40, FSIM_DIVIDED_EVACUATING);
 	run_seed(77, FSIM_DIVIDED_EVACUATING);
 	run_seed(295, FSIM_DIVIDED_EVACUATING);
+	run_seed(369, FSIM_DIVIDED_EVACUATING);
 	run_seed(140, FSIM_DIVIDED_REBORN);
 }
 
 static bool is_divided(enum fsim_mode mode)
 {
 	return mode == FSIM_DIVIDED || mode == FSIM_DIVIDED_CRASHING ||
-	       mode == FSIM_DIVIDED_EVACUATING || mode == FSIM_DIVIDED_REBORN;
+	       mode == FSIM_DIVIDED_EVACUATING || mode == FSIM_DIVIDED_REBORN ||
+	       mode == FSIM_DIVIDED_DRAINING;
 }
 
 static void run_seeds(bool divided)
@@ -93,7 +101,9 @@
 	init_log();
 	if (env)
 		sscanf(env, "%lu %lu", &first, &last);
-	for (i = 0; i <= FSIM_DIVIDED_REBORN; i++) {
+	for (i = 0; i < sizeof(modes) / sizeof(*modes); i++) {
+		if (modes[i].mode == FSIM_DIVIDED_REBORN_STAYING)
+			continue; /* only for seeds of past failures */
 		if (is_divided(modes[i].mode) != divided ||
 		    (modes[i].left_out_by && getenv(modes[i].left_out_by)))
 			continue;
