Answer open cancels at the end of a planned stop

Callers saw: the channel of a DELETE ended without an answer when its instance stopped less than 1.5 s after the cancel came, while a driver was silent.

Cause: a cancel that not all drivers have is answered 503 after 1.5 s at the latest, and nothing ended that wait with the stop; at stop_ms the server closes what is open.

Change: when the jobs that are still open are answered, the cancels are too, as not done.

Evidence: stopping_instance_answers_its_cancels fails before (no answer) and passes now; cells_cancel: 13 of 13.

--- a/src/fleet/cancels.c
+++ b/src/fleet/cancels.c
@@ -105,6 +105,14 @@
 	c->opt.cancelled(c->opt.ctx, k->tag, is_done);
 }
 
+/* Whether this instance stops, and has to answer what is still open. */
+static bool is_at_end(const struct cells *c, int64_t now)
+{
+	int64_t ends_at = c->whole.fleet->ends_at;
+
+	return ends_at && now >= ends_at;
+}
+
 static void answer_if_due(struct cells *c, struct cancel *k, int64_t now)
 {
 	bool is_awaited = false;
@@ -118,7 +126,7 @@
 	}
 	if (n_acked && !is_awaited)
 		answer(c, k, true, now);
-	else if (now - k->taken_at >= ANSWER_MAX_MS)
+	else if (now - k->taken_at >= ANSWER_MAX_MS || is_at_end(c, now))
 		answer(c, k, false, now);
 }
 
--- a/test/unit/cells_cancel_test.c
+++ b/test/unit/cells_cancel_test.c
@@ -19,6 +19,7 @@
 	DEADLINE_MS = 40000,
 	ANSWER_MS = 2000, /* a caller of a cancel waits no longer */
 	STOP_MS = 50, /* a stop takes no longer */
+	LATE_CANCEL_MS = 900, /* before its instance ends */
 	COPY_MS = 3500 /* from the acknowledgement to a late copy */
 };
 
@@ -351,6 +352,26 @@
 	fsim_free(s);
 }
 
+/*
+ * Guards against a planned stop that leaves a DELETE without an answer: its
+ * instance ends before it would have given up on a driver that is silent.
+ */
+static void stopping_instance_answers_its_cancels(void)
+{
+	struct fsim *s = start(false);
+	size_t job = submit(s);
+	int home = find_other(s, 1, 0);
+
+	fsim_stop(s, home);
+	fsim_run(s, FSIM_STOP_MS - LATE_CANCEL_MS);
+	fsim_cut_instance(s, home, true);
+	fsim_cancel_id(s, job, home);
+	fsim_run(s, LATE_CANCEL_MS - FSIM_ANSWERS_MS / 2);
+	CU_ASSERT_EQUAL(s->jobs[job].cancels_refused, 1);
+	CU_ASSERT_EQUAL(s->jobs[job].cancel_acked_at, 0);
+	fsim_free(s);
+}
+
 SUITE(cells_cancel)
 {
 	TEST(cancel_at_another_domain_ends_the_job);
@@ -365,4 +386,5 @@
 	TEST(cell_that_is_gone_holds_up_no_cancel);
 	TEST(cancel_without_a_driver_is_refused);
 	TEST(too_many_cancels_drop_the_oldest);
+	TEST(stopping_instance_answers_its_cancels);
 }
