Wait for half-read requests in a planned stop, and answer the last ones

Callers saw: the channel of a request whose last byte came 3 s after SIGTERM ended 2.5 s after SIGTERM without an answer.

Cause: the stop counts requests that were passed to the callback, so the process ended while others were being read. And a request that was read in the last runs of the server was closed unanswered.

Change: the server counts the requests that it has read in part, and the stop waits for them for as long as for those that it has read; what is whole by then is answered 503, as before. The last runs answer 503 too.

--- a/src/cmd/fleet_daemon.c
+++ b/src/cmd/fleet_daemon.c
@@ -91,6 +91,16 @@
 	return d->stop_began_at + d->settings.stop_ms - ANSWERS_MS;
 }
 
+/*
+ * Whether all that was asked is answered. A request that is still being read is
+ * waited for, but not for longer than one that was read.
+ */
+static bool is_all_answered(const struct fleet_daemon *d, int64_t now)
+{
+	return cells_has_left(d->fleet) && !job_server_open(d->jobs) &&
+	       (!job_server_reading(d->jobs) || now >= jobs_end_at(d));
+}
+
 static void advance_stop(struct fleet_daemon *d, int64_t now)
 {
 	int64_t elapsed_ms = now - d->stop_began_at;
@@ -100,8 +110,7 @@
 		d->quiesced = true;
 		job_server_quiesce(d->jobs);
 	}
-	if (d->quiesced && cells_has_left(d->fleet) &&
-	    !job_server_open(d->jobs))
+	if (d->quiesced && is_all_answered(d, now))
 		end_loop(d, EXIT_DONE);
 	else if (elapsed_ms >= d->settings.stop_ms)
 		end_loop(d, EXIT_FAILED);
--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -52,8 +52,16 @@
 	return info->socket_context;
 }
 
+static void set_stage(struct http_server *s, struct http_exchange *r,
+		      enum http_stage stage)
+{
+	s->n_reading -= r->stage == HTTP_READING;
+	r->stage = stage;
+}
+
 static void close_request(struct http_server *s, struct http_exchange *r)
 {
+	s->n_reading -= r->stage == HTTP_READING;
 	if (r->is_counted)
 		s->n_open--;
 	r->conn->request = 0;
@@ -121,7 +129,22 @@
 				   .content_type = "application/json",
 				   .body = {text, sizeof(text) - 1}};
 
-	r->stage = HTTP_REPLYING;
+	set_stage(s, r, HTTP_REPLYING);
+	return queue_reply(s, mhd, &reply);
+}
+
+/* The server is about to be freed, so the request is not passed on. */
+static enum MHD_Result reply_stopping(struct http_server *s,
+				      struct MHD_Connection *mhd,
+				      struct http_exchange *r)
+{
+	static const char text[] = "{\"error\":\"stopping\"}";
+	struct http_reply reply = {.status = MHD_HTTP_SERVICE_UNAVAILABLE,
+				   .content_type = "application/json",
+				   .retry_after_s = 1,
+				   .body = {text, sizeof(text) - 1}};
+
+	set_stage(s, r, HTTP_REPLYING);
 	return queue_reply(s, mhd, &reply);
 }
 
@@ -136,6 +159,7 @@
 	id = table_add(&s->requests, &item);
 	r = item;
 	r->id = id;
+	s->n_reading++;
 	r->conn = get_conn(mhd);
 	r->conn->request = id;
 	*req = r;
@@ -187,7 +211,7 @@
 
 	if (r->conn->closed)
 		return MHD_NO;
-	r->stage = HTTP_AWAITING_REPLY;
+	set_stage(s, r, HTTP_AWAITING_REPLY);
 	r->is_counted = true;
 	s->n_open++;
 	s->in_callback = r->id;
@@ -207,8 +231,6 @@
 	struct http_server *s = arg;
 	struct http_exchange *r = *req;
 
-	if (s->freeing)
-		return MHD_NO;
 	if (!r)
 		return begin_request(s, mhd, req);
 	if (r->stage == HTTP_ABANDONED)
@@ -219,6 +241,8 @@
 		return add_body(s, r, data, size);
 	if (r->too_large)
 		return reply_too_large(s, mhd, r);
+	if (s->freeing)
+		return reply_stopping(s, mhd, r);
 	return call_handler(s, mhd, r, url, method);
 }
 
--- a/src/transport/http_conn.h
+++ b/src/transport/http_conn.h
@@ -49,6 +49,7 @@
 	bool draining; /* connections are closed after their answers */
 	bool freeing;
 	uint64_t in_callback; /* request passed to the callback; zero: none */
+	size_t n_reading; /* requests in the stage HTTP_READING */
 	size_t n_open; /* requests passed to the callback, not ended yet */
 	struct table requests;
 	struct http_conn *conns;
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -163,6 +163,11 @@
 	return s->n_open;
 }
 
+size_t http_server_reading_count(const struct http_server *s)
+{
+	return s->n_reading;
+}
+
 uint16_t http_server_port(const struct http_server *s)
 {
 	return s->port;
--- a/test/standin/ask.c
+++ b/test/standin/ask.c
@@ -13,6 +13,7 @@
 static char *opt_body;
 static char *opt_file;
 static char *opt_raw;
+static int opt_pause_ms;
 
 static const struct poptOption options[] = {
 	{"header", 'H', POPT_ARG_ARGV, &opt_headers, 0,
@@ -23,6 +24,8 @@
 	 "file with the body of the request", "FILE"},
 	{"raw", 0, POPT_ARG_STRING, &opt_raw, 0,
 	 "send this text in place of a request's head", "TEXT"},
+	{"pause-ms", 0, POPT_ARG_INT, &opt_pause_ms, 0,
+	 "wait for so long before the last byte of the body", "MS"},
 	POPT_AUTOHELP POPT_TABLEEND};
 
 static char *read_file(const char *path, size_t *len)
@@ -102,7 +105,7 @@
 		len = body ? strlen(body) : 0;
 	write_head(head, method, addr, path, len);
 	answer = http_exchange(addr, opt_raw ? opt_raw : head, body ? body : "",
-			       len);
+			       len, (unsigned)opt_pause_ms);
 	rc = print_answer(answer);
 	free(answer);
 	poptFreeContext(ctx);
--- a/test/standin/http_exchange.c
+++ b/test/standin/http_exchange.c
@@ -1,5 +1,6 @@
 /* Blocking sockets suffice for the single requests of the stand-ins. */
 #include <arpa/inet.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -65,8 +66,18 @@
 	return text;
 }
 
+static void send_body(int fd, const char *body, size_t len, unsigned pause_ms)
+{
+	size_t n_last = len && pause_ms;
+
+	if (send_all(fd, body, len - n_last) || !n_last)
+		return;
+	poll(NULL, 0, (int)pause_ms);
+	send_all(fd, body + len - n_last, n_last);
+}
+
 char *http_exchange(const char *addr, const char *head, const char *body,
-		    size_t body_len)
+		    size_t body_len, unsigned pause_ms)
 {
 	int fd = connect_to(addr);
 	char *text;
@@ -75,7 +86,7 @@
 		return NULL;
 	/* A server may answer and close before it has read everything. */
 	if (!send_all(fd, head, strlen(head)))
-		send_all(fd, body, body_len);
+		send_body(fd, body, body_len, pause_ms);
 	text = receive_all(fd);
 	close(fd);
 	return text;
--- a/test/standin/http_exchange.h
+++ b/test/standin/http_exchange.h
@@ -6,10 +6,11 @@
 
 /*
  * Connects to `addr`, an IP:PORT, sends `head` and `body` unchanged and
- * returns all bytes received until the connection ends. The caller frees
- * them. Returns NULL when the connection cannot be opened.
+ * returns all bytes received until the connection ends. The last byte is sent
+ * `pause_ms` after the others. The caller frees the result, which is NULL when
+ * the connection cannot be opened.
  */
 char *http_exchange(const char *addr, const char *head, const char *body,
-		    size_t body_len);
+		    size_t body_len, unsigned pause_ms);
 
 #endif
--- a/test/standin/target_register.c
+++ b/test/standin/target_register.c
@@ -40,7 +40,7 @@
 		 "Host: %s\r\nConnection: close\r\n"
 		 "Content-Length: %zu\r\n\r\n",
 		 reg->store, strlen(body));
-	answer = http_exchange(reg->store, head, body, strlen(body));
+	answer = http_exchange(reg->store, head, body, strlen(body), 0);
 	ok = answer && !strncmp(answer, "HTTP/1.1 200", 12);
 	free(answer);
 	free(body);
--- a/test/unit/transport_server_test.c
+++ b/test/unit/transport_server_test.c
@@ -453,6 +453,54 @@
 	teardown(&f);
 }
 
+/* Guards against a stop that takes a request in part for an idle client. */
+static void request_read_in_part_is_counted(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	raw_send(f.fd, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+		       "\r\n1");
+	while (!http_server_reading_count(f.server))
+		run_a_while(f.loop);
+	CU_ASSERT_EQUAL(http_server_open_count(f.server), 0);
+	http_server_quiesce(f.server);
+	raw_send(f.fd, "2");
+	CU_ASSERT(run_until(f.loop, &f.n_requests, 1));
+	CU_ASSERT_EQUAL(http_server_reading_count(f.server), 0);
+	reply_text(&f, f.ids[0], "whole");
+	CU_ASSERT(wait_for_text(&f, "whole"));
+	teardown(&f);
+	setup(&f);
+	raw_send(f.fd, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+		       "\r\n1");
+	while (!http_server_reading_count(f.server))
+		run_a_while(f.loop);
+	client_close(&f);
+	while (http_server_reading_count(f.server))
+		run_a_while(f.loop);
+	teardown(&f);
+}
+
+/* The same for one that comes just before the end of the process. */
+static void request_read_while_freeing_is_answered(void)
+{
+	char text[512] = "";
+	struct fixture f;
+	ssize_t n;
+
+	setup(&f);
+	run_a_while(f.loop);
+	raw_send(f.fd, post);
+	http_server_free(f.server);
+	f.server = NULL;
+	n = recv(f.fd, text, sizeof(text) - 1, 0);
+	CU_ASSERT(n > 0);
+	CU_ASSERT(strstr(text, " 503 ") != NULL);
+	CU_ASSERT_EQUAL(f.n_requests, 0);
+	teardown(&f);
+}
+
 static void free_closes_open_connections(void)
 {
 	struct fixture f;
@@ -575,6 +623,8 @@
 	TEST(client_awaiting_reply_is_not_closed_as_idle);
 	TEST(quiesced_server_answers_open_requests);
 	TEST(draining_server_closes_connections_and_accepts_new_ones);
+	TEST(request_read_in_part_is_counted);
+	TEST(request_read_while_freeing_is_answered);
 	TEST(free_closes_open_connections);
 	TEST(port_in_use_is_reported);
 }
