Fit a planned stop into the platform's grace period

Callers would see: with a grace period of less than 5.5 s, SIGKILL ends the channels of running and waiting jobs before they are answered.

Cause: stop_ms is 5500 by default, and the deploy file did not pass the platform's gracePeriodS on.

At 6 s, which all known deployments have, the times are as before. It is an option as scripts fill in the template's placeholders by name.

Evidence: a job that runs was answered 5 s or later after SIGTERM, whatever the grace period, as 39-stop-with-waiting-job says of the default; with grace_s = 3 it is answered within 3 s now, which the test has. stop_ends_before_the_grace_period is new, and test/deploy.sh starts the program with and without the platform's figure.

--- a/src/cmd/cmd_entry.c
+++ b/src/cmd/cmd_entry.c
@@ -184,6 +184,10 @@
 
 	if (!daemon_options_read(&o, "sycamoreshore entry", argc, argv))
 		return EXIT_USAGE;
+	if (o.grace_s) {
+		fputs("sycamoreshore: entry has no --grace-s\n", stderr);
+		return EXIT_USAGE;
+	}
 	if (o.reference) {
 		settings_print_reference();
 		return EXIT_DONE;
--- a/src/cmd/cmd_fleet.c
+++ b/src/cmd/cmd_fleet.c
@@ -47,15 +47,17 @@
 	return d->exit_code;
 }
 
-static int read_settings(struct fleet_daemon *d, const char *path)
+static int read_settings(struct fleet_daemon *d, const struct daemon_options *o)
 {
+	struct fleet_settings *s = &d->settings;
 	char err[MESSAGE_MAX];
 
-	if (!path) {
+	if (!o->settings) {
 		fputs("sycamoreshore: fleet needs --settings=FILE\n", stderr);
 		return EXIT_USAGE;
 	}
-	if (fleet_settings_read(&d->settings, path, err, sizeof(err)))
+	if (fleet_settings_read(s, o->settings, err, sizeof(err)) &&
+	    fleet_settings_set_grace(s, o->grace_s, err, sizeof(err)))
 		return EXIT_DONE;
 	fprintf(stderr, "sycamoreshore: %s\n", err);
 	return EXIT_USAGE;
@@ -77,10 +79,11 @@
 	}
 	if (sodium_init() < 0)
 		return EXIT_FAILED;
-	rc = read_settings(&d, o.settings);
+	rc = read_settings(&d, &o);
 	d.settings_path = o.settings;
 	if (!rc && !o.check)
 		rc = run_daemon(&d);
 	free(o.settings);
+	free(o.grace_s);
 	return rc;
 }
--- a/src/cmd/daemon_options.c
+++ b/src/cmd/daemon_options.c
@@ -9,6 +9,8 @@
 	struct poptOption option_table[] = {
 		{"settings", 's', POPT_ARG_STRING, &o->settings, 0,
 		 "file with the settings of this instance", "FILE"},
+		{"grace-s", 0, POPT_ARG_STRING, &o->grace_s, 0,
+		 "time from SIGTERM to SIGKILL; of `fleet` only", "S"},
 		{"check", 'c', POPT_ARG_NONE, &o->check, 0,
 		 "check the settings and exit", NULL},
 		{"reference", 0, POPT_ARG_NONE, &o->reference, 0,
--- a/src/cmd/daemon_options.h
+++ b/src/cmd/daemon_options.h
@@ -6,6 +6,8 @@
 
 struct daemon_options {
 	char *settings; /* path, which the caller frees; NULL: not given */
+	/* Seconds from SIGTERM to SIGKILL, likewise; empty: unknown. */
+	char *grace_s;
 	int check; /* only check the settings and exit */
 	int reference; /* only print the settings' reference and exit */
 };
--- a/src/cmd/fleet_settings.c
+++ b/src/cmd/fleet_settings.c
@@ -6,7 +6,10 @@
 
 enum {
 	LEASE_HOLDS_MIN = 2, /* least ratio of lease_ms to hold_wait_ms */
-	EVACUATION_MS_MIN = 100
+	EVACUATION_MS_MIN = 100,
+	STOP_MS = 5500,
+	/* A stop ends this part of the time before SIGKILL comes. */
+	GRACE_MARGIN_DIVISOR = 12
 };
 
 #define OFFSET_OF(member) offsetof(struct fleet_settings, member)
@@ -107,8 +110,12 @@
 	{"drain_ms", FIELD_U32, OFFSET_OF(drain_ms), 0, 60000, "ms", "2500",
 	 "Time for which a planned stop still accepts connections, until "
 	 "the load balancer has noticed it."},
-	{"stop_ms", FIELD_U32, OFFSET_OF(stop_ms), 100, 3600000, "ms", "5500",
-	 "Time limit of a planned stop."},
+	{"grace_s", FIELD_MILLI, OFFSET_OF(grace_ms), 0, 3600, "s", "0",
+	 "Time from SIGTERM to SIGKILL, which a planned stop does not "
+	 "reach; 0: unknown."},
+	{"stop_ms", FIELD_U32, OFFSET_OF(stop_ms), 0, 3600000, "ms", "0",
+	 "Time limit of a planned stop; 0: eleven twelfths of grace_s, or "
+	 "5500 if that is unknown."},
 	{0},
 };
 
@@ -162,7 +169,7 @@
 				"evacuation_apply_ms = %u is neither 0 nor at "
 				"least %d",
 				s->evacuation_apply_ms, EVACUATION_MS_MIN);
-	if (s->stop_ms <= s->drain_ms)
+	if (s->stop_ms && s->stop_ms <= s->drain_ms)
 		return ini_fail(
 			pos, "stop_ms = %u is not greater than drain_ms = %u",
 			s->stop_ms, s->drain_ms);
@@ -195,6 +202,32 @@
 	return settings_file_read(&form, path, err, errlen);
 }
 
+/* A stop that SIGKILL cuts short leaves callers without an answer. */
+static void fit_stop_into_grace(struct fleet_settings *s)
+{
+	uint32_t max_ms = s->grace_ms - s->grace_ms / GRACE_MARGIN_DIVISOR;
+
+	if (!s->stop_ms)
+		s->stop_ms = s->grace_ms ? max_ms : STOP_MS;
+	if (s->grace_ms && s->stop_ms > max_ms)
+		s->stop_ms = max_ms;
+	if (s->drain_ms >= s->stop_ms)
+		s->drain_ms = s->stop_ms / 2;
+}
+
+bool fleet_settings_set_grace(struct fleet_settings *s, const char *text,
+			      char *err, size_t errlen)
+{
+	struct ini_pos pos = {"command line", 0, err, errlen};
+	uint64_t seen = 0;
+
+	if (text && *text &&
+	    !field_set(limits_fields, s, &seen, &pos, "grace_s", text))
+		return false;
+	fit_stop_into_grace(s);
+	return true;
+}
+
 void fleet_settings_reference(struct buf *out)
 {
 	buf_puts(out, "# Settings of a fleet's instance\n\n"
--- a/src/cmd/fleet_settings.h
+++ b/src/cmd/fleet_settings.h
@@ -39,6 +39,7 @@
 	uint32_t body_max; /* bytes */
 	uint32_t connections_max;
 	uint32_t idle_s;
+	uint32_t grace_ms; /* from SIGTERM to SIGKILL; zero: unknown */
 	uint32_t drain_ms;
 	uint32_t stop_ms;
 	/* [log] */
@@ -54,6 +55,13 @@
 bool fleet_settings_parse(struct fleet_settings *s, const char *file,
 			  struct syc_bytes text, char *err, size_t errlen);
 
+/*
+ * Sets the time from SIGTERM to SIGKILL, unless `text` is NULL or empty, and fits
+ * the times of a planned stop into it.
+ */
+bool fleet_settings_set_grace(struct fleet_settings *s, const char *text,
+			      char *err, size_t errlen);
+
 /* Appends the reference page, as docs/SETTINGS-FLEET.md has it. */
 void fleet_settings_reference(struct buf *out);
 
--- a/test/deploy.sh
+++ b/test/deploy.sh
@@ -30,7 +30,17 @@
 	echo "deploy: this check does not replace the placeholder above" >&2
 	exit 1
 fi
-"$dir/clone/target/sycamoreshore" fleet --check --settings "$dir/fleet.ini"
+# The platform may not know the grace period.
+for grace in 6 4.5 ''
+do
+	run=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/system.toml |
+		sed -e "s|{{bounds.gracePeriodS}}|$grace|" \
+			-e "s|/etc/sycamoreshore/node.toml|$dir/fleet.ini|")
+	(cd "$dir/clone" && $run --check) || {
+		echo "deploy: refused with a grace period of '$grace'" >&2
+		exit 1
+	}
+done
 for package in $(sed -n 's/^packages = \[\(.*\)\]/\1/p' deploy/system.toml |
 	tr -d '",')
 do
--- a/test/process/39-stop-with-waiting-job.sh
+++ b/test/process/39-stop-with-waiting-job.sh
@@ -176,4 +176,19 @@
 		"$(head -1 "$DIR/$i.out")"
 done
 expect "tasks with two runs at one time" 0 "$(counts twice)"
+
+# The platform sends SIGKILL after 3 s: what runs is answered before that.
+FLEET_SETTINGS='
+	[limits]
+	grace_s = 3'
+start_instance short d0
+wait_ready short
+wait_served short
+submit first short 9000
+sleep 0.5
+TERM_AT=$(date +%s%3N)
+kill -TERM "$(pid_of short)"
+expect "a job that runs for longer than the grace period" 502 "$(answer first)"
+[ "$(after first)" -lt 3000 ] ||
+	die "the answer came $(after first) ms after SIGTERM"
 pass
--- a/test/unit/settings_test.c
+++ b/test/unit/settings_test.c
@@ -160,18 +160,52 @@
 	expect_page("docs/SETTINGS-FLEET.md", &fleet);
 }
 
-static bool parse_fleet(const char *extra, char *err, size_t errlen)
+static bool parse_fleet_into(struct fleet_settings *s, const char *extra,
+			     char *err, size_t errlen)
 {
 	static const char head[] =
 		"[instance]\nname = a\ndomain = d\n[listen]\n"
 		"callers = 127.0.0.1:1\npeers = 127.0.0.1:2\n"
 		"admin = 127.0.0.1:3\n[platform]\nstore = 127.0.0.1:4\n";
-	struct fleet_settings s;
 	char text[1024];
 
 	snprintf(text, sizeof(text), "%s%s", head, extra);
 	return fleet_settings_parse(
-		&s, "f", (struct syc_bytes){text, strlen(text)}, err, errlen);
+		s, "f", (struct syc_bytes){text, strlen(text)}, err, errlen);
+}
+
+static bool parse_fleet(const char *extra, char *err, size_t errlen)
+{
+	struct fleet_settings s;
+
+	return parse_fleet_into(&s, extra, err, errlen);
+}
+
+static void expect_stop(const char *limits, const char *option,
+			uint32_t stop_ms, uint32_t drain_ms)
+{
+	struct fleet_settings s;
+	char extra[128], err[256] = "";
+
+	snprintf(extra, sizeof(extra), "[limits]\n%s", limits);
+	CU_ASSERT(parse_fleet_into(&s, extra, err, sizeof(err)));
+	CU_ASSERT(fleet_settings_set_grace(&s, option, err, sizeof(err)));
+	CU_ASSERT_EQUAL(s.stop_ms, stop_ms);
+	CU_ASSERT_EQUAL(s.drain_ms, drain_ms);
+}
+
+/* Guards against a planned stop that lasts until SIGKILL, as of 4 s. */
+static void stop_ends_before_the_grace_period(void)
+{
+	expect_stop("", NULL, 5500, 2500);
+	expect_stop("", "", 5500, 2500);
+	expect_stop("", "6", 5500, 2500);
+	expect_stop("grace_s = 6\n", NULL, 5500, 2500);
+	expect_stop("grace_s = 6\n", "4", 3667, 2500);
+	expect_stop("grace_s = 1.5\n", NULL, 1375, 687);
+	expect_stop("grace_s = 30\n", NULL, 27500, 2500);
+	expect_stop("grace_s = 30\nstop_ms = 4000\n", NULL, 4000, 2500);
+	expect_stop("grace_s = 6\nstop_ms = 60000\n", NULL, 5500, 2500);
 }
 
 static void fleet_settings_are_checked(void)
@@ -207,4 +241,5 @@
 	TEST(missing_file_is_named);
 	TEST(reference_pages_match_the_tables);
 	TEST(fleet_settings_are_checked);
+	TEST(stop_ends_before_the_grace_period);
 }
