Dial a peer that is back without waiting for another timer

Cause: the timer of the next dial is also that of a peer that hung up, 2 s, and it was set while it was active, which libev ignores. So when the connection that the peer had dialled ended first, it was dialled 2 s after it was killed; its cell took the silent one for lost after 1.3 s. A peer that dials in did not hasten a dial that waited.

Change: one function stops the timer before it sets it; a peer that dials in is dialled at once.

--- a/src/transport/peer_dial.c
+++ b/src/transport/peer_dial.c
@@ -14,6 +14,16 @@
 
 static const double ms_per_s = 1000;
 
+/* A timer that is active keeps its time, so it is stopped before. */
+static void set_timer(struct peer_dial *d, double after_s)
+{
+	struct ev_loop *loop = d->dials->conns->loop;
+
+	ev_timer_stop(loop, &d->retry_timer);
+	ev_timer_set(&d->retry_timer, after_s, 0);
+	ev_timer_start(loop, &d->retry_timer);
+}
+
 /*
  * Dials again after a random time between half and all of the backoff, which
  * then doubles.
@@ -24,8 +34,7 @@
 	double jitter = (double)rng_below(&ds->rng, 1000) / 1000;
 	double max = ds->dial_backoff_max_ms / ms_per_s;
 
-	ev_timer_set(&d->retry_timer, d->backoff_s * (0.5 + jitter / 2), 0);
-	ev_timer_start(ds->conns->loop, &d->retry_timer);
+	set_timer(d, d->backoff_s * (0.5 + jitter / 2));
 	d->backoff_s = d->backoff_s * 2 < max ? d->backoff_s * 2 : max;
 }
 
@@ -118,15 +127,21 @@
 }
 
 /*
- * The peer is up, as it has dialled this instance. A dial that began while it
- * was down waits a second for the next attempt of TCP, so it is begun anew.
+ * The peer is up, as it has dialled this instance, so the next attempt does not
+ * wait. One that began while it was down waits a second for the next attempt of
+ * TCP, so it is begun anew.
  */
 static void dial_anew(struct peer_dial *d)
 {
 	double age_s = ev_now(d->dials->conns->loop) - d->dialled_at_s;
 
-	if (d->is_self || d->alias_of || !is_connecting(d) ||
-	    age_s <= STUCK_MS / ms_per_s)
+	if (d->is_self || d->alias_of)
+		return;
+	if (!d->conn) {
+		set_timer(d, 0);
+		return;
+	}
+	if (!is_connecting(d) || age_s <= STUCK_MS / ms_per_s)
 		return;
 	d->dials_at_once = true;
 	peer_conn_close(d->conn, NULL);
@@ -173,9 +188,7 @@
 
 	if (!d || !d->conn)
 		return;
-	ev_timer_stop(ds->conns->loop, &d->retry_timer);
-	ev_timer_set(&d->retry_timer, HUNG_UP_AFTER_S, 0);
-	ev_timer_start(ds->conns->loop, &d->retry_timer);
+	set_timer(d, HUNG_UP_AFTER_S);
 }
 
 struct peer_dial *peer_dials_find(const struct peer_dials *ds,
--- a/test/unit/transport_peer_test.c
+++ b/test/unit/transport_peer_test.c
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "sycamoreshore/clock.h"
 #include "transport/address.h"
 #include "transport/peer_link.h"
 #include "transport/peer_seal.h"
@@ -225,6 +226,52 @@
 	ev_loop_destroy(loop);
 }
 
+/*
+ * Guards against review/6: a peer that was killed, and is back, was not dialled
+ * for 2 s if the connection that it had dialled ended before the other one.
+ */
+static void peer_that_is_back_is_dialled_at_once(bool dials)
+{
+	struct ev_loop *loop = ev_loop_new(0);
+	struct syc_addr addr;
+	struct side a, b;
+	uint16_t port;
+	int64_t killed_at;
+
+	open_side(&a, loop, 1, key_a, 0);
+	open_side(&b, loop, 2, key_a, 0);
+	addr = loopback(peer_links_port(a.links));
+	port = peer_links_port(b.links);
+	dial(&a, &b);
+	CU_ASSERT(run_until(loop, &b.n_up, 2));
+	CU_ASSERT(run_until(loop, &a.n_up, 2));
+	peer_links_stop_dialling(b.links, &addr);
+	run_a_while(loop);
+	close_side(&b);
+	run_a_while(loop);
+	CU_ASSERT_EQUAL(open_side(&b, loop, 3, key_a, port), TRANSPORT_OK);
+	killed_at = syc_now(&syc_clock_monotonic);
+	if (dials)
+		peer_links_dial(b.links, &addr);
+	while (!send_text(&a, 3, "back") &&
+	       syc_now(&syc_clock_monotonic) - killed_at < 3000)
+		run_a_while(loop);
+	CU_ASSERT(syc_now(&syc_clock_monotonic) - killed_at < 1000);
+	close_side(&a);
+	close_side(&b);
+	ev_loop_destroy(loop);
+}
+
+static void killed_peer_is_dialled_after_the_backoff(void)
+{
+	peer_that_is_back_is_dialled_at_once(false);
+}
+
+static void killed_peer_that_dials_is_dialled_at_once(void)
+{
+	peer_that_is_back_is_dialled_at_once(true);
+}
+
 /* The old incarnation's connections may still be open, as after a crash. */
 static void connections_of_old_incarnation_are_closed(void)
 {
@@ -453,6 +500,8 @@
 	TEST(instance_is_never_its_own_peer);
 	TEST(second_address_of_a_peer_keeps_one_connection);
 	TEST(new_incarnation_replaces_the_old);
+	TEST(killed_peer_is_dialled_after_the_backoff);
+	TEST(killed_peer_that_dials_is_dialled_at_once);
 	TEST(connections_of_old_incarnation_are_closed);
 	TEST(removed_address_is_not_dialled_again);
 	TEST(port_in_use_is_reported);
