--- a/src/fleet/workers.c
+++ b/src/fleet/workers.c
@@ -1,7 +1,8 @@
 /*
  * Keeps the list of workers. The driver reads it from the platform often and
  * sends it to its peers when it has changed. Other instances read it only
- * OTHER_READ_INTERVAL_MS after the last list that they received or read.
+ * OTHER_READ_INTERVAL_MS after the last list that they received or read, or when
+ * it is too old to drive by (workers_age.c).
  */
 #include <stdlib.h>
 #include <string.h>
