--- a/src/drive/drive_state.h
+++ b/src/drive/drive_state.h
@@ -93,7 +93,11 @@
 	int64_t asked_born_ms; /* listed, and the worker was asked about it */
 	int64_t unlisted_at;
 	bool listed;
-	bool others_use; /* not listed, but another driver may list it */
+	/*
+	 * It left the list of this instance, but not that of the driver, which
+	 * may still start tasks on it.
+	 */
+	bool others_use;
 	bool has_left; /* the earlier incarnation was leaving */
 	bool is_replaced; /* another incarnation answered at its address */
 	bool is_slow; /* it has turned slow, see progress.c */
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -253,13 +253,13 @@
 /* The age of a key's value for peers; zero: it was never confirmed. */
 uint64_t heartbeat_get_age_ms(const struct key_watch *w, int64_t now);
 /*
- * When what the peer tells was true, by its word for the age; zero: not known. The
- * message may have been held back on its way, so the age counts from when this
- * instance sent the heartbeat that the peer had received before, `echo_ms` after
- * its start.
+ * Converts an age that a peer states into a time on this instance's clock; zero:
+ * not known. `echo_ms` is the uptime in the last heartbeat of this instance that
+ * the peer had received. The age counts from then, because the peer's message may
+ * have been delayed, which must not make its content look newer.
  */
 int64_t heartbeat_dated(const struct fleet *f, int64_t echo_ms, int64_t age_ms);
-/* Accepts the peer's word for the age of what this instance knows too. */
+/* Takes over the age that a peer states for a value that both have. */
 void heartbeat_accept_age(const struct fleet *f, struct key_watch *w,
 			  int64_t echo_ms, int64_t age_ms);
 /* Gives up the jobs of peers that sent no heartbeat for too long. */
@@ -380,17 +380,20 @@
 void workers_confirm(struct fleet *f, int64_t at);
 /* The age of the list for a message; zero: not known. */
 uint64_t workers_told_age_ms(const struct fleet *f, int64_t now);
-/* The age and the hash of the driver's list, in its heartbeats. */
+/* Writes the age and the hash of the list into a heartbeat. */
 void workers_put_age(const struct fleet *f, int64_t now, struct wire_out *w);
-/* `echo_ms`: see heartbeat_dated. */
+/* Reads them and, if the hashes are equal, takes the age over. */
 void workers_read_age(struct fleet *f, int64_t echo_ms, struct wire_in *w);
-/* Equal for lists of the same workers, in any order. */
+/* A hash of the list that does not depend on the order of the workers. */
 uint64_t workers_hash(const struct drive_worker *list, size_t n);
 /* Whether this member has to read the list, as it would drive next. */
 bool workers_is_standby_read_due(const struct fleet *f, int64_t now);
-/* The drive begins or wakes, and starts nothing by an old list. */
+/*
+ * To be called when the drive begins, or wakes from a pause: if the list is old,
+ * no task is started until it has been read.
+ */
 void workers_await_if_old(struct fleet *f, int64_t now);
-/* Ends that if the list was read, or the store takes too long. */
+/* Ends that wait if the list was read, or the store takes too long. */
 void workers_check_await(struct fleet *f, int64_t now);
 
 /* workers_msgs.c */
--- a/src/policy/room_plan.c
+++ b/src/policy/room_plan.c
@@ -232,7 +232,7 @@
 		sift_down(p, i);
 }
 
-/* After tasks have taken it, the earliest place is another one. */
+/* Finds the next place of the worker whose place was taken, the earliest one. */
 static void renew_earliest(struct room_plan *p, const struct room_job *j)
 {
 	if (!find_place(p->places[0].worker, j, &p->places[0]))
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -62,7 +62,7 @@
  * written.
  */
 size_t http_server_open_count(const struct http_server *s);
-/* Returns the number of requests of which the head was read, but not all. */
+/* Returns the number of requests whose head was read, but whose body was not. */
 size_t http_server_reading_count(const struct http_server *s);
 void http_server_free(struct http_server *s);
 uint16_t http_server_port(const struct http_server *s);
--- a/src/transport/peer_dial.c
+++ b/src/transport/peer_dial.c
@@ -127,9 +127,9 @@
 }
 
 /*
- * The peer is up, as it has dialled this instance, so the next attempt does not
- * wait. One that began while it was down waits a second for the next attempt of
- * TCP, so it is begun anew.
+ * The peer has dialled this instance, so it is up. If the next attempt to dial it
+ * waits for the backoff, it is made now. If an attempt is in progress that began
+ * while the peer was down, it is replaced, as TCP would retry only after a second.
  */
 static void dial_anew(struct peer_dial *d)
 {
--- a/test/standin/http_exchange.h
+++ b/test/standin/http_exchange.h
@@ -6,8 +6,8 @@
 
 /*
  * Connects to `addr`, an IP:PORT, sends `head` and `body` unchanged and
- * returns all bytes received until the connection ends. The last byte is sent
- * `pause_ms` after the others. The caller frees the result, which is NULL when
+ * returns all bytes received until the connection ends. It waits for `pause_ms`
+ * before it sends the last byte. The caller frees the result, which is NULL when
  * the connection cannot be opened.
  */
 char *http_exchange(const char *addr, const char *head, const char *body,
--- a/test/unit/fleet_drain_test.c
+++ b/test/unit/fleet_drain_test.c
@@ -99,7 +99,10 @@
 	check_and_free(s);
 }
 
-/* The list is read by its driver, and by one more while that gets no answer. */
+/*
+ * Only the driver reads the list. While the store does not answer it, one other
+ * instance reads the list too.
+ */
 static void list_is_read_no_more_often_than_needed(void)
 {
 	struct fsim *s = start(false);
--- a/test/unit/policy_room_test.c
+++ b/test/unit/policy_room_test.c
@@ -193,8 +193,8 @@
 }
 
 /*
- * Guards against the class of review/7: work that is bounded by a size in a
- * message or an entry, and not by the tables. Each plan takes microseconds.
+ * Guards against plans whose work grows with a size in a message or an entry, as
+ * in review/7, instead of with the number of workers. A plan takes microseconds.
  */
 static void plans_of_odd_sizes_end(void)
 {
--- a/test/unit/settings_test.c
+++ b/test/unit/settings_test.c
@@ -181,8 +181,8 @@
 	return parse_fleet_into(&s, extra, err, errlen);
 }
 
-static void expect_stop(const char *limits, const char *option,
-			uint32_t stop_ms, uint32_t drain_ms)
+static void expect_stop_times(const char *limits, const char *option,
+			      uint32_t stop_ms, uint32_t drain_ms)
 {
 	struct fleet_settings s;
 	char extra[128], err[256] = "";
@@ -197,15 +197,15 @@
 /* Guards against a planned stop that lasts until SIGKILL, as of 4 s. */
 static void stop_ends_before_the_grace_period(void)
 {
-	expect_stop("", NULL, 5500, 2500);
-	expect_stop("", "", 5500, 2500);
-	expect_stop("", "6", 5500, 2500);
-	expect_stop("grace_s = 6\n", NULL, 5500, 2500);
-	expect_stop("grace_s = 6\n", "4", 3667, 2500);
-	expect_stop("grace_s = 1.5\n", NULL, 1375, 687);
-	expect_stop("grace_s = 30\n", NULL, 27500, 2500);
-	expect_stop("grace_s = 30\nstop_ms = 4000\n", NULL, 4000, 2500);
-	expect_stop("grace_s = 6\nstop_ms = 60000\n", NULL, 5500, 2500);
+	expect_stop_times("", NULL, 5500, 2500);
+	expect_stop_times("", "", 5500, 2500);
+	expect_stop_times("", "6", 5500, 2500);
+	expect_stop_times("grace_s = 6\n", NULL, 5500, 2500);
+	expect_stop_times("grace_s = 6\n", "4", 3667, 2500);
+	expect_stop_times("grace_s = 1.5\n", NULL, 1375, 687);
+	expect_stop_times("grace_s = 30\n", NULL, 27500, 2500);
+	expect_stop_times("grace_s = 30\nstop_ms = 4000\n", NULL, 4000, 2500);
+	expect_stop_times("grace_s = 6\nstop_ms = 60000\n", NULL, 5500, 2500);
 }
 
 static void fleet_settings_are_checked(void)
